Lay out the build, the shared types and the interfaces between processes

Cause: the repository was empty; parts that are to be written side by side need one build and fixed interfaces first. Ruled out: one large module (decisions could then reach for I/O unseen) and a module for each package (many poms, little gained). Conclusion: the parts can be built independently against these interfaces.

--- /dev/null
+++ b/burn/src/main/java/org/gentianslip/burn/package-info.java
@@ -0,0 +1,2 @@
+/** The service-level burn report. */
+package org.gentianslip.burn;
--- /dev/null
+++ b/core/src/main/java/org/gentianslip/core/id/CustomerId.java
@@ -0,0 +1,36 @@
+package org.gentianslip.core.id;
+
+/**
+ * Identifies a customer.
+ *
+ * <p>A customer is the party that callers act for. Immutable and safe for use by several threads.
+ *
+ * @param value the text of the id, from 1 to {@value IdText#MAX_LENGTH} letters, digits, dots,
+ *     hyphens, underscores and colons
+ */
+public record CustomerId(String value) implements Comparable<CustomerId> {
+
+  /**
+   * Checks the text of the id.
+   *
+   * @throws IllegalArgumentException if {@code value} is no valid id
+   */
+  public CustomerId {
+    IdText.requireValid("CustomerId", value);
+  }
+
+  /** Returns the id with the given text. */
+  public static CustomerId of(String value) {
+    return new CustomerId(value);
+  }
+
+  @Override
+  public int compareTo(CustomerId other) {
+    return value.compareTo(other.value);
+  }
+
+  @Override
+  public String toString() {
+    return value;
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/gentianslip/core/id/EngineId.java
@@ -0,0 +1,37 @@
+package org.gentianslip.core.id;
+
+/**
+ * Identifies a backend server.
+ *
+ * <p>A backend server is a model engine or an instance of a plain service. Immutable and safe for
+ * use by several threads.
+ *
+ * @param value the text of the id, from 1 to {@value IdText#MAX_LENGTH} letters, digits, dots,
+ *     hyphens, underscores and colons
+ */
+public record EngineId(String value) implements Comparable<EngineId> {
+
+  /**
+   * Checks the text of the id.
+   *
+   * @throws IllegalArgumentException if {@code value} is no valid id
+   */
+  public EngineId {
+    IdText.requireValid("EngineId", value);
+  }
+
+  /** Returns the id with the given text. */
+  public static EngineId of(String value) {
+    return new EngineId(value);
+  }
+
+  @Override
+  public int compareTo(EngineId other) {
+    return value.compareTo(other.value);
+  }
+
+  @Override
+  public String toString() {
+    return value;
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/gentianslip/core/id/KindId.java
@@ -0,0 +1,37 @@
+package org.gentianslip.core.id;
+
+/**
+ * Identifies a kind of work.
+ *
+ * <p>A kind decides the rank and the objectives of a request. Immutable and safe for use by several
+ * threads.
+ *
+ * @param value the text of the id, from 1 to {@value IdText#MAX_LENGTH} letters, digits, dots,
+ *     hyphens, underscores and colons
+ */
+public record KindId(String value) implements Comparable<KindId> {
+
+  /**
+   * Checks the text of the id.
+   *
+   * @throws IllegalArgumentException if {@code value} is no valid id
+   */
+  public KindId {
+    IdText.requireValid("KindId", value);
+  }
+
+  /** Returns the id with the given text. */
+  public static KindId of(String value) {
+    return new KindId(value);
+  }
+
+  @Override
+  public int compareTo(KindId other) {
+    return value.compareTo(other.value);
+  }
+
+  @Override
+  public String toString() {
+    return value;
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/gentianslip/core/id/ModelId.java
@@ -0,0 +1,36 @@
+package org.gentianslip.core.id;
+
+/**
+ * Identifies a model.
+ *
+ * <p>Callers name it in the body of a request. Immutable and safe for use by several threads.
+ *
+ * @param value the text of the id, from 1 to {@value IdText#MAX_LENGTH} letters, digits, dots,
+ *     hyphens, underscores and colons
+ */
+public record ModelId(String value) implements Comparable<ModelId> {
+
+  /**
+   * Checks the text of the id.
+   *
+   * @throws IllegalArgumentException if {@code value} is no valid id
+   */
+  public ModelId {
+    IdText.requireValid("ModelId", value);
+  }
+
+  /** Returns the id with the given text. */
+  public static ModelId of(String value) {
+    return new ModelId(value);
+  }
+
+  @Override
+  public int compareTo(ModelId other) {
+    return value.compareTo(other.value);
+  }
+
+  @Override
+  public String toString() {
+    return value;
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/gentianslip/core/id/RequestId.java
@@ -0,0 +1,36 @@
+package org.gentianslip.core.id;
+
+/**
+ * Identifies a request.
+ *
+ * <p>The entry that admits a request mints its id. Immutable and safe for use by several threads.
+ *
+ * @param value the text of the id, from 1 to {@value IdText#MAX_LENGTH} letters, digits, dots,
+ *     hyphens, underscores and colons
+ */
+public record RequestId(String value) implements Comparable<RequestId> {
+
+  /**
+   * Checks the text of the id.
+   *
+   * @throws IllegalArgumentException if {@code value} is no valid id
+   */
+  public RequestId {
+    IdText.requireValid("RequestId", value);
+  }
+
+  /** Returns the id with the given text. */
+  public static RequestId of(String value) {
+    return new RequestId(value);
+  }
+
+  @Override
+  public int compareTo(RequestId other) {
+    return value.compareTo(other.value);
+  }
+
+  @Override
+  public String toString() {
+    return value;
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/gentianslip/core/id/package-info.java
@@ -0,0 +1,2 @@
+/** Value types for the ids that every part of the gateway shares. */
+package org.gentianslip.core.id;
--- /dev/null
+++ b/core/src/main/java/org/gentianslip/core/routing/LeastLoadedPolicy.java
@@ -0,0 +1,51 @@
+package org.gentianslip.core.routing;
+
+import java.util.Comparator;
+import java.util.Optional;
+
+/**
+ * Sends a request to the engine with the fewest known requests, and away when all are full.
+ *
+ * <p>It serves as a baseline. Stateless and safe for use by several threads.
+ */
+public final class LeastLoadedPolicy implements RoutingPolicy {
+
+  private static final long RETRY_AFTER_MILLIS = 500;
+
+  @Override
+  public RouteDecision decide(long nowNanos, RouteRequest request, RouteView view) {
+    if (request.allowedRegions().contains(view.ownRegion())) {
+      Optional<EngineView> engine = leastLoaded(request, view);
+      if (engine.isPresent()) {
+        return new RouteDecision.ToEngine(engine.get().id(), RouteReason.LEAST_LOADED);
+      }
+    }
+    if (!request.forwarded()) {
+      Optional<RegionSummary> region = mostSpare(request, view);
+      if (region.isPresent()) {
+        return new RouteDecision.ToRegion(region.get().region(), RouteReason.SPILL);
+      }
+    }
+    return new RouteDecision.Refuse(RETRY_AFTER_MILLIS, RouteReason.NO_ENGINE);
+  }
+
+  private static Optional<EngineView> leastLoaded(RouteRequest request, RouteView view) {
+    return view.engines().stream()
+        .filter(EngineView::usable)
+        .filter(e -> e.models().contains(request.model()))
+        .filter(e -> e.inFlight() < e.slots())
+        .min(Comparator.comparingInt(LeastLoadedPolicy::load).thenComparing(EngineView::id));
+  }
+
+  private static int load(EngineView engine) {
+    return Math.max(engine.inFlight(), engine.reportedRunning() + engine.reportedWaiting());
+  }
+
+  private static Optional<RegionSummary> mostSpare(RouteRequest request, RouteView view) {
+    return view.regions().stream()
+        .filter(RegionSummary::reachable)
+        .filter(r -> r.freeSlots() > 0)
+        .filter(r -> request.allowedRegions().contains(r.region()))
+        .max(Comparator.comparingInt(RegionSummary::freeSlots));
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/gentianslip/core/routing/package-info.java
@@ -0,0 +1,2 @@
+/** The choice of a backend server or another region for a request. */
+package org.gentianslip.core.routing;
--- /dev/null
+++ b/ctl/src/main/java/org/gentianslip/ctl/package-info.java
@@ -0,0 +1,2 @@
+/** The operators' command line. */
+package org.gentianslip.ctl;
--- /dev/null
+++ b/demo/src/main/java/org/gentianslip/demo/package-info.java
@@ -0,0 +1,2 @@
+/** Starts the two example fleets on loopback. */
+package org.gentianslip.demo;
--- /dev/null
+++ b/entry/src/main/java/org/gentianslip/entry/package-info.java
@@ -0,0 +1,2 @@
+/** The entry process between callers and backend servers. */
+package org.gentianslip.entry;
--- /dev/null
+++ b/load/src/main/java/org/gentianslip/load/package-info.java
@@ -0,0 +1,2 @@
+/** The open-loop load client. */
+package org.gentianslip.load;
--- /dev/null
+++ b/settings/src/main/java/org/gentianslip/settings/Settings.java
@@ -0,0 +1,53 @@
+package org.gentianslip.settings;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import org.gentianslip.core.id.CustomerId;
+import org.gentianslip.core.id.KindId;
+import org.gentianslip.core.id.ModelId;
+import org.gentianslip.core.id.RegionId;
+import org.gentianslip.core.id.Revision;
+import org.gentianslip.core.id.ServiceId;
+
+/**
+ * Holds one accepted revision of the settings.
+ *
+ * <p>It is valid as a whole. Implementations are immutable and safe for use by several threads.
+ */
+public interface Settings {
+
+  /** Returns the revision. */
+  Revision revision();
+
+  /** Returns the regions. */
+  List<Region> regions();
+
+  /** Returns the links between regions. */
+  List<Link> links();
+
+  /** Returns the models that callers may name. */
+  Set<ModelId> models();
+
+  /** Returns the service with the given id. */
+  Optional<Service> service(ServiceId id);
+
+  /** Returns the customers. */
+  List<Customer> customers();
+
+  /** Returns the customer with the given id. */
+  Optional<Customer> customer(CustomerId id);
+
+  /** Returns the customer whose key has the given SHA-256, in lower-case hexadecimal. */
+  Optional<Customer> customerByKey(String keySha256);
+
+  /** Returns whether some branch names the kind of work for the customer's firm. */
+  boolean knowsKind(Customer customer, KindId kind);
+
+  /**
+   * Returns the values in force.
+   *
+   * @throws IllegalArgumentException if the customer is not known
+   */
+  EffectiveSettings effective(CustomerId customer, RegionId region, KindId kind);
+}
