Add prefix affinity, the request queue and limits that need no coordination

Cause: the only policy was least-loaded, which scatters equal prefixes over the engines, and a request that finds no slot had nowhere to wait in order.

Ruled out: a consistent-hash ring for the engines, since rendezvous scores need no state and move only the keys of an engine that leaves; strict limits per engine, since with stale reports they either waste free slots or break the share of an instance that was idle.

Change: RoundRobinPolicy as a baseline, PrefixAffinityPolicy (rendezvous choice within a load bound, then two drawn engines, then the least loaded), RequestQueue (ranks with a floor, start-time fair queueing by customer, deadlines, bounded with displacement), ShareLimit, RetryBudget, Backoff and RecoveryRamp. EngineView, RegionSummary and RouteView gain components; their old constructors stay.

--- /dev/null
+++ b/core/src/main/java/org/gentianslip/core/limit/ShareLimit.java
@@ -0,0 +1,109 @@
+package org.gentianslip.core.limit;
+
+/**
+ * Limits the requests that one instance may have in flight at an engine that several share.
+ *
+ * <p>Each instance owns a share of the slots by its weight; the shares of all add up to the slots.
+ * Beyond its share an instance may borrow an equal part of the slots that the last report showed
+ * free. All instances that borrow on the same report then take no more than what was free, so the
+ * slots are exceeded only by instances that return to their own share before the next report. A
+ * report older than the greatest age lends nothing.
+ *
+ * <p>The limit is scaled by a factor that falls when the engine refuses work or lets tokens come
+ * too slowly, and rises by small steps otherwise. The limit is always from 1 to the number of
+ * slots. Immutable and safe for use by several threads; the holder swaps values atomically.
+ */
+public final class ShareLimit {
+
+  private static final double MIN_FACTOR = 0.25;
+  private static final double DECREASE = 0.85;
+  private static final double INCREASE = 0.02;
+  private static final long ADJUST_PERIOD_NANOS = 500_000_000;
+  private static final long MAX_REPORT_AGE_NANOS = 5_000_000_000L;
+
+  private final int slots;
+  private final double share;
+  private final int instances;
+  private final double factor;
+  private final long adjustedNanos;
+
+  private ShareLimit(int slots, double share, int instances, double factor, long adjustedNanos) {
+    this.slots = slots;
+    this.share = share;
+    this.instances = instances;
+    this.factor = factor;
+    this.adjustedNanos = adjustedNanos;
+  }
+
+  /**
+   * Returns the limit of an instance.
+   *
+   * @param nowNanos the present time, in nanoseconds of the monotonic clock
+   * @param slots the slots of the engine, at least 1
+   * @param weight the weight of the instance, above 0
+   * @param totalWeight the weight of all instances that use the engine, at least {@code weight}
+   * @param instances the number of those instances, at least 1
+   * @throws IllegalArgumentException if a number is out of its range
+   */
+  public static ShareLimit of(
+      long nowNanos, int slots, double weight, double totalWeight, int instances) {
+    if (slots < 1 || instances < 1) {
+      throw new IllegalArgumentException(
+          "Slots and instances must be at least 1: " + slots + ", " + instances);
+    }
+    if (!(weight > 0 && weight <= totalWeight)) {
+      throw new IllegalArgumentException(
+          "The weight must be above 0 and at most " + totalWeight + ": " + weight);
+    }
+    return new ShareLimit(slots, slots * weight / totalWeight, instances, 1, nowNanos);
+  }
+
+  /** Returns the limit without a report: the instance's own share of the slots. */
+  public int limit() {
+    return clamp(share * factor);
+  }
+
+  /**
+   * Returns the limit after a report.
+   *
+   * @param nowNanos the present time, in nanoseconds of the monotonic clock
+   * @param report the last report
+   */
+  public int limit(long nowNanos, EngineReport report) {
+    if (nowNanos - report.reportedNanos() > MAX_REPORT_AGE_NANOS) {
+      return limit();
+    }
+    double free = slots * factor - report.running() - report.waiting();
+    double borrowed = report.ownInFlight() + free / instances;
+    return clamp(Math.max(share * factor, borrowed));
+  }
+
+  /** Returns the limit after the engine refused work as full. */
+  public ShareLimit afterRefusal(long nowNanos) {
+    return adjusted(nowNanos, factor * DECREASE);
+  }
+
+  /**
+   * Returns the limit after an answer.
+   *
+   * @param nowNanos the present time, in nanoseconds of the monotonic clock
+   * @param tokenNanos the mean time between the tokens of the answer, in nanoseconds
+   * @param objectiveNanos the greatest time between tokens that is wanted, in nanoseconds
+   */
+  public ShareLimit afterAnswer(long nowNanos, long tokenNanos, long objectiveNanos) {
+    return adjusted(nowNanos, tokenNanos > objectiveNanos ? factor * DECREASE : factor + INCREASE);
+  }
+
+  private ShareLimit adjusted(long nowNanos, double wanted) {
+    double next = Math.min(1, Math.max(MIN_FACTOR, wanted));
+    boolean early = nowNanos - adjustedNanos < ADJUST_PERIOD_NANOS;
+    if (next == factor || early) {
+      return this;
+    }
+    return new ShareLimit(slots, share, instances, next, nowNanos);
+  }
+
+  private int clamp(double limit) {
+    return (int) Math.max(1, Math.min(slots, Math.floor(limit)));
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/gentianslip/core/routing/EngineChoice.java
@@ -0,0 +1,130 @@
+package org.gentianslip.core.routing;
+
+import java.util.List;
+import java.util.Optional;
+import org.gentianslip.core.hash.Bits;
+
+/**
+ * Chooses an engine of the own region by prefix affinity with a load bound.
+ *
+ * <p>The first of the prefix's three best rendezvous choices that is within the load bound and has
+ * room gets the request. If none is, the less loaded of two engines drawn by the request's id gets
+ * it, and if neither has room, the least loaded one of all. An engine is within the load bound
+ * while its load is at most {@value #BOUND} times the mean of the engines that serve the model, in
+ * proportion to its slots, plus {@value #SLACK} requests.
+ *
+ * <p>Stateless but for its seed and safe for use by several threads.
+ */
+final class EngineChoice {
+
+  private static final double BOUND = 1.25;
+  private static final double SLACK = 1.0;
+  private static final int AFFINITY_CHOICES = 3;
+
+  private final long seed;
+
+  private EngineChoice(long seed) {
+    this.seed = seed;
+  }
+
+  static EngineChoice withSeed(long seed) {
+    return new EngineChoice(seed);
+  }
+
+  /** Returns whether an engine of the own region serves the model, with or without room. */
+  static boolean anyServes(RouteRequest request, RouteView view) {
+    for (EngineView engine : view.engines()) {
+      if (engine.serves(request.model())) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  /** Returns the engine, or nothing if no engine that serves the model has room. */
+  Optional<RouteDecision.ToEngine> choose(RouteRequest request, RouteView view) {
+    double loadPerSlot = boundPerSlot(request, view);
+    EngineView preferred = byPrefix(request, view, loadPerSlot);
+    if (preferred != null) {
+      return Optional.of(new RouteDecision.ToEngine(preferred.id(), RouteReason.PREFIX_AFFINITY));
+    }
+    EngineView other = lessLoadedOfTwo(request, view.engines());
+    if (other == null) {
+      other = leastLoaded(request, view.engines());
+    }
+    return Optional.ofNullable(other)
+        .map(e -> new RouteDecision.ToEngine(e.id(), RouteReason.LEAST_LOADED));
+  }
+
+  private static double boundPerSlot(RouteRequest request, RouteView view) {
+    long slots = 0;
+    long load = 0;
+    for (EngineView engine : view.engines()) {
+      if (engine.serves(request.model())) {
+        slots += engine.slots();
+        load += engine.load();
+      }
+    }
+    return slots == 0 ? 0 : BOUND * load / slots;
+  }
+
+  private EngineView byPrefix(RouteRequest request, RouteView view, double loadPerSlot) {
+    long key = request.prefixDigest() ^ seed;
+    long ceiling = Long.MAX_VALUE;
+    for (int i = 0; i < AFFINITY_CHOICES; i++) {
+      EngineView best = null;
+      long bestScore = Long.MIN_VALUE;
+      for (EngineView engine : view.engines()) {
+        long score = Bits.rendezvous(key, engine.id().value());
+        if (score > bestScore && score < ceiling && engine.serves(request.model())) {
+          best = engine;
+          bestScore = score;
+        }
+      }
+      if (best == null) {
+        return null;
+      }
+      if (best.hasRoom() && best.load() <= loadPerSlot * best.slots() + SLACK) {
+        return best;
+      }
+      ceiling = bestScore;
+    }
+    return null;
+  }
+
+  private EngineView lessLoadedOfTwo(RouteRequest request, List<EngineView> engines) {
+    if (engines.isEmpty()) {
+      return null;
+    }
+    long bits = Bits.mix(request.id().value().hashCode() ^ seed);
+    EngineView one = engines.get((int) Long.remainderUnsigned(bits, engines.size()));
+    EngineView two = engines.get((int) Long.remainderUnsigned(bits >>> 32, engines.size()));
+    return lessLoaded(request, withRoom(request, one), two);
+  }
+
+  private static EngineView leastLoaded(RouteRequest request, List<EngineView> engines) {
+    EngineView best = null;
+    for (EngineView engine : engines) {
+      best = lessLoaded(request, best, engine);
+    }
+    return best;
+  }
+
+  private static EngineView withRoom(RouteRequest request, EngineView engine) {
+    return engine.hasRoom() && engine.serves(request.model()) ? engine : null;
+  }
+
+  private static EngineView lessLoaded(RouteRequest request, EngineView best, EngineView engine) {
+    if (withRoom(request, engine) == null) {
+      return best;
+    }
+    if (best == null || relativeLoad(engine) < relativeLoad(best)) {
+      return engine;
+    }
+    return best;
+  }
+
+  private static double relativeLoad(EngineView engine) {
+    return (double) engine.load() / engine.slots();
+  }
+}
--- a/core/src/main/java/org/gentianslip/core/routing/RouteView.java
+++ b/core/src/main/java/org/gentianslip/core/routing/RouteView.java
@@ -12,13 +12,26 @@
  * @param ownRegion the region of this instance
  * @param engines the engines of the own region
  * @param regions the other regions
+ * @param waits how long the backlog of each rank takes to drain here
  */
-public record RouteView(RegionId ownRegion, List<EngineView> engines, List<RegionSummary> regions) {
+public record RouteView(
+    RegionId ownRegion, List<EngineView> engines, List<RegionSummary> regions, BacklogWaits waits) {
 
   /** Copies the lists. */
   public RouteView {
     Objects.requireNonNull(ownRegion);
     engines = List.copyOf(engines);
     regions = List.copyOf(regions);
+    Objects.requireNonNull(waits);
+  }
+
+  /** Makes a view with no backlog. */
+  public RouteView(RegionId ownRegion, List<EngineView> engines, List<RegionSummary> regions) {
+    this(ownRegion, engines, regions, BacklogWaits.NONE);
+  }
+
+  /** Returns the same view with another backlog. */
+  public RouteView withWaits(BacklogWaits others) {
+    return new RouteView(ownRegion, engines, regions, others);
   }
 }
--- /dev/null
+++ b/core/src/test/java/org/gentianslip/core/limit/RetryBudgetTest.java
@@ -0,0 +1,42 @@
+package org.gentianslip.core.limit;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import java.util.List;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.junit.jupiter.api.Test;
+
+class RetryBudgetTest {
+
+  @Test
+  void allowsNoMoreThanItHasSaved() {
+    var budget = RetryBudget.of(0.1, 1);
+    budget.tryRetry();
+    assertThat(budget.tryRetry(), is(false));
+  }
+
+  @Test
+  void quotesAnInvalidShare() {
+    assertThrows(IllegalArgumentException.class, () -> RetryBudget.of(1.5, 1));
+  }
+
+  @Property(seed = "8")
+  void staysWithinItsShare(@ForAll List<Boolean> retries) {
+    var budget = RetryBudget.of(0.1, 3);
+    int granted = 0;
+    int requests = 0;
+    for (boolean retry : retries) {
+      if (retry) {
+        granted += budget.tryRetry() ? 1 : 0;
+      } else {
+        budget.onRequest();
+        requests++;
+      }
+      assertThat(granted, is(lessThanOrEqualTo(3 + requests / 10)));
+    }
+  }
+}
--- /dev/null
+++ b/core/src/test/java/org/gentianslip/core/limit/ShareLimitTest.java
@@ -0,0 +1,92 @@
+package org.gentianslip.core.limit;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThan;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import java.util.List;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.Size;
+import org.junit.jupiter.api.Test;
+
+class ShareLimitTest {
+
+  private static final int SLOTS = 16;
+  private static final long SECOND = 1_000_000_000L;
+
+  private static ShareLimit third() {
+    return ShareLimit.of(0, SLOTS, 1, 3, 3);
+  }
+
+  @Test
+  void givesItsOwnShareWithoutReport() {
+    assertThat(third().limit(), is(5));
+  }
+
+  @Test
+  void lendsPartOfWhatIsFree() {
+    assertThat(third().limit(0, new EngineReport(5, 0, 5, 0)), is(8));
+  }
+
+  @Test
+  void lendsNothingOnAnOldReport() {
+    assertThat(third().limit(6 * SECOND, new EngineReport(5, 0, 5, 0)), is(5));
+  }
+
+  @Test
+  void fallsOnceForSeveralRefusalsInShortTime() {
+    var once = third().afterRefusal(SECOND);
+    assertThat(once.afterRefusal(SECOND + 1).limit(), is(once.limit()));
+  }
+
+  @Test
+  void fallsWhenTokensComeTooSlowlyAndRisesAgain() {
+    var slow = third().afterAnswer(SECOND, 60_000_000, 54_000_000);
+    int fallen = slow.limit();
+    for (int i = 2; i < 12; i++) {
+      slow = slow.afterAnswer(i * SECOND, 40_000_000, 54_000_000);
+    }
+    assertThat(fallen, is(lessThan(slow.limit())));
+  }
+
+  @Test
+  void quotesAnInvalidWeight() {
+    assertThrows(IllegalArgumentException.class, () -> ShareLimit.of(0, SLOTS, 4, 3, 3));
+  }
+
+  @Property(seed = "3")
+  void ownSharesOfAllInstancesFitTheSlots(
+      @ForAll @Size(min = 1, max = SLOTS) List<@IntRange(min = 1, max = 1) Integer> weights) {
+    int n = weights.size();
+    int sum = 0;
+    for (int i = 0; i < n; i++) {
+      sum += ShareLimit.of(0, SLOTS, 1, n, n).limit();
+    }
+    assertThat(sum, is(lessThanOrEqualTo(SLOTS)));
+  }
+
+  @Property(seed = "4")
+  void borrowersOfOneReportNeverExceedTheSlots(
+      @ForAll @Size(min = 2, max = 8) List<@IntRange(min = 0, max = SLOTS) Integer> wanted) {
+    int n = wanted.size();
+    int free = SLOTS;
+    int[] inFlight = new int[n];
+    for (int i = 0; i < n; i++) {
+      inFlight[i] = Math.min(wanted.get(i), free);
+      free -= inFlight[i];
+    }
+    int running = SLOTS - free;
+    int sum = 0;
+    double belowShare = 0;
+    for (int own : inFlight) {
+      var limit = ShareLimit.of(0, SLOTS, 1, n, n);
+      sum += limit.limit(0, new EngineReport(running, 0, own, 0));
+      belowShare += Math.max(0, (double) SLOTS / n - own - (double) free / n);
+    }
+    assertThat((double) sum, is(lessThanOrEqualTo(SLOTS + belowShare + 1e-9)));
+  }
+}
