Join queue and policy in a dispatcher, and divide slots without a remainder

Ruled out: putting a request back into the queue after the policy let it wait, since the charge would have to be undone.

Change: Dispatcher peeks, decides and only then takes. EngineShare divides by cumulative weight, so whole shares add up to the slots.

Conclusion: the entry can use the dispatcher as it is.

--- a/core/src/main/java/org/gentianslip/core/limit/Backoff.java
+++ b/core/src/main/java/org/gentianslip/core/limit/Backoff.java
@@ -42,6 +42,6 @@
     }
     double ceiling = (double) firstNanos * Math.pow(2, Math.min(failures - 1, MAX_DOUBLINGS));
     long bits = Bits.mix(seed ^ Bits.mix(key + failures));
-    return (long) (Math.min(maxNanos, ceiling) * ((bits >>> 11) * UNIT));
+    return (long) (Math.min((double) maxNanos, ceiling) * ((bits >>> 11) * UNIT));
   }
 }
--- a/core/src/main/java/org/gentianslip/core/limit/ShareLimit.java
+++ b/core/src/main/java/org/gentianslip/core/limit/ShareLimit.java
@@ -22,15 +22,15 @@
   private static final long MAX_REPORT_AGE_NANOS = 5_000_000_000L;
 
   private final int slots;
-  private final double share;
-  private final int instances;
+  private final int share;
+  private final EngineShare place;
   private final double factor;
   private final long adjustedNanos;
 
-  private ShareLimit(int slots, double share, int instances, double factor, long adjustedNanos) {
+  private ShareLimit(int slots, EngineShare place, double factor, long adjustedNanos) {
     this.slots = slots;
-    this.share = share;
-    this.instances = instances;
+    this.share = place.of(slots);
+    this.place = place;
     this.factor = factor;
     this.adjustedNanos = adjustedNanos;
   }
@@ -40,22 +40,14 @@
    *
    * @param nowNanos the present time, in nanoseconds of the monotonic clock
    * @param slots the slots of the engine, at least 1
-   * @param weight the weight of the instance, above 0
-   * @param totalWeight the weight of all instances that use the engine, at least {@code weight}
-   * @param instances the number of those instances, at least 1
-   * @throws IllegalArgumentException if a number is out of its range
+   * @param place the share of the instance
+   * @throws IllegalArgumentException if there is no slot
    */
-  public static ShareLimit of(
-      long nowNanos, int slots, double weight, double totalWeight, int instances) {
-    if (slots < 1 || instances < 1) {
-      throw new IllegalArgumentException(
-          "Slots and instances must be at least 1: " + slots + ", " + instances);
+  public static ShareLimit of(long nowNanos, int slots, EngineShare place) {
+    if (slots < 1) {
+      throw new IllegalArgumentException("Slots must be at least 1: " + slots);
     }
-    if (!(weight > 0 && weight <= totalWeight)) {
-      throw new IllegalArgumentException(
-          "The weight must be above 0 and at most " + totalWeight + ": " + weight);
-    }
-    return new ShareLimit(slots, slots * weight / totalWeight, instances, 1, nowNanos);
+    return new ShareLimit(slots, place, 1, nowNanos);
   }
 
   /** Returns the limit without a report: the instance's own share of the slots. */
@@ -73,8 +65,8 @@
     if (nowNanos - report.reportedNanos() > MAX_REPORT_AGE_NANOS) {
       return limit();
     }
-    double free = slots * factor - report.running() - report.waiting();
-    double borrowed = report.ownInFlight() + free / instances;
+    int free = (int) (slots * factor) - report.running() - report.waiting();
+    int borrowed = report.ownInFlight() + place.ofFree(free);
     return clamp(Math.max(share * factor, borrowed));
   }
 
@@ -100,7 +92,7 @@
     if (next == factor || early) {
       return this;
     }
-    return new ShareLimit(slots, share, instances, next, nowNanos);
+    return new ShareLimit(slots, place, next, nowNanos);
   }
 
   private int clamp(double limit) {
--- a/core/src/main/java/org/gentianslip/core/queue/RequestQueue.java
+++ b/core/src/main/java/org/gentianslip/core/queue/RequestQueue.java
@@ -143,6 +143,12 @@
     return Optional.of(request.request());
   }
 
+  /** Takes out the request if it is still the one of its rank that goes next. */
+  synchronized Optional<RouteRequest> takeIfNext(long nowNanos, RouteRequest request) {
+    Optional<RouteRequest> first = peek(nowNanos, request.rank());
+    return first.filter(request::equals).flatMap(r -> take(nowNanos, r.rank()));
+  }
+
   /** Takes out and returns the request that goes next: {@link #peek} and {@link #take} in one. */
   public synchronized Optional<RouteRequest> next(long nowNanos) {
     return peek(nowNanos).flatMap(r -> take(nowNanos, r.rank()));
--- /dev/null
+++ b/core/src/test/java/org/gentianslip/core/queue/DispatcherTest.java
@@ -0,0 +1,64 @@
+package org.gentianslip.core.queue;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+
+import java.util.List;
+import org.gentianslip.core.id.EngineId;
+import org.gentianslip.core.id.Rank;
+import org.gentianslip.core.id.RequestId;
+import org.gentianslip.core.routing.Requests;
+import org.gentianslip.core.routing.RouteDecision;
+import org.gentianslip.core.routing.RouteReason;
+import org.gentianslip.core.routing.RouteView;
+import org.gentianslip.core.routing.RoutingPolicy;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+class DispatcherTest {
+
+  private static final RouteDecision WAIT = new RouteDecision.Wait(1, RouteReason.ENGINES_BUSY);
+  private static final RouteDecision SEND =
+      new RouteDecision.ToEngine(EngineId.of("e"), RouteReason.LEAST_LOADED);
+  private static final RouteView VIEW = new RouteView(Requests.HOME, List.of(), List.of());
+
+  private final RequestQueue queue = RequestQueue.of(new QueueLimits(9, 0.9, 0), c -> 1);
+
+  @BeforeEach
+  void fill() {
+    for (int i = 0; i < 4; i++) {
+      queue.offer(0, Requests.of("u" + i, "shop", Rank.URGENT, Long.MAX_VALUE));
+      queue.offer(0, Requests.of("o" + i, "shop", Rank.OTHER, Long.MAX_VALUE));
+    }
+  }
+
+  private String next(RoutingPolicy policy) {
+    return Dispatcher.of(queue, policy)
+        .next(0, VIEW)
+        .map(Placement::request)
+        .map(r -> r.id().value())
+        .orElse("none");
+  }
+
+  @Test
+  void placesTheRequestThatGoesNext() {
+    assertThat(next((now, r, v) -> SEND), is("u0"));
+  }
+
+  @Test
+  void leavesRequestsThatMustWaitInTheQueue() {
+    next((now, r, v) -> WAIT);
+    assertThat(queue.remove(0, RequestId.of("u0")), is(true));
+  }
+
+  @Test
+  void passesTheTurnOfTheOtherRankToTheUrgentOneWhileItMustWait() {
+    queue.next(0);
+    assertThat(next((now, r, v) -> r.rank() == Rank.OTHER ? WAIT : SEND), is("u1"));
+  }
+
+  @Test
+  void neverPassesTheTurnOfTheUrgentRank() {
+    assertThat(next((now, r, v) -> r.rank() == Rank.URGENT ? WAIT : SEND), is("none"));
+  }
+}
