Add the policy bench in virtual time

Cause: a policy can't be judged without its tail, its share sent away and what a flood leaves, and no cluster may be built for that.

Ruled out: wall-clock runs with stand-ins, which give no verdict that repeats; one process per entry, which would need a cluster simulator.

--- a/bench/src/main/java/org/gentianslip/bench/BenchMain.java
+++ b/bench/src/main/java/org/gentianslip/bench/BenchMain.java
@@ -1,13 +1,56 @@
 package org.gentianslip.bench;
 
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Objects;
+import java.util.concurrent.Callable;
+import java.util.function.Function;
+import org.gentianslip.bench.fleet.FleetSpec;
+import org.gentianslip.bench.fleet.Fleets;
+import org.gentianslip.bench.report.HtmlReport;
+import org.gentianslip.bench.report.JsonReport;
+import org.gentianslip.bench.report.TextReport;
+import org.gentianslip.bench.run.Bench;
+import org.gentianslip.bench.run.BenchResult;
+import org.gentianslip.bench.run.Contender;
+import org.gentianslip.bench.run.Contenders;
+import org.gentianslip.bench.scenario.Scenario;
+import org.gentianslip.bench.scenario.Scenarios;
 import picocli.CommandLine;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.ParameterException;
+import picocli.CommandLine.Spec;
 
-/** Runs {@code gentian-bench}. Stateless; the command line is read by one thread. */
+/** Runs {@code gentian-bench}. The command line is read by one thread. */
 @CommandLine.Command(
     name = "gentian-bench",
+    description = "Compares routing policies in virtual time, against small fakes of engines.",
     mixinStandardHelpOptions = true,
     versionProvider = BenchMain.Version.class)
-public final class BenchMain implements Runnable {
+public final class BenchMain implements Callable<Integer> {
+
+  @Spec private CommandLine.Model.CommandSpec spec;
+
+  @Option(names = "--seed", defaultValue = "1", description = "The seed of all draws.")
+  private long seed;
+
+  @Option(names = "--fleet", split = ",", description = "The fleets; all by default.")
+  private List<String> fleets = List.of();
+
+  @Option(names = "--scenario", split = ",", description = "The scenarios; all by default.")
+  private List<String> scenarios = List.of();
+
+  @Option(names = "--policy", split = ",", description = "The policies; all by default.")
+  private List<String> policies = List.of();
+
+  @Option(names = "--json", paramLabel = "FILE", description = "Also writes JSON to a file.")
+  private Path json;
+
+  @Option(names = "--html", paramLabel = "FILE", description = "Also writes a page with plots.")
+  private Path html;
 
   /**
    * Starts the process.
@@ -19,7 +62,40 @@
   }
 
   @Override
-  public void run() {}
+  public Integer call() throws IOException {
+    List<BenchResult> results =
+        Bench.withSeed(seed)
+            .run(
+                chosen("fleet", fleets, Fleets.all(), FleetSpec::name),
+                chosen("scenario", scenarios, Scenarios.all(), Scenario::name),
+                chosen("policy", policies, Contenders.all(), Contender::name));
+    spec.commandLine().getOut().print(TextReport.of(seed, results));
+    spec.commandLine().getOut().flush();
+    if (json != null) {
+      Files.writeString(json, JsonReport.of(seed, results), StandardCharsets.UTF_8);
+    }
+    if (html != null) {
+      Files.writeString(html, HtmlReport.of(seed, results), StandardCharsets.UTF_8);
+    }
+    return CommandLine.ExitCode.OK;
+  }
+
+  private <T> List<T> chosen(
+      String option, List<String> names, List<T> all, Function<T, String> nameOf) {
+    for (String name : names) {
+      if (all.stream().map(nameOf).noneMatch(name::equals)) {
+        throw new ParameterException(
+            spec.commandLine(),
+            "There is no "
+                + option
+                + " \""
+                + name
+                + "\"; there are "
+                + all.stream().map(nameOf).toList());
+      }
+    }
+    return all.stream().filter(t -> names.isEmpty() || names.contains(nameOf.apply(t))).toList();
+  }
 
   /** Reads the version from the manifest. Stateless. */
   static final class Version implements CommandLine.IVersionProvider {
@@ -27,8 +103,7 @@
     public String[] getVersion() {
       return new String[] {
         "gentian-bench "
-            + java.util.Objects.toString(
-                BenchMain.class.getPackage().getImplementationVersion(), "dev")
+            + Objects.toString(BenchMain.class.getPackage().getImplementationVersion(), "dev")
       };
     }
   }
--- /dev/null
+++ b/bench/src/main/java/org/gentianslip/bench/scenario/package-info.java
@@ -0,0 +1,2 @@
+/** What happens to a fleet in a run: arrivals, floods and faults. */
+package org.gentianslip.bench.scenario;
--- /dev/null
+++ b/bench/src/main/java/org/gentianslip/bench/time/EventLoop.java
@@ -0,0 +1,60 @@
+package org.gentianslip.bench.time;
+
+import java.util.PriorityQueue;
+
+/**
+ * Runs actions in the order of virtual time.
+ *
+ * <p>Actions of the same time run in the order in which they were scheduled; time never falls. For
+ * one thread.
+ */
+public final class EventLoop {
+
+  private final PriorityQueue<Event> events = new PriorityQueue<>();
+  private long nowNanos;
+  private long sequence;
+
+  /** Returns the present virtual time, in nanoseconds from the start of the run. */
+  public long nowNanos() {
+    return nowNanos;
+  }
+
+  /** Schedules an action; a time in the past means now. */
+  public void at(long timeNanos, Runnable action) {
+    events.add(new Event(Math.max(timeNanos, nowNanos), sequence++, action));
+  }
+
+  /** Schedules an action after a delay, in nanoseconds. */
+  public void after(long delayNanos, Runnable action) {
+    at(nowNanos + delayNanos, action);
+  }
+
+  /** Schedules an action periodically, in nanoseconds, from now plus one period on. */
+  public void every(long periodNanos, Runnable action) {
+    after(
+        periodNanos,
+        () -> {
+          action.run();
+          every(periodNanos, action);
+        });
+  }
+
+  /** Runs all actions up to a time, in nanoseconds from the start of the run. */
+  public void runUntil(long endNanos) {
+    while (!events.isEmpty() && events.peek().timeNanos <= endNanos) {
+      Event event = events.poll();
+      nowNanos = event.timeNanos;
+      event.action.run();
+    }
+    nowNanos = endNanos;
+  }
+
+  private record Event(long timeNanos, long sequence, Runnable action)
+      implements Comparable<Event> {
+    @Override
+    public int compareTo(Event other) {
+      int byTime = Long.compare(timeNanos, other.timeNanos);
+      return byTime != 0 ? byTime : Long.compare(sequence, other.sequence);
+    }
+  }
+}
--- /dev/null
+++ b/bench/src/main/java/org/gentianslip/bench/time/package-info.java
@@ -0,0 +1,2 @@
+/** Virtual time. */
+package org.gentianslip.bench.time;
