Keep the bench within the launcher's heap

Ruled out: a larger heap in the launcher.

Change: a run ends by reducing its bins to what the plots need.

Conclusion: done.

--- a/bench/src/main/java/org/gentianslip/bench/fleet/CapacityProbe.java
+++ b/bench/src/main/java/org/gentianslip/bench/fleet/CapacityProbe.java
@@ -2,7 +2,6 @@
 
 import org.gentianslip.bench.time.EventLoop;
 import org.gentianslip.core.id.EngineId;
-import org.gentianslip.core.id.Rank;
 
 /**
  * Measures how many answers a second one engine gives when it is always full.
@@ -21,7 +20,7 @@
   /** Returns the answers a second of one engine for one kind of work. */
   public static double answersPerSecond(EngineModel model, KindSpec kind) {
     var loop = new EventLoop();
-    var engine = new FakeEngine(EngineId.of("probe"), model, loop, new NoMeter());
+    var engine = new FakeEngine(EngineId.of("probe"), model, loop, new SilentMeter());
     var caller = new Caller(engine, kind);
     for (int i = 0; i < 2 * model.slots(); i++) {
       caller.submit(i);
@@ -74,16 +73,4 @@
       }
     }
   }
-
-  /** Hears nothing. Stateless. */
-  private static final class NoMeter implements EngineMeter {
-    @Override
-    public void onTokens(Rank rank, long gapNanos, int sequences) {}
-
-    @Override
-    public void onSlots(long slotNanos) {}
-
-    @Override
-    public void onPrefix(boolean hit) {}
-  }
 }
--- a/bench/src/main/java/org/gentianslip/bench/report/HtmlReport.java
+++ b/bench/src/main/java/org/gentianslip/bench/report/HtmlReport.java
@@ -5,8 +5,8 @@
 import java.util.Locale;
 import java.util.function.ToDoubleFunction;
 import org.gentianslip.bench.run.BenchResult;
-import org.gentianslip.bench.run.Period;
 import org.gentianslip.bench.run.RunResult;
+import org.gentianslip.bench.run.TimelineBin;
 import org.gentianslip.core.id.Rank;
 
 /**
@@ -52,7 +52,7 @@
     for (Rank rank : Rank.values()) {
       String name = rank.name().toLowerCase(Locale.ROOT);
       Plot latency =
-          plot(name + ": first token p95, s", results, p -> p.rank(rank).firstTokenSeconds(95));
+          plot(name + ": first token p95, s", results, p -> p.rank(rank).firstTokenSeconds());
       Plot service =
           plot(
               name + ": whole answers in time, %",
@@ -67,7 +67,7 @@
   }
 
   private static Plot plot(
-      String title, List<BenchResult> results, ToDoubleFunction<Period> value) {
+      String title, List<BenchResult> results, ToDoubleFunction<TimelineBin> value) {
     List<Plot.Line> lines = new ArrayList<>();
     for (BenchResult result : results) {
       List<Double> values = new ArrayList<>();
--- a/bench/src/main/java/org/gentianslip/bench/run/BenchRun.java
+++ b/bench/src/main/java/org/gentianslip/bench/run/BenchRun.java
@@ -84,7 +84,7 @@
     var run = new BenchRun(fleet, scenario, contender, seed);
     run.schedule(arrivals, 0);
     run.loop.runUntil(Scenario.RUN_SECONDS * NANOS_PER_SECOND + DRAIN_NANOS);
-    run.result.setLinkBytes(run.links.values().stream().mapToLong(Link::bytes).sum());
+    run.result.finish(run.links.values().stream().mapToLong(Link::bytes).sum());
     return run.result;
   }
 
--- a/bench/src/main/java/org/gentianslip/bench/run/RankResult.java
+++ b/bench/src/main/java/org/gentianslip/bench/run/RankResult.java
@@ -2,7 +2,7 @@
 
 import java.util.EnumMap;
 import java.util.Map;
-import org.HdrHistogram.Histogram;
+import org.HdrHistogram.IntCountsHistogram;
 
 /** Counts what became of the requests of a rank in a part of a run. For one thread. */
 public final class RankResult {
@@ -12,8 +12,8 @@
   private static final double MICROS_PER_SECOND = 1e6;
   private static final double MICROS_PER_MILLI = 1e3;
 
-  private final Histogram firstToken = new Histogram(DIGITS);
-  private final Histogram betweenTokens = new Histogram(DIGITS);
+  private final IntCountsHistogram firstToken = new IntCountsHistogram(DIGITS);
+  private final IntCountsHistogram betweenTokens = new IntCountsHistogram(DIGITS);
   private final Map<Outcome, Long> outcomes = new EnumMap<>(Outcome.class);
   private long offered;
 
--- a/bench/src/main/java/org/gentianslip/bench/run/RunResult.java
+++ b/bench/src/main/java/org/gentianslip/bench/run/RunResult.java
@@ -33,7 +33,8 @@
   private final Period measured = new Period();
   private final Period event = new Period();
   private final Period afterEvent = new Period();
-  private final List<Period> timeline = new ArrayList<>();
+  private final List<Period> bins = new ArrayList<>();
+  private final List<TimelineBin> timeline = new ArrayList<>();
   private final Map<String, long[]> customers = new TreeMap<>();
   private final Set<Arrival> sentAway = new HashSet<>();
   private long retries;
@@ -41,11 +42,13 @@
   private long prefixHits;
   private long prefixes;
   private long linkBytes;
+  private long good;
+  private long away;
 
   RunResult(int slotsPerEngine) {
     this.slotsPerEngine = slotsPerEngine;
     for (int i = 0; i < Scenario.RUN_SECONDS / BIN_SECONDS; i++) {
-      timeline.add(new Period());
+      bins.add(new Period());
     }
   }
 
@@ -79,8 +82,18 @@
     retries++;
   }
 
-  void setLinkBytes(long bytes) {
+  /** Ends the run: summarises the timeline and lets go of what only a run needs. */
+  void finish(long bytes) {
     linkBytes = bytes;
+    for (Period bin : bins) {
+      timeline.add(TimelineBin.of(bin));
+      for (Rank rank : Rank.values()) {
+        good += bin.rank(rank).good();
+      }
+    }
+    bins.clear();
+    away = sentAway.size();
+    sentAway.clear();
   }
 
   @Override
@@ -115,13 +128,13 @@
   }
 
   /** Returns the results by bins of {@value #BIN_SECONDS} seconds. */
-  public List<Period> timeline() {
-    return timeline;
+  public List<TimelineBin> timeline() {
+    return List.copyOf(timeline);
   }
 
   /** Returns the share of the measured requests that were sent to another region. */
   public double sentAwayShare() {
-    return (double) sentAway.size() / offered();
+    return (double) away / offered();
   }
 
   /** Returns the share of the measured requests that were tried again. */
@@ -148,12 +161,6 @@
     double dollars =
         engineHours * DOLLARS_PER_ENGINE_HOUR
             + linkBytes / BYTES_PER_GIGABYTE * DOLLARS_PER_GIGABYTE;
-    long good = 0;
-    for (Period bin : timeline) {
-      for (Rank rank : Rank.values()) {
-        good += bin.rank(rank).good();
-      }
-    }
     return dollars * CENTS_PER_DOLLAR * REQUESTS / Math.max(1, good);
   }
 
@@ -199,7 +206,7 @@
     long sent = arrival.sentNanos();
     List<Period> periods = new ArrayList<>();
     int bin = (int) (sent / NANOS_PER_SECOND / BIN_SECONDS);
-    periods.add(timeline.get(Math.min(bin, timeline.size() - 1)));
+    periods.add(bins.get(Math.min(bin, bins.size() - 1)));
     if (isMeasured(sent)) {
       periods.add(measured);
     }
--- a/bench/src/test/java/org/gentianslip/bench/fleet/FakeEngineTest.java
+++ b/bench/src/test/java/org/gentianslip/bench/fleet/FakeEngineTest.java
@@ -19,6 +19,7 @@
       new EngineModel(1, 2, 10_000_000, 1_000_000, 10_000, 100, 500);
 
   private final EventLoop loop = new EventLoop();
+  private long lastNanos;
   private final List<String> heard = new ArrayList<>();
   private final FakeEngine engine =
       new FakeEngine(EngineId.of("engine"), MODEL, loop, new SilentMeter());
@@ -61,8 +62,6 @@
     assertThat(heard, contains("lost r"));
   }
 
-  private long lastNanos;
-
   /** Records what an engine tells. For one thread. */
   private final class Recorder implements EngineJob.Listener {
 
@@ -92,16 +91,4 @@
       heard.add("lost " + name);
     }
   }
-
-  /** Hears nothing. Stateless. */
-  private static final class SilentMeter implements EngineMeter {
-    @Override
-    public void onTokens(Rank rank, long gapNanos, int sequences) {}
-
-    @Override
-    public void onSlots(long slotNanos) {}
-
-    @Override
-    public void onPrefix(boolean hit) {}
-  }
 }
