Spill by expected cost, with reserves, burst credit and an honest margin

Cause: with prefix affinity alone the other rank's flood tripled the urgent p99, 0.1 % was sent away from a region with capacity, and an urgent flood wasted slots on answers whose first token came late.

Change: ExpectedCostPolicy with PolicyTuning: reserve of 0.25 of all limits for the urgent rank, suspended when the floor of the other rank is due; a smaller one for customers within their share; spill only if the backlog outlasts round trip, cold prefix and charge. The queue gives a burst credit, refuses at 300 ms before the deadline in place of 50, and offers the first requests of eight customers.

--- a/bench/src/main/java/org/gentianslip/bench/report/JsonReport.java
+++ b/bench/src/main/java/org/gentianslip/bench/report/JsonReport.java
@@ -44,7 +44,7 @@
     node.put("policy", result.contender());
     node.put("sentAwayShare", run.sentAwayShare());
     node.put("linkBytes", run.linkBytes());
-    node.put("centsPerThousand", run.centsPerThousand());
+    node.put("centsPerMillionTokens", run.centsPerMillionTokens());
     node.put("prefixHitShare", run.prefixHitShare());
     node.put("retryShare", run.retryShare());
     node.put("eventGoodput", result.eventGoodput());
--- a/bench/src/main/java/org/gentianslip/bench/report/TextReport.java
+++ b/bench/src/main/java/org/gentianslip/bench/report/TextReport.java
@@ -40,7 +40,7 @@
           "policy",
           "away%",
           "link MB",
-          "c/1000",
+          "c/Mtok",
           "hit%",
           "retry%",
           "work%",
@@ -60,7 +60,7 @@
         "and late; early%%: refused at arrival; waitd%%: refused after a wait; fail%%: broken");
     line(
         text,
-        "off; c/1000: cost of 1000 answers in time, cents; hit%%: prefix found in the cache;");
+        "off; c/Mtok: cost of a million tokens in time, cents; hit%%: prefix found in the cache;");
     line(text, "work%%: work in time in the event window against the engines' capacity; keepU%%,");
     line(text, "keepO%%: least share in time of a customer outside the flood in the event window,");
     line(text, "by rank; after%%: urgent in time after the event window");
@@ -123,7 +123,7 @@
         result.contender(),
         PERCENT * run.sentAwayShare(),
         run.linkBytes() / BYTES_PER_MEGABYTE,
-        run.centsPerThousand(),
+        run.centsPerMillionTokens(),
         PERCENT * run.prefixHitShare(),
         PERCENT * run.retryShare(),
         PERCENT * result.eventGoodput(),
--- a/bench/src/main/java/org/gentianslip/bench/run/Contenders.java
+++ b/bench/src/main/java/org/gentianslip/bench/run/Contenders.java
@@ -4,7 +4,9 @@
 import java.util.Optional;
 import java.util.function.LongFunction;
 import org.gentianslip.core.queue.QueueLimits;
+import org.gentianslip.core.routing.ExpectedCostPolicy;
 import org.gentianslip.core.routing.LeastLoadedPolicy;
+import org.gentianslip.core.routing.PolicyTuning;
 import org.gentianslip.core.routing.PrefixAffinityPolicy;
 import org.gentianslip.core.routing.RoundRobinPolicy;
 import org.gentianslip.core.routing.RoutingPolicy;
@@ -19,13 +21,14 @@
   /** The share of the served work that the other rank keeps in an urgent flood. */
   public static final double OTHER_FLOOR = 0.15;
 
-  private static final QueueLimits QUEUE = new QueueLimits(512, OTHER_FLOOR, 50_000_000);
+  private static final QueueLimits FIRST_QUEUE = new QueueLimits(512, OTHER_FLOOR, 50_000_000, 0);
+  private static final QueueLimits QUEUE = new QueueLimits(512, OTHER_FLOOR, 300_000_000, 1600);
 
   private Contenders() {}
 
   /** Returns all contenders; the last one is our present policy. */
   public static List<Contender> all() {
-    return List.of(roundRobin(), leastLoaded(), prefixAffinity());
+    return List.of(roundRobin(), leastLoaded(), prefixAffinity(), expectedCost());
   }
 
   /** Returns round robin in the own region. */
@@ -43,6 +46,16 @@
     return new Contender(
         "prefix-affinity",
         PrefixAffinityPolicy::withSeed,
+        Optional.of(FIRST_QUEUE),
+        true,
+        Optional.empty());
+  }
+
+  /** Returns spill by expected cost and a reserve for the urgent rank. */
+  public static Contender expectedCost() {
+    return new Contender(
+        "expected-cost",
+        s -> ExpectedCostPolicy.of(s, r -> PolicyTuning.DEFAULT),
         Optional.of(QUEUE),
         true,
         Optional.empty());
--- a/bench/src/main/java/org/gentianslip/bench/run/FakeEntry.java
+++ b/bench/src/main/java/org/gentianslip/bench/run/FakeEntry.java
@@ -305,6 +305,7 @@
           engineDelayNanos,
           () -> {
             slot.onEnd();
+            dispatcher.ifPresent(d -> d.ended(call.request()));
             action.run();
             pump();
           });
--- a/bench/src/main/java/org/gentianslip/bench/run/RunResult.java
+++ b/bench/src/main/java/org/gentianslip/bench/run/RunResult.java
@@ -27,7 +27,7 @@
   private static final double SECONDS_PER_HOUR = 3600;
   private static final double BYTES_PER_GIGABYTE = 1e9;
   private static final double CENTS_PER_DOLLAR = 100;
-  private static final double REQUESTS = 1000;
+  private static final double MILLION = 1e6;
 
   private final int slotsPerEngine;
   private final Period measured = new Period();
@@ -42,7 +42,7 @@
   private long prefixHits;
   private long prefixes;
   private long linkBytes;
-  private long good;
+  private long goodTokens;
   private long away;
 
   RunResult(int slotsPerEngine) {
@@ -67,6 +67,9 @@
         rank.onFirstToken(firstTokenNanos);
       }
     }
+    if (outcome == Outcome.GOOD) {
+      goodTokens += arrival.answerTokens();
+    }
     if (outcome == Outcome.GOOD && Scenario.inEvent(arrival.sentNanos())) {
       customer(arrival)[1]++;
     }
@@ -87,9 +90,6 @@
     linkBytes = bytes;
     for (Period bin : bins) {
       timeline.add(TimelineBin.of(bin));
-      for (Rank rank : Rank.values()) {
-        good += bin.rank(rank).good();
-      }
     }
     bins.clear();
     away = sentAway.size();
@@ -153,15 +153,15 @@
   }
 
   /**
-   * Returns the cost of a thousand answers in time, in cents: the slots taken and the bytes between
-   * regions.
+   * Returns the cost of a million tokens of whole answers in time, in cents: the slots taken and
+   * the bytes between regions.
    */
-  public double centsPerThousand() {
+  public double centsPerMillionTokens() {
     double engineHours = slotNanos / (double) NANOS_PER_SECOND / slotsPerEngine / SECONDS_PER_HOUR;
     double dollars =
         engineHours * DOLLARS_PER_ENGINE_HOUR
             + linkBytes / BYTES_PER_GIGABYTE * DOLLARS_PER_GIGABYTE;
-    return dollars * CENTS_PER_DOLLAR * REQUESTS / Math.max(1, good);
+    return dollars * CENTS_PER_DOLLAR * MILLION / Math.max(1, goodTokens);
   }
 
   /**
--- a/core/src/main/java/org/gentianslip/core/queue/Dispatcher.java
+++ b/core/src/main/java/org/gentianslip/core/queue/Dispatcher.java
@@ -1,8 +1,12 @@
 package org.gentianslip.core.queue;
 
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
+import org.gentianslip.core.id.CustomerId;
 import org.gentianslip.core.id.Rank;
+import org.gentianslip.core.routing.QueueView;
 import org.gentianslip.core.routing.RouteDecision;
 import org.gentianslip.core.routing.RouteRequest;
 import org.gentianslip.core.routing.RouteView;
@@ -14,7 +18,8 @@
  * <p>The holder offers each request, refuses what {@link #expire} returns, and calls {@link #next}
  * until it returns nothing: after an offer, after an answer has ended, after a load report, and
  * while requests wait at least every {@value #POLL_MILLIS} ms. It carries out a placement and
- * counts it in the next view before it calls again.
+ * counts it in the next view before it calls again, and tells {@link #ended} of each request that
+ * it sent to an engine.
  *
  * <p>Safe for use by several threads: {@link #next} holds the dispatcher's lock, so two threads
  * never place the same request.
@@ -24,8 +29,11 @@
   /** The greatest time between two calls of {@link #next} while requests wait. */
   public static final int POLL_MILLIS = 20;
 
+  private static final int MAX_CANDIDATES = 8;
+
   private final RequestQueue queue;
   private final RoutingPolicy policy;
+  private final Map<Holder, Integer> inFlight = new HashMap<>();
 
   private Dispatcher(RequestQueue queue, RoutingPolicy policy) {
     this.queue = queue;
@@ -55,31 +63,70 @@
     return queue.expire(nowNanos);
   }
 
+  /** Notes that a request that was placed at an engine has ended, in whatever way. */
+  public synchronized void ended(RouteRequest request) {
+    inFlight.computeIfPresent(Holder.of(request), (h, count) -> count > 1 ? count - 1 : null);
+  }
+
   /**
    * Takes out the next request that can be placed or must be refused now.
    *
-   * <p>If the other rank's turn has come but its request must wait, the urgent rank goes instead.
-   * The urgent rank's turn never passes to the other rank.
+   * <p>Inside a rank, the first request that need not wait goes, of the first requests of the
+   * customers that come first. If the other rank's turn has come but its requests must wait, the
+   * urgent rank goes instead. The urgent rank's turn never passes to the other rank.
    *
    * @param nowNanos the present time, in nanoseconds of the monotonic clock
-   * @param view what is known of engines and regions; its backlog is set here
+   * @param view what is known of engines and regions; the state of the queue is set here
    * @return the request and the decision, or nothing if all that waits must wait on
    */
   public synchronized Optional<Placement> next(long nowNanos, RouteView view) {
-    RouteView current = view.withWaits(queue.waits(nowNanos));
     Optional<RouteRequest> first = queue.peek(nowNanos);
-    Optional<Placement> placed = first.flatMap(r -> place(nowNanos, r, current));
-    if (placed.isPresent() || first.isEmpty() || first.get().rank() == Rank.URGENT) {
+    if (first.isEmpty()) {
+      return Optional.empty();
+    }
+    Optional<Placement> placed = placeOneOf(nowNanos, first.get().rank(), view);
+    if (placed.isPresent() || first.get().rank() == Rank.URGENT) {
       return placed;
     }
-    return queue.peek(nowNanos, Rank.URGENT).flatMap(r -> place(nowNanos, r, current));
+    return placeOneOf(nowNanos, Rank.URGENT, view);
+  }
+
+  private Optional<Placement> placeOneOf(long nowNanos, Rank rank, RouteView view) {
+    for (RouteRequest request : queue.candidates(nowNanos, rank, MAX_CANDIDATES)) {
+      Optional<Placement> placed = place(nowNanos, request, view);
+      if (placed.isPresent()) {
+        return placed;
+      }
+    }
+    return Optional.empty();
   }
 
   private Optional<Placement> place(long nowNanos, RouteRequest request, RouteView view) {
-    RouteDecision decision = policy.decide(nowNanos, request, view);
+    var current =
+        new QueueView(
+            queue.backlog(nowNanos, Rank.URGENT),
+            queue.backlog(nowNanos, Rank.OTHER),
+            inFlight.getOrDefault(Holder.of(request), 0));
+    RouteDecision decision = policy.decide(nowNanos, request, view.withQueue(current));
     if (decision instanceof RouteDecision.Wait) {
       return Optional.empty();
     }
-    return queue.takeIfNext(nowNanos, request).map(r -> new Placement(r, decision));
+    Optional<RouteRequest> taken = queue.takeIfFirst(nowNanos, request);
+    if (taken.isPresent() && decision instanceof RouteDecision.ToEngine) {
+      inFlight.merge(Holder.of(request), 1, Integer::sum);
+    }
+    return taken.map(r -> new Placement(r, decision));
+  }
+
+  /**
+   * Names whose work is in flight. Immutable and safe for use by several threads.
+   *
+   * @param rank the rank
+   * @param customer the customer
+   */
+  private record Holder(Rank rank, CustomerId customer) {
+    private static Holder of(RouteRequest request) {
+      return new Holder(request.rank(), request.customer());
+    }
   }
 }
--- a/core/src/main/java/org/gentianslip/core/queue/QueueLimits.java
+++ b/core/src/main/java/org/gentianslip/core/queue/QueueLimits.java
@@ -10,8 +10,11 @@
  *     from 0 to below 1
  * @param firstTokenNanos the time from leaving the queue to the first token, in nanoseconds; a
  *     request whose deadline is nearer than that waits in vain
+ * @param burstWork the work that a customer of weight 1 may get ahead of its fair share after it
+ *     has stayed below it, in tokens of an answer
  */
-public record QueueLimits(int maxLength, double otherFloor, long firstTokenNanos) {
+public record QueueLimits(
+    int maxLength, double otherFloor, long firstTokenNanos, double burstWork) {
 
   /**
    * Checks the limits.
@@ -29,5 +32,8 @@
       throw new IllegalArgumentException(
           "firstTokenNanos must not be negative: " + firstTokenNanos);
     }
+    if (!(burstWork >= 0)) {
+      throw new IllegalArgumentException("burstWork must not be negative: " + burstWork);
+    }
   }
 }
--- a/core/src/main/java/org/gentianslip/core/queue/RankQueue.java
+++ b/core/src/main/java/org/gentianslip/core/queue/RankQueue.java
@@ -1,25 +1,31 @@
 package org.gentianslip.core.queue;
 
+import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.TreeSet;
 import java.util.function.ToDoubleFunction;
 import org.gentianslip.core.id.CustomerId;
+import org.gentianslip.core.routing.QueueView.Backlog;
 import org.gentianslip.core.routing.RouteRequest;
 
 /**
  * Holds the waiting requests of one rank and serves customers in proportion to their weights.
  *
  * <p>It orders customers by start-time fair queueing: the customer with the least start tag goes
- * first, and a customer that was idle starts at the present tag. A customer is in {@code waiting}
- * exactly if it has a request. Not safe for use by several threads; its queue's lock guards it.
+ * first, and a customer that was idle starts at most the burst credit before the present tag. A
+ * customer is in {@code waiting} exactly if it has a request. Not safe for use by several threads;
+ * its queue's lock guards it.
  */
 final class RankQueue {
 
   private static final int IDLE_SWEEP_PERIOD = 256;
 
   private final ToDoubleFunction<CustomerId> weights;
+  private final double burstWork;
   private final Map<CustomerId, CustomerQueue> customers = new HashMap<>();
   private final TreeSet<CustomerQueue> waiting = new TreeSet<>();
   private final TreeSet<WaitingRequest> byDeadline = new TreeSet<>();
@@ -29,8 +35,9 @@
   private double virtualTime;
   private long taken;
 
-  RankQueue(ToDoubleFunction<CustomerId> weights) {
+  RankQueue(ToDoubleFunction<CustomerId> weights, double burstWork) {
     this.weights = weights;
+    this.burstWork = burstWork;
   }
 
   int size() {
@@ -59,7 +66,7 @@
   void add(WaitingRequest request) {
     CustomerQueue queue = queueOf(request.request().customer());
     if (queue.isEmpty()) {
-      queue.raiseTo(virtualTime);
+      queue.raiseTo(virtualTime - burstWork);
       queue.add(request);
       waiting.add(queue);
       waitingWeight += queue.weight();
@@ -70,11 +77,35 @@
     work += request.work();
   }
 
+  /** Returns the first requests of the customers that come first, in their order. */
+  List<RouteRequest> candidates(int max) {
+    List<RouteRequest> candidates = new ArrayList<>(max);
+    for (CustomerQueue queue : waiting) {
+      if (candidates.size() == max) {
+        break;
+      }
+      candidates.add(queue.first().request());
+    }
+    return candidates;
+  }
+
   /** Takes the first request out and charges its customer. */
   WaitingRequest take() {
-    CustomerQueue queue = waiting.first();
+    return takeFrom(waiting.first());
+  }
+
+  /** Takes a request out and charges its customer, if it is the first of its customer. */
+  Optional<WaitingRequest> takeIfFirst(RouteRequest request) {
+    CustomerQueue queue = customers.get(request.customer());
+    if (queue == null || queue.isEmpty() || !queue.first().request().equals(request)) {
+      return Optional.empty();
+    }
+    return Optional.of(takeFrom(queue));
+  }
+
+  private WaitingRequest takeFrom(CustomerQueue queue) {
     WaitingRequest request = queue.first();
-    virtualTime = queue.startTag();
+    virtualTime = Math.max(virtualTime, waiting.first().startTag());
     waiting.remove(queue);
     queue.charge(request.work());
     queue.remove(request);
@@ -87,7 +118,7 @@
     meter.served(request.work());
     taken++;
     if (taken % IDLE_SWEEP_PERIOD == 0) {
-      customers.values().removeIf(c -> c.isEmpty() && c.startTag() <= virtualTime);
+      customers.values().removeIf(c -> c.isEmpty() && c.startTag() <= virtualTime - burstWork);
     }
     return request;
   }
@@ -133,14 +164,18 @@
     CustomerQueue own = customers.get(request.customer());
     double weight = own == null ? weights.applyAsDouble(request.customer()) : own.weight();
     double ownWork = own == null || own.isEmpty() ? 0 : own.workPerWeight();
+    double startTag = own == null ? 0 : own.startTag();
+    double credit = Math.max(0, virtualTime - Math.max(startTag, virtualTime - burstWork));
+    double ahead = Math.max(0, ownWork - credit);
     double weightOfAll = waitingWeight + (own == null || own.isEmpty() ? weight : 0);
-    return (long) (Math.min(work, ownWork * weightOfAll) / rate.getAsDouble());
+    return (long) (Math.min(work, ahead * weightOfAll) / rate.getAsDouble());
   }
 
-  /** Returns the time to drain all that waits, in nanoseconds; 0 if there is no telling. */
-  long drainNanos() {
+  /** Returns what waits. */
+  Backlog backlog() {
     OptionalDouble rate = meter.rate();
-    return isEmpty() || rate.isEmpty() ? 0 : (long) (work / rate.getAsDouble());
+    long drainNanos = isEmpty() || rate.isEmpty() ? 0 : (long) (work / rate.getAsDouble());
+    return new Backlog(size(), drainNanos);
   }
 
   private void forget(WaitingRequest request) {
--- a/core/src/main/java/org/gentianslip/core/queue/RequestQueue.java
+++ b/core/src/main/java/org/gentianslip/core/queue/RequestQueue.java
@@ -10,7 +10,7 @@
 import org.gentianslip.core.id.CustomerId;
 import org.gentianslip.core.id.Rank;
 import org.gentianslip.core.id.RequestId;
-import org.gentianslip.core.routing.BacklogWaits;
+import org.gentianslip.core.routing.QueueView.Backlog;
 import org.gentianslip.core.routing.RouteReason;
 import org.gentianslip.core.routing.RouteRequest;
 
@@ -18,10 +18,11 @@
  * Orders the requests of one model that wait in an instance.
  *
  * <p>The urgent rank goes first, but while both ranks wait the other one gets its floor of the
- * served work. Inside a rank, customers are served in proportion to their weights, and the requests
- * of a customer by deadline. The queue is bounded: when a rank is full, the customer with the most
- * waiting work for its weight loses its last request. A request that can't meet its deadline is
- * refused when it is offered if that shows, and is returned by {@link #expire} otherwise.
+ * served work. Inside a rank, customers are served in proportion to their weights, with a credit
+ * for short bursts of a customer below its share, and the requests of a customer by deadline. The
+ * queue is bounded: when a rank is full, the customer with the most waiting work for its weight
+ * loses its last request. A request that can't meet its deadline is refused when it is offered if
+ * that shows, and is returned by {@link #expire} otherwise.
  *
  * <p>Every admitted request passes through the queue, also when capacity is free, so that shares
  * are accounted. The use is: {@link #offer}, then {@link #expire}, then {@link #peek} and, if the
@@ -45,7 +46,7 @@
   private RequestQueue(QueueLimits limits, ToDoubleFunction<CustomerId> weights) {
     this.limits = limits;
     for (Rank rank : Rank.values()) {
-      ranks.put(rank, new RankQueue(weights));
+      ranks.put(rank, new RankQueue(weights, limits.burstWork()));
     }
   }
 
@@ -132,21 +133,22 @@
     if (queue.isEmpty()) {
       return Optional.empty();
     }
-    boolean bothWait = !ranks.get(Rank.URGENT).isEmpty() && !ranks.get(Rank.OTHER).isEmpty();
-    WaitingRequest request = queue.take();
-    byId.remove(request.request().id());
-    if (bothWait) {
-      chargeRank(rank, request.work());
-    } else {
-      otherCredit = 0;
-    }
-    return Optional.of(request.request());
+    return Optional.of(charge(rank, queue.take()));
   }
 
-  /** Takes out the request if it is still the one of its rank that goes next. */
-  synchronized Optional<RouteRequest> takeIfNext(long nowNanos, RouteRequest request) {
-    Optional<RouteRequest> first = peek(nowNanos, request.rank());
-    return first.filter(request::equals).flatMap(r -> take(nowNanos, r.rank()));
+  /** Returns the first requests of the customers of a rank that come first, in their order. */
+  synchronized List<RouteRequest> candidates(long nowNanos, Rank rank, int max) {
+    advance(nowNanos);
+    return ranks.get(rank).candidates(max);
+  }
+
+  /** Takes out a request that {@link #candidates} told, if it still is one. */
+  synchronized Optional<RouteRequest> takeIfFirst(long nowNanos, RouteRequest request) {
+    advance(nowNanos);
+    return ranks
+        .get(request.rank())
+        .takeIfFirst(request)
+        .map(taken -> charge(request.rank(), taken));
   }
 
   /** Takes out and returns the request that goes next: {@link #peek} and {@link #take} in one. */
@@ -165,11 +167,10 @@
     return true;
   }
 
-  /** Returns how long the waiting requests take to drain. */
-  public synchronized BacklogWaits waits(long nowNanos) {
+  /** Returns what waits of a rank. */
+  public synchronized Backlog backlog(long nowNanos, Rank rank) {
     advance(nowNanos);
-    return new BacklogWaits(
-        ranks.get(Rank.URGENT).drainNanos(), ranks.get(Rank.OTHER).drainNanos());
+    return ranks.get(rank).backlog();
   }
 
   /** Returns the number of waiting requests of a rank. */
@@ -177,6 +178,17 @@
     return ranks.get(rank).size();
   }
 
+  private RouteRequest charge(Rank rank, WaitingRequest taken) {
+    byId.remove(taken.request().id());
+    boolean othersWait = !ranks.get(rank == Rank.OTHER ? Rank.URGENT : Rank.OTHER).isEmpty();
+    if (othersWait) {
+      chargeRank(rank, taken.work());
+    } else {
+      otherCredit = 0;
+    }
+    return taken.request();
+  }
+
   private boolean isHopeless(long nowNanos, WaitingRequest waiting) {
     return nowNanos + limits.firstTokenNanos() > waiting.request().deadlineNanos();
   }
--- a/core/src/main/java/org/gentianslip/core/routing/EngineChoice.java
+++ b/core/src/main/java/org/gentianslip/core/routing/EngineChoice.java
@@ -41,16 +41,16 @@
     return false;
   }
 
-  /** Returns the engine, or nothing if no engine that serves the model has room. */
-  Optional<RouteDecision.ToEngine> choose(RouteRequest request, RouteView view) {
+  /** Returns the engine, or nothing if none that serves the model has room by the rule. */
+  Optional<RouteDecision.ToEngine> choose(RouteRequest request, RouteView view, RoomRule rule) {
     double loadPerSlot = boundPerSlot(request, view);
-    EngineView preferred = byPrefix(request, view, loadPerSlot);
+    EngineView preferred = byPrefix(request, view, rule, loadPerSlot);
     if (preferred != null) {
       return Optional.of(new RouteDecision.ToEngine(preferred.id(), RouteReason.PREFIX_AFFINITY));
     }
-    EngineView other = lessLoadedOfTwo(request, view.engines());
+    EngineView other = lessLoadedOfTwo(request, view.engines(), rule);
     if (other == null) {
-      other = leastLoaded(request, view.engines());
+      other = leastLoaded(request, view.engines(), rule);
     }
     return Optional.ofNullable(other)
         .map(e -> new RouteDecision.ToEngine(e.id(), RouteReason.LEAST_LOADED));
@@ -68,7 +68,8 @@
     return slots == 0 ? 0 : BOUND * load / slots;
   }
 
-  private EngineView byPrefix(RouteRequest request, RouteView view, double loadPerSlot) {
+  private EngineView byPrefix(
+      RouteRequest request, RouteView view, RoomRule rule, double loadPerSlot) {
     long key = request.prefixDigest() ^ seed;
     long ceiling = Long.MAX_VALUE;
     for (int i = 0; i < AFFINITY_CHOICES; i++) {
@@ -84,7 +85,7 @@
       if (best == null) {
         return null;
       }
-      if (best.hasRoom() && best.load() <= loadPerSlot * best.slots() + SLACK) {
+      if (rule.hasRoom(best) && best.load() <= loadPerSlot * best.slots() + SLACK) {
         return best;
       }
       ceiling = bestScore;
@@ -92,30 +93,29 @@
     return null;
   }
 
-  private EngineView lessLoadedOfTwo(RouteRequest request, List<EngineView> engines) {
+  private EngineView lessLoadedOfTwo(
+      RouteRequest request, List<EngineView> engines, RoomRule rule) {
     if (engines.isEmpty()) {
       return null;
     }
     long bits = Bits.mix(request.id().value().hashCode() ^ seed);
     EngineView one = engines.get((int) Long.remainderUnsigned(bits, engines.size()));
     EngineView two = engines.get((int) Long.remainderUnsigned(bits >>> 32, engines.size()));
-    return lessLoaded(request, withRoom(request, one), two);
+    return lessLoaded(request, lessLoaded(request, null, one, rule), two, rule);
   }
 
-  private static EngineView leastLoaded(RouteRequest request, List<EngineView> engines) {
+  private static EngineView leastLoaded(
+      RouteRequest request, List<EngineView> engines, RoomRule rule) {
     EngineView best = null;
     for (EngineView engine : engines) {
-      best = lessLoaded(request, best, engine);
+      best = lessLoaded(request, best, engine, rule);
     }
     return best;
   }
 
-  private static EngineView withRoom(RouteRequest request, EngineView engine) {
-    return engine.hasRoom() && engine.serves(request.model()) ? engine : null;
-  }
-
-  private static EngineView lessLoaded(RouteRequest request, EngineView best, EngineView engine) {
-    if (withRoom(request, engine) == null) {
+  private static EngineView lessLoaded(
+      RouteRequest request, EngineView best, EngineView engine, RoomRule rule) {
+    if (!rule.hasRoom(engine) || !engine.serves(request.model())) {
       return best;
     }
     if (best == null || relativeLoad(engine) < relativeLoad(best)) {
--- /dev/null
+++ b/core/src/main/java/org/gentianslip/core/routing/ExpectedCostPolicy.java
@@ -0,0 +1,169 @@
+package org.gentianslip.core.routing;
+
+import java.util.Optional;
+import java.util.function.Function;
+import org.gentianslip.core.id.Rank;
+
+/**
+ * Chooses by prefix affinity in the own region and sends a request away only if that costs less
+ * than waiting.
+ *
+ * <p>The other rank leaves a reserve of slots to the urgent one, unless the queue gives it its turn
+ * while urgent requests wait: then its floor is due. A customer of the urgent rank that holds more
+ * than its share of the slots leaves a smaller reserve to the other customers. While few urgent
+ * requests wait, one that finds no room within the instance's limits takes a slot that was free by
+ * the last report.
+ *
+ * <p>A request goes to another region only if no engine here has a free slot for it by what is
+ * known, the backlog of its rank takes longer to drain than the round trip, the cold prefix and the
+ * charge of the rank together, and the region's spare capacity and the link's budget allow it.
+ *
+ * <p>Stateless but for its seed and safe for use by several threads.
+ *
+ * @see EngineChoice
+ */
+public final class ExpectedCostPolicy implements RoutingPolicy {
+
+  private static final int MAX_BORROWERS = 3;
+  private static final RoomRule LEAVING_ONE =
+      engine -> engine.usable() && engine.inFlight() < Math.max(1, engine.limit() - 1);
+  private static final long RETRY_AFTER_MILLIS = 500;
+  private static final long WAIT_NANOS = 50_000_000;
+  private static final long BYTES_PER_PROMPT_TOKEN = 4;
+  private static final long BYTES_PER_ANSWER_TOKEN = 150;
+
+  private final EngineChoice choice;
+  private final Function<RouteRequest, PolicyTuning> tunings;
+
+  private ExpectedCostPolicy(EngineChoice choice, Function<RouteRequest, PolicyTuning> tunings) {
+    this.choice = choice;
+    this.tunings = tunings;
+  }
+
+  /**
+   * Returns a policy.
+   *
+   * @param seed the seed of the hashes
+   * @param tunings gives the tuning of the branch that a request belongs to
+   */
+  public static ExpectedCostPolicy of(long seed, Function<RouteRequest, PolicyTuning> tunings) {
+    return new ExpectedCostPolicy(EngineChoice.withSeed(seed), tunings);
+  }
+
+  @Override
+  public RouteDecision decide(long nowNanos, RouteRequest request, RouteView view) {
+    PolicyTuning tuning = tunings.apply(request);
+    boolean local =
+        request.allowedRegions().contains(view.ownRegion())
+            && EngineChoice.anyServes(request, view);
+    if (local) {
+      Optional<RouteDecision.ToEngine> engine = chooseEngine(request, view, tuning);
+      if (engine.isPresent()) {
+        return engine.get();
+      }
+    }
+    if (!request.forwarded() && !(local && hasFreeSlot(request, view, tuning))) {
+      long localWait = local ? view.queue().of(request.rank()).drainNanos() : Long.MAX_VALUE;
+      RegionSummary away = cheapest(request, view, localWait, tuning);
+      if (away != null) {
+        return new RouteDecision.ToRegion(away.region(), RouteReason.SPILL);
+      }
+    }
+    if (local) {
+      return new RouteDecision.Wait(nowNanos + WAIT_NANOS, RouteReason.ENGINES_BUSY);
+    }
+    return new RouteDecision.Refuse(RETRY_AFTER_MILLIS, RouteReason.NO_ENGINE);
+  }
+
+  private Optional<RouteDecision.ToEngine> chooseEngine(
+      RouteRequest request, RouteView view, PolicyTuning tuning) {
+    double reserve = reserve(request, view, tuning);
+    if (reserve > 0) {
+      return leaves(reserve, request, view)
+          ? choice.choose(request, view, LEAVING_ONE)
+          : Optional.empty();
+    }
+    Optional<RouteDecision.ToEngine> own = choice.choose(request, view, RoomRule.WITHIN_LIMIT);
+    boolean mayBorrow =
+        request.rank() == Rank.URGENT && view.queue().urgent().requests() <= MAX_BORROWERS;
+    if (own.isPresent() || !mayBorrow) {
+      return own;
+    }
+    return choice.choose(request, view, RoomRule.REPORTED_FREE);
+  }
+
+  /** Returns the share of this instance's limits that the request must leave to others. */
+  private static double reserve(RouteRequest request, RouteView view, PolicyTuning tuning) {
+    QueueView queue = view.queue();
+    if (request.rank() == Rank.OTHER) {
+      return queue.urgent().requests() == 0 ? tuning.urgentReserve() : 0;
+    }
+    boolean overShare = queue.customerInFlight() > tuning.customerShare() * limits(request, view);
+    return overShare ? tuning.customerReserve() : 0;
+  }
+
+  /** Returns whether the free part of this instance's limits is more than the reserve. */
+  private static boolean leaves(double reserve, RouteRequest request, RouteView view) {
+    int free = 0;
+    for (EngineView engine : view.engines()) {
+      if (engine.serves(request.model())) {
+        free += Math.max(0, engine.limit() - engine.inFlight());
+      }
+    }
+    return free > reserve * limits(request, view);
+  }
+
+  private static int limits(RouteRequest request, RouteView view) {
+    int limits = 0;
+    for (EngineView engine : view.engines()) {
+      if (engine.serves(request.model())) {
+        limits += engine.limit();
+      }
+    }
+    return limits;
+  }
+
+  /** Returns whether a slot that the rank may use is free by the last reports. */
+  private static boolean hasFreeSlot(RouteRequest request, RouteView view, PolicyTuning tuning) {
+    int slots = 0;
+    int free = 0;
+    for (EngineView engine : view.engines()) {
+      if (engine.serves(request.model())) {
+        slots += engine.slots();
+        free += Math.max(0, engine.slots() - engine.load());
+      }
+    }
+    double reserved = request.rank() == Rank.OTHER ? tuning.urgentReserve() * slots : 0;
+    return free > reserved;
+  }
+
+  private static RegionSummary cheapest(
+      RouteRequest request, RouteView view, long localWaitNanos, PolicyTuning tuning) {
+    long coldNanos = request.promptTokens() * tuning.promptTokenTime();
+    long bytes =
+        request.promptTokens() * BYTES_PER_PROMPT_TOKEN
+            + request.maxTokens() * BYTES_PER_ANSWER_TOKEN;
+    RegionSummary best = null;
+    for (RegionSummary region : view.regions()) {
+      long cost = region.roundTripNanos() + coldNanos + tuning.charge(request.rank());
+      if (cost < localWaitNanos
+          && canTake(request, region, bytes)
+          && (best == null || isBetter(region, best))) {
+        best = region;
+      }
+    }
+    return best;
+  }
+
+  private static boolean canTake(RouteRequest request, RegionSummary region, long bytes) {
+    return region.reachable()
+        && region.quota() > 0
+        && region.linkFreeBytes() >= bytes
+        && request.allowedRegions().contains(region.region());
+  }
+
+  private static boolean isBetter(RegionSummary region, RegionSummary best) {
+    int byWay = Long.compare(region.roundTripNanos(), best.roundTripNanos());
+    return byWay != 0 ? byWay < 0 : region.quota() > best.quota();
+  }
+}
--- a/core/src/main/java/org/gentianslip/core/routing/PrefixAffinityPolicy.java
+++ b/core/src/main/java/org/gentianslip/core/routing/PrefixAffinityPolicy.java
@@ -31,7 +31,7 @@
   public RouteDecision decide(long nowNanos, RouteRequest request, RouteView view) {
     boolean local = request.allowedRegions().contains(view.ownRegion());
     if (local) {
-      Optional<RouteDecision.ToEngine> engine = choice.choose(request, view);
+      Optional<RouteDecision.ToEngine> engine = choice.choose(request, view, RoomRule.WITHIN_LIMIT);
       if (engine.isPresent()) {
         return engine.get();
       }
--- a/core/src/main/java/org/gentianslip/core/routing/RouteView.java
+++ b/core/src/main/java/org/gentianslip/core/routing/RouteView.java
@@ -12,26 +12,26 @@
  * @param ownRegion the region of this instance
  * @param engines the engines of the own region
  * @param regions the other regions
- * @param waits how long the backlog of each rank takes to drain here
+ * @param queue what waits here
  */
 public record RouteView(
-    RegionId ownRegion, List<EngineView> engines, List<RegionSummary> regions, BacklogWaits waits) {
+    RegionId ownRegion, List<EngineView> engines, List<RegionSummary> regions, QueueView queue) {
 
   /** Copies the lists. */
   public RouteView {
     Objects.requireNonNull(ownRegion);
     engines = List.copyOf(engines);
     regions = List.copyOf(regions);
-    Objects.requireNonNull(waits);
+    Objects.requireNonNull(queue);
   }
 
-  /** Makes a view with no backlog. */
+  /** Makes a view with an empty queue. */
   public RouteView(RegionId ownRegion, List<EngineView> engines, List<RegionSummary> regions) {
-    this(ownRegion, engines, regions, BacklogWaits.NONE);
+    this(ownRegion, engines, regions, QueueView.EMPTY);
   }
 
-  /** Returns the same view with another backlog. */
-  public RouteView withWaits(BacklogWaits others) {
-    return new RouteView(ownRegion, engines, regions, others);
+  /** Returns the same view with another state of the queue. */
+  public RouteView withQueue(QueueView current) {
+    return new RouteView(ownRegion, engines, regions, current);
   }
 }
--- a/core/src/test/java/org/gentianslip/core/queue/DispatcherTest.java
+++ b/core/src/test/java/org/gentianslip/core/queue/DispatcherTest.java
@@ -22,7 +22,7 @@
       new RouteDecision.ToEngine(EngineId.of("e"), RouteReason.LEAST_LOADED);
   private static final RouteView VIEW = new RouteView(Requests.HOME, List.of(), List.of());
 
-  private final RequestQueue queue = RequestQueue.of(new QueueLimits(9, 0.9, 0), c -> 1);
+  private final RequestQueue queue = RequestQueue.of(new QueueLimits(9, 0.9, 0, 0), c -> 1);
 
   @BeforeEach
   void fill() {
@@ -61,4 +61,21 @@
   void neverPassesTheTurnOfTheUrgentRank() {
     assertThat(next((now, r, v) -> r.rank() == Rank.URGENT ? WAIT : SEND), is("none"));
   }
+
+  @Test
+  void placesTheNextCustomersRequestWhileTheFirstMustWait() {
+    queue.offer(0, Requests.of("late", "studio", Rank.URGENT, Long.MAX_VALUE));
+    RoutingPolicy policy = (now, r, v) -> r.customer().value().equals("shop") ? WAIT : SEND;
+    assertThat(next(policy), is("late"));
+  }
+
+  @Test
+  void tellsThePolicyWhatTheCustomerHasInFlight() {
+    RoutingPolicy policy = (now, r, v) -> v.queue().customerInFlight() < 2 ? SEND : WAIT;
+    var dispatcher = Dispatcher.of(queue, policy);
+    var placed = dispatcher.next(0, VIEW).orElseThrow();
+    dispatcher.next(0, VIEW);
+    dispatcher.ended(placed.request());
+    assertThat(dispatcher.next(0, VIEW).isPresent(), is(true));
+  }
 }
--- a/core/src/test/java/org/gentianslip/core/queue/RequestQueueTest.java
+++ b/core/src/test/java/org/gentianslip/core/queue/RequestQueueTest.java
@@ -31,7 +31,7 @@
 
   private final RequestQueue queue =
       RequestQueue.of(
-          new QueueLimits(MAX_LENGTH, FLOOR, SECOND / 10),
+          new QueueLimits(MAX_LENGTH, FLOOR, SECOND / 10, 0),
           c -> c.value().startsWith("heavy") ? 3 : 1);
 
   private int number;
@@ -78,6 +78,31 @@
     }
   }
 
+  @Nested
+  class WithBurstCredit {
+
+    private final RequestQueue bursting =
+        RequestQueue.of(new QueueLimits(100, FLOOR, 0, 400), c -> 1);
+
+    @Test
+    void servesShortBurstsOfQuietCustomersFirst() {
+      for (int i = 0; i < 20; i++) {
+        bursting.offer(0, Requests.of("f" + i, "flood", Rank.URGENT, FAR));
+      }
+      for (int i = 0; i < 10; i++) {
+        bursting.next(0);
+      }
+      for (int i = 0; i < 3; i++) {
+        bursting.offer(0, Requests.of("q" + i, "quiet", Rank.URGENT, FAR));
+      }
+      List<String> served = new ArrayList<>();
+      for (int i = 0; i < 3; i++) {
+        served.add(bursting.next(0).orElseThrow().customer().value());
+      }
+      assertThat(served, contains("quiet", "quiet", "quiet"));
+    }
+  }
+
   @Nested
   class BetweenRanks {
 
@@ -180,7 +205,7 @@
   @Property(seed = "11")
   void losesAndInventsNoRequest(
       @ForAll @Size(max = 200) List<@IntRange(min = 0, max = 11) Integer> steps) {
-    var tested = RequestQueue.of(new QueueLimits(5, FLOOR, 0), c -> 1);
+    var tested = RequestQueue.of(new QueueLimits(5, FLOOR, 0, 0), c -> 1);
     int accepted = 0;
     int gone = 0;
     for (int i = 0; i < steps.size(); i++) {
