--- /dev/null
+++ b/core/src/main/java/org/gentianslip/core/outcome/AttemptFacts.java
@@ -0,0 +1,35 @@
+package org.gentianslip.core.outcome;
+
+/**
+ * Holds what one attempt to run a request has shown so far.
+ *
+ * <p>Facts are only ever added. Immutable and safe for use by several threads.
+ *
+ * @param writeBegun whether a byte of the request may have been handed to the connection
+ * @param expired whether the right to write had expired before the first byte
+ * @param status the status code of the answer, or 0 while its headers are not read
+ * @param notStarted whether the answer has the header {@code X-Not-Started: true}
+ * @param answerWhole whether the answer's body was read to its proper end
+ */
+public record AttemptFacts(
+    boolean writeBegun, boolean expired, int status, boolean notStarted, boolean answerWhole) {
+
+  /** The facts of an attempt that has not begun. */
+  public static final AttemptFacts NONE = new AttemptFacts(false, false, 0, false, false);
+
+  AttemptFacts withWriteBegun() {
+    return new AttemptFacts(true, expired, status, notStarted, answerWhole);
+  }
+
+  AttemptFacts withExpired() {
+    return new AttemptFacts(writeBegun, true, status, notStarted, answerWhole);
+  }
+
+  AttemptFacts withHeaders(int newStatus, boolean newNotStarted) {
+    return new AttemptFacts(writeBegun, expired, newStatus, newNotStarted, answerWhole);
+  }
+
+  AttemptFacts withWholeAnswer() {
+    return new AttemptFacts(writeBegun, expired, status, notStarted, true);
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/gentianslip/core/outcome/NotRunReason.java
@@ -0,0 +1,13 @@
+package org.gentianslip.core.outcome;
+
+/** Tells how it is known that a request did not run. Safe for use by several threads. */
+public enum NotRunReason {
+  /** No byte of the request was written to a backend server, and none will be. */
+  NOT_WRITTEN,
+  /** The backend server refused the request before the start, by its documented answer. */
+  REFUSED_BEFORE_START,
+  /** The ticket expired before the first byte was written. */
+  EXPIRED_BEFORE_WRITE,
+  /** The ticket was withdrawn before it was used and can no longer be used. */
+  WITHDRAWN
+}
--- /dev/null
+++ b/core/src/main/java/org/gentianslip/core/outcome/OutcomeRule.java
@@ -0,0 +1,44 @@
+package org.gentianslip.core.outcome;
+
+/**
+ * Decides the outcome of an attempt from its facts.
+ *
+ * <p>The rule errs towards {@link Outcome.Unknown}: only the absence of any written byte and the
+ * documented refusal prove that a request did not run. Stateless and safe for use by several
+ * threads.
+ */
+public final class OutcomeRule {
+
+  private static final int REQUEST_TIMEOUT = 408;
+  private static final int FIRST_SERVER_ERROR = 500;
+  private static final int SERVICE_UNAVAILABLE = 503;
+
+  private OutcomeRule() {}
+
+  /**
+   * Returns the outcome of an attempt that has ended with the given facts.
+   *
+   * <p>The attempt must be closed, so that no byte can be written any more.
+   *
+   * @see AttemptJournal#close()
+   */
+  public static Outcome decide(AttemptFacts facts) {
+    if (!facts.writeBegun()) {
+      return new Outcome.NotRun(
+          facts.expired() ? NotRunReason.EXPIRED_BEFORE_WRITE : NotRunReason.NOT_WRITTEN);
+    }
+    if (facts.status() == 0) {
+      return new Outcome.Unknown(UnknownReason.NO_ANSWER);
+    }
+    if (facts.status() == SERVICE_UNAVAILABLE && facts.notStarted()) {
+      return new Outcome.NotRun(NotRunReason.REFUSED_BEFORE_START);
+    }
+    if (!facts.answerWhole()) {
+      return new Outcome.Unknown(UnknownReason.INCOMPLETE_ANSWER);
+    }
+    if (facts.status() >= FIRST_SERVER_ERROR || facts.status() == REQUEST_TIMEOUT) {
+      return new Outcome.Unknown(UnknownReason.BACKEND_ERROR);
+    }
+    return new Outcome.Completed(facts.status());
+  }
+}
