Read settings documents into a tree with values in force

Cause: the entry needs the values in force for a customer, a region and a kind of work, and operators need every fault of their files at once.

Ruled out: resolving on a request's path (allocates, and depends on the number of branches); Jackson's STRICT_DUPLICATE_DETECTION (stops at the first duplicate key); the empty set as the effective "all regions" (a caller that tests contains() would refuse all work), so the values in force hold the full set of regions instead.

--- /dev/null
+++ b/settings/src/main/java/org/gentianslip/settings/BranchLevel.java
@@ -0,0 +1,36 @@
+package org.gentianslip.settings;
+
+import java.util.Locale;
+import java.util.Optional;
+
+/**
+ * Tells what a branch distinguishes requests by.
+ *
+ * <p>The order is that in which branches of one depth apply. Immutable and safe for use by several
+ * threads.
+ */
+public enum BranchLevel {
+  /** The firm that the customer belongs to. */
+  FIRM,
+  /** The region of the instance that received the request. */
+  REGION,
+  /** The kind of work. */
+  KIND,
+  /** The customer that the caller acts for. */
+  CUSTOMER;
+
+  /** Returns the name as it is written in a document. */
+  public String jsonName() {
+    return name().toLowerCase(Locale.ROOT);
+  }
+
+  /** Returns the level with the given name in a document. */
+  static Optional<BranchLevel> find(String jsonName) {
+    for (BranchLevel level : values()) {
+      if (level.jsonName().equals(jsonName)) {
+        return Optional.of(level);
+      }
+    }
+    return Optional.empty();
+  }
+}
--- /dev/null
+++ b/settings/src/main/java/org/gentianslip/settings/ContradictionChecker.java
@@ -0,0 +1,156 @@
+package org.gentianslip.settings;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.gentianslip.core.id.RegionId;
+
+/**
+ * Finds values that are allowed each by itself but contradict each other where they are in force.
+ *
+ * <p>Used by one thread.
+ */
+final class ContradictionChecker {
+
+  private final Set<RegionId> regions;
+  private final Map<Set<RegionId>, Link> links = new HashMap<>();
+  private final FindingCollector findings;
+
+  ContradictionChecker(
+      Set<RegionId> regions, List<Located<Link>> links, FindingCollector findings) {
+    this.regions = regions;
+    this.findings = findings;
+    for (Located<Link> item : links) {
+      Link link = item.value();
+      this.links.putIfAbsent(Set.of(link.first(), link.second()), link);
+    }
+  }
+
+  /**
+   * Checks the values in force for the requests of a scope.
+   *
+   * @param scope the requests
+   * @param branches the branches that match them, in the order in which they apply
+   * @param values the values that they give
+   */
+  void check(Scope scope, List<BranchNode> branches, ResolvedValues values) {
+    findAmbiguous(branches);
+    checkFirstToken(branches, values);
+    checkResidency(branches, values);
+    scope
+        .name(BranchLevel.REGION)
+        .map(RegionId::of)
+        .ifPresent(r -> checkRoundTrip(r, branches, values));
+  }
+
+  /** Finds branches of which none goes before the other and that set the same value. */
+  private void findAmbiguous(List<BranchNode> branches) {
+    for (int i = 1; i < branches.size(); i++) {
+      BranchNode first = branches.get(i - 1);
+      BranchNode second = branches.get(i);
+      if (!first.ranksWith(second)) {
+        continue;
+      }
+      for (Setting<?> setting : second.declaration().values().keySet()) {
+        if (setting != SettingCatalog.ALLOWED_REGIONS
+            && first.declaration().values().containsKey(setting)) {
+          findings.add(
+              second.declaration().values().get(setting).place(),
+              String.format(
+                  "%s is ambiguous: \"%s\" has the same depth and level, can match the same"
+                      + " request and sets it too",
+                  setting.name(), first.id()));
+        }
+      }
+    }
+  }
+
+  private void checkFirstToken(List<BranchNode> branches, ResolvedValues values) {
+    Duration target = values.get(SettingCatalog.FIRST_TOKEN_TARGET);
+    Duration deadline = values.get(SettingCatalog.DEADLINE);
+    if (target.compareTo(deadline) <= 0) {
+      return;
+    }
+    Optional<Place> place =
+        lastPlace(branches, SettingCatalog.FIRST_TOKEN_TARGET, SettingCatalog.DEADLINE);
+    place.ifPresent(
+        p ->
+            findings.add(
+                p,
+                String.format(
+                    "firstTokenTargetMillis %d (%s) must be at most deadlineMillis %d (%s)",
+                    target.toMillis(),
+                    values.origin(SettingCatalog.FIRST_TOKEN_TARGET),
+                    deadline.toMillis(),
+                    values.origin(SettingCatalog.DEADLINE))));
+  }
+
+  private void checkResidency(List<BranchNode> branches, ResolvedValues values) {
+    if (!values.get(SettingCatalog.ALLOWED_REGIONS).isEmpty() || namesUnknown(branches)) {
+      return;
+    }
+    lastPlace(branches, SettingCatalog.ALLOWED_REGIONS)
+        .ifPresent(
+            p ->
+                findings.add(
+                    p,
+                    "allowedRegions must leave a region, but none is in all the sets of the"
+                        + " branches "
+                        + values.origin(SettingCatalog.ALLOWED_REGIONS)));
+  }
+
+  private boolean namesUnknown(List<BranchNode> branches) {
+    for (BranchNode branch : branches) {
+      Located<Object> allowed = branch.declaration().values().get(SettingCatalog.ALLOWED_REGIONS);
+      if (allowed != null && !regions.containsAll((Set<?>) allowed.value())) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  /** Finds deadlines in which no answer from an allowed region can arrive. */
+  private void checkRoundTrip(RegionId region, List<BranchNode> branches, ResolvedValues values) {
+    Set<RegionId> allowed = values.get(SettingCatalog.ALLOWED_REGIONS);
+    long deadline = values.get(SettingCatalog.DEADLINE).toMillis();
+    if (!allowed.contains(region)) {
+      return;
+    }
+    for (RegionId other : allowed) {
+      Link link = other.equals(region) ? null : links.get(Set.of(region, other));
+      if (link == null || deadline >= roundTripMillis(link)) {
+        continue;
+      }
+      lastPlace(branches, SettingCatalog.DEADLINE, SettingCatalog.ALLOWED_REGIONS)
+          .ifPresent(
+              p ->
+                  findings.add(
+                      p,
+                      String.format(
+                          "deadlineMillis %d must be at least the round trip of %d ms between the"
+                              + " allowed regions %s and %s",
+                          deadline, roundTripMillis(link), link.first(), link.second())));
+      return;
+    }
+  }
+
+  private static long roundTripMillis(Link link) {
+    return 2L * link.oneWayMillis();
+  }
+
+  /** Returns where the first of the given settings that a branch sets was set last. */
+  private static Optional<Place> lastPlace(List<BranchNode> branches, Setting<?>... settings) {
+    for (Setting<?> setting : settings) {
+      for (int i = branches.size() - 1; i >= 0; i--) {
+        Located<Object> value = branches.get(i).declaration().values().get(setting);
+        if (value != null) {
+          return Optional.of(value.place());
+        }
+      }
+    }
+    return Optional.empty();
+  }
+}
--- /dev/null
+++ b/settings/src/main/java/org/gentianslip/settings/DocumentReader.java
@@ -0,0 +1,171 @@
+package org.gentianslip.settings;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.core.JsonToken;
+import com.fasterxml.jackson.core.StreamReadFeature;
+import com.fasterxml.jackson.core.exc.StreamConstraintsException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.CharBuffer;
+import java.nio.charset.CodingErrorAction;
+import java.nio.charset.StandardCharsets;
+import java.util.Optional;
+
+/**
+ * Reads the JSON tree of a document and finds faults of its form.
+ *
+ * <p>Reading goes on after a duplicate key and after a value that is nested too deeply, so that all
+ * of them are found in one run. Of duplicate keys the first one holds. Used by one thread.
+ */
+final class DocumentReader {
+
+  /** The greatest size of a document, in bytes. */
+  static final int MAX_BYTES = 1_000_000;
+
+  /** The greatest number of objects and arrays around a value. */
+  static final int MAX_DEPTH = 16;
+
+  private static final JsonNodeFactory JSON = JsonNodeFactory.instance;
+  private static final JsonFactory FACTORY =
+      JsonFactory.builder().disable(StreamReadFeature.INCLUDE_SOURCE_IN_LOCATION).build();
+
+  private final Place root;
+  private final FindingCollector findings;
+  private boolean tooDeep;
+
+  private DocumentReader(Place root, FindingCollector findings) {
+    this.root = root;
+    this.findings = findings;
+  }
+
+  /** Returns the object at the root of the document, or nothing if it cannot be read. */
+  static Optional<ObjectNode> read(SettingsDocument document, FindingCollector findings) {
+    Place root = Place.rootOf(document.source());
+    return new DocumentReader(root, findings).read(document.content());
+  }
+
+  private Optional<ObjectNode> read(byte[] content) {
+    if (content.length > MAX_BYTES) {
+      findings.add(
+          root, "The document has " + content.length + " bytes; at most " + MAX_BYTES + " may be");
+      return Optional.empty();
+    }
+    return decode(content).flatMap(this::parse);
+  }
+
+  private Optional<CharBuffer> decode(byte[] content) {
+    var decoder =
+        StandardCharsets.UTF_8
+            .newDecoder()
+            .onMalformedInput(CodingErrorAction.REPORT)
+            .onUnmappableCharacter(CodingErrorAction.REPORT);
+    ByteBuffer bytes = ByteBuffer.wrap(content);
+    CharBuffer chars = CharBuffer.allocate(content.length);
+    if (decoder.decode(bytes, chars, true).isError()) {
+      String bad = String.format("0x%02X", bytes.get(bytes.position()));
+      findings.add(
+          root, "Byte " + bad + " at offset " + bytes.position() + " is not UTF-8, as it must be");
+      return Optional.empty();
+    }
+    return Optional.of(chars.flip());
+  }
+
+  private Optional<ObjectNode> parse(CharBuffer chars) {
+    try (JsonParser parser = FACTORY.createParser(chars.toString())) {
+      JsonToken first = parser.nextToken();
+      if (first == null) {
+        findings.add(root, "The document is empty; it must be a JSON object");
+        return Optional.empty();
+      }
+      JsonNode node = readValue(parser, root, 0);
+      if (parser.nextToken() != null) {
+        findings.add(root, "The document goes on after its end" + position(parser));
+        return Optional.empty();
+      }
+      if (node instanceof ObjectNode object) {
+        return Optional.of(object);
+      }
+      findings.add(root, "The document must be a JSON object, but is " + Excerpt.of(node));
+    } catch (StreamConstraintsException e) {
+      if (!tooDeep) {
+        findings.add(root, "The document is not acceptable JSON: " + e.getOriginalMessage());
+      }
+    } catch (JsonProcessingException e) {
+      findings.add(root, "The document is not JSON" + position(e) + ": " + e.getOriginalMessage());
+    } catch (IOException e) {
+      throw new IllegalStateException("Reading from memory failed", e);
+    }
+    return Optional.empty();
+  }
+
+  private JsonNode readValue(JsonParser parser, Place place, int depth) throws IOException {
+    return switch (parser.currentToken()) {
+      case START_OBJECT ->
+          isTooDeep(parser, place, depth) ? JSON.objectNode() : readObject(parser, place, depth);
+      case START_ARRAY ->
+          isTooDeep(parser, place, depth) ? JSON.arrayNode() : readArray(parser, place, depth);
+      case VALUE_NUMBER_INT -> JSON.numberNode(parser.getBigIntegerValue());
+      case VALUE_NUMBER_FLOAT -> JSON.numberNode(parser.getDoubleValue());
+      case VALUE_TRUE -> JSON.booleanNode(true);
+      case VALUE_FALSE -> JSON.booleanNode(false);
+      case VALUE_NULL -> JSON.nullNode();
+      default -> JSON.textNode(parser.getText());
+    };
+  }
+
+  private boolean isTooDeep(JsonParser parser, Place place, int depth) throws IOException {
+    if (depth < MAX_DEPTH) {
+      return false;
+    }
+    tooDeep = true;
+    findings.add(place, "The value is nested deeper than " + MAX_DEPTH + " levels");
+    parser.skipChildren();
+    return true;
+  }
+
+  private ObjectNode readObject(JsonParser parser, Place place, int depth) throws IOException {
+    ObjectNode object = JSON.objectNode();
+    while (parser.nextToken() != JsonToken.END_OBJECT) {
+      String key = parser.currentName();
+      Place member = place.at(key);
+      parser.nextToken();
+      JsonNode value = readValue(parser, member, depth + 1);
+      if (object.has(key)) {
+        findings.add(
+            member,
+            "Duplicate key " + Excerpt.of(key) + position(parser) + "; a key may occur once");
+      } else {
+        object.set(key, value);
+      }
+    }
+    return object;
+  }
+
+  private ArrayNode readArray(JsonParser parser, Place place, int depth) throws IOException {
+    ArrayNode array = JSON.arrayNode();
+    while (parser.nextToken() != JsonToken.END_ARRAY) {
+      array.add(readValue(parser, place.at(array.size()), depth + 1));
+    }
+    return array;
+  }
+
+  private static String position(JsonParser parser) {
+    var location = parser.currentTokenLocation();
+    return position(location.getLineNr(), location.getColumnNr());
+  }
+
+  private static String position(JsonProcessingException e) {
+    var location = e.getLocation();
+    return location == null ? "" : position(location.getLineNr(), location.getColumnNr());
+  }
+
+  private static String position(int line, int column) {
+    return " (line " + line + ", column " + column + ")";
+  }
+}
--- a/settings/src/main/java/org/gentianslip/settings/Setting.java
+++ b/settings/src/main/java/org/gentianslip/settings/Setting.java
@@ -21,6 +21,9 @@
   /** Returns the value that holds where no branch sets one. */
   T defaultValue();
 
+  /** Returns the unit, such as {@code "milliseconds"}; empty if the value has none. */
+  String unit();
+
   /** Returns what is allowed, as a phrase such as {@code "a whole number from 1 to 600000"}. */
   String allowed();
 
@@ -33,4 +36,7 @@
    * @throws IllegalArgumentException if the value is not allowed; the message quotes it
    */
   T read(JsonNode node);
+
+  /** Returns the value as it is written in a document. */
+  JsonNode write(T value);
 }
--- a/settings/src/main/java/org/gentianslip/settings/SettingCatalog.java
+++ b/settings/src/main/java/org/gentianslip/settings/SettingCatalog.java
@@ -1,14 +1,258 @@
 package org.gentianslip.settings;
 
+import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Function;
+import java.util.stream.Collectors;
+import org.gentianslip.core.id.Rank;
+import org.gentianslip.core.id.RegionId;
 
-/** Lists every setting. Immutable and safe for use by several threads. */
+/**
+ * Declares every setting once, for validation, documentation and help.
+ *
+ * <p>Names are unique, and the index of a setting is its place in {@link #all()}. Immutable and
+ * safe for use by several threads.
+ */
 public final class SettingCatalog {
 
+  private static final long HOUR_MILLIS = 3_600_000;
+  private static final int MEBIBYTE = 1 << 20;
+  private static final List<Setting<?>> DECLARED = new ArrayList<>();
+
+  /** The rank of the work. */
+  public static final Setting<Rank> RANK =
+      declare(
+          "rank",
+          ValueType.rank(),
+          Rank.OTHER,
+          "Orders the work: urgent requests go before all others.");
+
+  /** The regions that may see the payload; empty in the declaration stands for all regions. */
+  public static final Setting<Set<RegionId>> ALLOWED_REGIONS =
+      declare(
+          "allowedRegions",
+          ValueType.regions(),
+          Set.of(),
+          "Names the regions that may see the payload of a request; unset means all regions. A"
+              + " branch can only narrow what the branches before it allow.");
+
+  /** How long a whole request may take. */
+  public static final Setting<Duration> DEADLINE =
+      declare(
+          "deadlineMillis",
+          ValueType.millis(1, HOUR_MILLIS),
+          Duration.ofMillis(30_000),
+          "Bounds the whole request, from its arrival to the end of its answer.");
+
+  /** The time to the first token that a request should meet. */
+  public static final Setting<Duration> FIRST_TOKEN_TARGET =
+      declare(
+          "firstTokenTargetMillis",
+          ValueType.millis(1, HOUR_MILLIS),
+          Duration.ofMillis(620),
+          "Sets the time to the first token that counts as in time.");
+
+  /** The time between tokens that a stream should meet. */
+  public static final Setting<Duration> TOKEN_GAP_TARGET =
+      declare(
+          "tokenGapTargetMillis",
+          ValueType.millis(1, 60_000),
+          Duration.ofMillis(54),
+          "Sets the time between two tokens that counts as in time.");
+
+  /** How long a request may wait for capacity. */
+  public static final Setting<Duration> QUEUE_TIMEOUT =
+      declare(
+          "queueTimeoutMillis",
+          ValueType.millis(0, HOUR_MILLIS),
+          Duration.ofMillis(5_000),
+          "Bounds the wait for capacity; a request that waits longer is refused and has not run.");
+
+  /** The greatest size of a request's body, in bytes. */
+  public static final Setting<Integer> MAX_BODY =
+      declare(
+          "maxBodyBytes",
+          ValueType.wholeNumber("bytes", 1, 64 * MEBIBYTE),
+          MEBIBYTE,
+          "Bounds the body of a request.");
+
+  /** How long a stream may be silent before its connection counts as lost. */
+  public static final Setting<Duration> STREAM_SILENCE =
+      declare(
+          "streamSilenceMillis",
+          ValueType.millis(100, 600_000),
+          Duration.ofMillis(5_000),
+          "Bounds the silence between two parts of an answer; a longer one ends the connection.");
+
+  /** How long the connection to a backend server may take. */
+  public static final Setting<Duration> CONNECT_TIMEOUT =
+      declare(
+          "connectTimeoutMillis",
+          ValueType.millis(1, 60_000),
+          Duration.ofMillis(1_000),
+          "Bounds the opening of a connection to a backend server or another instance.");
+
+  /** The share of requests that may be retried. */
+  public static final Setting<Double> RETRY_BUDGET =
+      declare(
+          "retryBudgetShare",
+          ValueType.share(),
+          0.1,
+          "Bounds the retries, as a share of the requests.");
+
+  /** Whether requests may be sent to another region for want of capacity. */
+  public static final Setting<Boolean> SPILL =
+      declare(
+          "spillEnabled",
+          ValueType.flag(),
+          true,
+          "Lets requests go to another allowed region if the own one has no free capacity.");
+
+  /** The cost of sending a request away, expressed as wait. */
+  public static final Setting<Duration> SPILL_CHARGE =
+      declare(
+          "spillChargeMillis",
+          ValueType.millis(0, HOUR_MILLIS),
+          Duration.ofMillis(200),
+          "Sets how much longer a request waits at home rather than go to another region.");
+
+  /** The share of a link that requests to another region may use. */
+  public static final Setting<Double> LINK_BUDGET =
+      declare(
+          "linkBudgetShare",
+          ValueType.share(),
+          0.5,
+          "Bounds what requests to another region may use of the link's capacity.");
+
+  /** The share of capacity that is kept for work that is not urgent. */
+  public static final Setting<Double> OTHER_FLOOR =
+      declare(
+          "otherFloorShare",
+          ValueType.share(),
+          0.1,
+          "Keeps a share of the capacity for work that is not urgent, also in a flood.");
+
+  /** The weight of a customer in the fair share within a rank. */
+  public static final Setting<Double> CUSTOMER_WEIGHT =
+      declare(
+          "customerWeight",
+          ValueType.number("weight", 0.01, 1_000),
+          1.0,
+          "Weighs the customer against others of the same rank; twice the weight, twice the"
+              + " share.");
+
+  /** The greatest number of requests that wait at one instance. */
+  public static final Setting<Integer> MAX_QUEUE =
+      declare(
+          "maxQueueLength",
+          ValueType.wholeNumber("requests", 0, 100_000),
+          200,
+          "Bounds the requests that wait at one instance.");
+
+  /** The length of the prompt's start that chooses an engine. */
+  public static final Setting<Integer> PREFIX_TOKENS =
+      declare(
+          "prefixTokens",
+          ValueType.wholeNumber("tokens", 0, 1_000_000),
+          256,
+          "Sets how much of a prompt's start decides which engine most likely holds it.");
+
+  /** How long a ticket is valid. */
+  public static final Setting<Duration> TICKET_LIFETIME =
+      declare(
+          "ticketLifetimeMillis",
+          ValueType.millis(1_000, HOUR_MILLIS),
+          Duration.ofMillis(120_000),
+          "Bounds the use of a ticket for a call that is not idempotent.");
+
+  /** How long a graceful shutdown waits for requests in flight. */
+  public static final Setting<Duration> DRAIN_TIMEOUT =
+      declare(
+          "drainTimeoutMillis",
+          ValueType.millis(0, HOUR_MILLIS),
+          Duration.ofMillis(60_000),
+          "Bounds the wait of a graceful shutdown for the requests in flight.");
+
+  /** The name of the routing policy. */
+  public static final Setting<String> POLICY =
+      declare(
+          "policy",
+          ValueType.oneOf("prefix-affinity", "least-loaded", "round-robin"),
+          "prefix-affinity",
+          "Chooses how an engine is found for a model request.");
+
+  /** The share of requests that must be answered. */
+  public static final Setting<Double> OBJECTIVE_AVAILABILITY =
+      declare(
+          "objectiveAvailabilityShare",
+          ValueType.share(),
+          0.999,
+          "Sets the objective for the share of requests that are answered completely.");
+
+  /** The share of requests that must meet the first token target. */
+  public static final Setting<Double> OBJECTIVE_FIRST_TOKEN =
+      declare(
+          "objectiveFirstTokenShare",
+          ValueType.share(),
+          0.95,
+          "Sets the objective for the share of requests whose first token is in time.");
+
+  /** The least severe level that is logged. */
+  public static final Setting<String> LOG_LEVEL =
+      declare(
+          "logLevel",
+          ValueType.oneOf("severe", "warning", "info", "fine", "finest"),
+          "info",
+          "Sets the least severe level that is logged.");
+
+  /** The greatest number of log lines of one place in the code. */
+  public static final Setting<Integer> LOG_RATE =
+      declare(
+          "logRatePerSecond",
+          ValueType.wholeNumber("lines per second", 1, 10_000),
+          10,
+          "Bounds the log lines of each place in the code.");
+
+  /** How long a caller may use a list of entries. */
+  public static final Setting<Duration> ENTRIES_LIFETIME =
+      declare(
+          "entriesLifetimeMillis",
+          ValueType.millis(100, HOUR_MILLIS),
+          Duration.ofMillis(5_000),
+          "Tells callers how long they may use a list of entry instances.");
+
+  /** What tokens cost. */
+  public static final Setting<Double> COST =
+      declare(
+          "costPerThousandTokens",
+          ValueType.number("currency units per 1000 tokens", 0, 1_000_000),
+          0.0,
+          "Prices the tokens of a request for the report on cost.");
+
+  private static final List<Setting<?>> ALL = List.copyOf(DECLARED);
+  private static final Map<String, Setting<?>> BY_NAME =
+      ALL.stream().collect(Collectors.toUnmodifiableMap(Setting::name, Function.identity()));
+
   private SettingCatalog() {}
 
   /** Returns all settings, in the order of their indices. */
   public static List<Setting<?>> all() {
-    return List.of();
+    return ALL;
+  }
+
+  /** Returns the setting with the given name. */
+  public static Optional<Setting<?>> find(String name) {
+    return Optional.ofNullable(BY_NAME.get(name));
+  }
+
+  private static <T> Setting<T> declare(
+      String name, ValueType<T> type, T defaultValue, String description) {
+    var setting = DeclaredSetting.of(name, DECLARED.size(), type, defaultValue, description);
+    DECLARED.add(setting);
+    return setting;
   }
 }
--- a/settings/src/main/java/org/gentianslip/settings/Settings.java
+++ b/settings/src/main/java/org/gentianslip/settings/Settings.java
@@ -29,6 +29,9 @@
   /** Returns the models that callers may name. */
   Set<ModelId> models();
 
+  /** Returns the services. */
+  List<Service> services();
+
   /** Returns the service with the given id. */
   Optional<Service> service(ServiceId id);
 
@@ -41,6 +44,9 @@
   /** Returns the customer whose key has the given SHA-256, in lower-case hexadecimal. */
   Optional<Customer> customerByKey(String keySha256);
 
+  /** Returns the kinds of work that some branch of the firm names. */
+  Set<KindId> kinds(String firm);
+
   /** Returns whether some branch names the kind of work for the customer's firm. */
   boolean knowsKind(Customer customer, KindId kind);
 
@@ -50,4 +56,17 @@
    * @throws IllegalArgumentException if the customer is not known
    */
   EffectiveSettings effective(CustomerId customer, RegionId region, KindId kind);
+
+  /**
+   * Returns the values in force for every request of a scope.
+   *
+   * <p>It is computed anew and meant for reports, not for the path of a request.
+   */
+  EffectiveSettings effective(Scope scope);
+
+  /** Returns the branches. */
+  List<Branch> branches();
+
+  /** Returns the branch with the given id. */
+  Optional<Branch> branch(String id);
 }
