Stand in for the config service

Cause: the entry, the demo and the tests need a config service to read and watch; none exists. Ruled out: Jooby for the stand-ins. Its context hides the connection (NettyContext.ctx is package-private), and a stand-in has to drop, hold and watch connections; Netty's own HTTP codec, on which Jooby serves, is used instead. Change: `gentian-standin config` with reads, watches by revision, a call budget, the 1 MB limit, If-Match for racing operators, settings published as parts and a manifest, the modes up, down, stale, slow and restore, and lag by prefix of the key. The same as a class: ConfigStandin.start. Conclusion: usable by other modules from now on.

--- a/standin/src/main/java/org/gentianslip/standin/StandinMain.java
+++ b/standin/src/main/java/org/gentianslip/standin/StandinMain.java
@@ -1,13 +1,19 @@
 package org.gentianslip.standin;
 
+import org.gentianslip.standin.command.ConfigCommand;
+import org.gentianslip.standin.command.StandinVersion;
 import picocli.CommandLine;
 
 /** Runs {@code gentian-standin}. Stateless; the command line is read by one thread. */
 @CommandLine.Command(
     name = "gentian-standin",
+    description = "Stand-ins for the platform and the backend servers.",
     mixinStandardHelpOptions = true,
-    versionProvider = StandinMain.Version.class)
-public final class StandinMain implements Runnable {
+    versionProvider = StandinVersion.class,
+    subcommands = {ConfigCommand.class})
+public final class StandinMain {
+
+  private StandinMain() {}
 
   /**
    * Starts the process.
@@ -15,21 +21,16 @@
    * @param args the command line
    */
   public static void main(String[] args) {
-    System.exit(new CommandLine(new StandinMain()).execute(args));
+    System.exit(commandLine().execute(args));
   }
 
-  @Override
-  public void run() {}
-
-  /** Reads the version from the manifest. Stateless. */
-  static final class Version implements CommandLine.IVersionProvider {
-    @Override
-    public String[] getVersion() {
-      return new String[] {
-        "gentian-standin "
-            + java.util.Objects.toString(
-                StandinMain.class.getPackage().getImplementationVersion(), "dev")
-      };
-    }
+  /** Returns the command line; it gives 0 for success, 1 for a failure and 2 for wrong usage. */
+  static CommandLine commandLine() {
+    return new CommandLine(new StandinMain())
+        .setExecutionExceptionHandler(
+            (e, command, parsed) -> {
+              command.getErr().println("standin: " + e.getMessage());
+              return 1;
+            });
   }
 }
--- /dev/null
+++ b/standin/src/main/java/org/gentianslip/standin/command/RunningStandin.java
@@ -0,0 +1,32 @@
+package org.gentianslip.standin.command;
+
+import java.util.concurrent.CountDownLatch;
+
+/** Keeps a stand-in running until the process is told to end. Stateless. */
+final class RunningStandin {
+
+  private RunningStandin() {}
+
+  /**
+   * Says that the stand-in is ready and waits until the process ends.
+   *
+   * @param name the name of the subcommand
+   * @param port the port that is listened on
+   * @param standin is closed when the process ends
+   */
+  static int await(String name, int port, AutoCloseable standin) throws InterruptedException {
+    Runtime.getRuntime().addShutdownHook(new Thread(() -> closeQuietly(standin)));
+    System.out.println("standin: " + name + " ready on 127.0.0.1:" + port);
+    System.out.flush();
+    new CountDownLatch(1).await();
+    return 0;
+  }
+
+  private static void closeQuietly(AutoCloseable standin) {
+    try {
+      standin.close();
+    } catch (Exception e) {
+      System.err.println("standin: " + e.getMessage());
+    }
+  }
+}
--- /dev/null
+++ b/standin/src/main/java/org/gentianslip/standin/command/package-info.java
@@ -0,0 +1,2 @@
+/** The subcommands of {@code gentian-standin}. */
+package org.gentianslip.standin.command;
--- /dev/null
+++ b/standin/src/main/java/org/gentianslip/standin/config/SettingsPublication.java
@@ -0,0 +1,47 @@
+package org.gentianslip.standin.config;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.gentianslip.standin.http.Digests;
+import org.gentianslip.standin.http.Json;
+
+/**
+ * The values that publish one state of the settings: its parts and the manifest that names them.
+ *
+ * <p>Immutable. The key of a part is made of the SHA-256 of its text.
+ *
+ * @param revision the revision of the manifest
+ * @param values the JSON text of each key
+ */
+record SettingsPublication(long revision, Map<String, String> values) {
+
+  static final String MANIFEST_KEY = "settings/manifest";
+
+  private static final String PART_PREFIX = "settings/parts/";
+
+  static SettingsPublication of(long revision, List<JsonNode> parts) {
+    var values = new LinkedHashMap<String, String>();
+    var named = new ArrayList<Map<String, String>>();
+    for (var part : parts) {
+      String text = Json.text(part);
+      String sha256 = Digests.sha256(text);
+      values.put(PART_PREFIX + sha256, text);
+      named.add(Map.of("key", PART_PREFIX + sha256, "sha256", sha256));
+    }
+    values.put(MANIFEST_KEY, Json.text(Map.of("revision", revision, "parts", named)));
+    return new SettingsPublication(revision, Map.copyOf(values));
+  }
+
+  /** Returns the revision that a manifest states, or 0 if it states none. */
+  static long revisionOf(String manifest) {
+    try {
+      return Json.MAPPER.readTree(manifest).path("revision").asLong(0);
+    } catch (JsonProcessingException e) {
+      return 0;
+    }
+  }
+}
--- /dev/null
+++ b/standin/src/test/java/org/gentianslip/standin/config/ConfigStandinTest.java
@@ -0,0 +1,172 @@
+package org.gentianslip.standin.config;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.containsString;
+import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.instanceOf;
+import static org.hamcrest.Matchers.is;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import java.io.IOException;
+import java.util.List;
+import java.util.Map;
+import java.util.OptionalLong;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import org.gentianslip.standin.http.Digests;
+import org.gentianslip.standin.http.Json;
+import org.gentianslip.standin.http.TestClient;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.DisplayName;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+@Timeout(60)
+class ConfigStandinTest {
+
+  private ConfigStandin config =
+      ConfigStandin.start(ConfigOptions.defaults(), Map.of("directory", "{\"version\":1}"));
+  private final TestClient client = new TestClient(() -> config.port());
+
+  @AfterEach
+  void close() {
+    config.close();
+  }
+
+  @Nested
+  class WhenRead {
+
+    @Test
+    void answersTheValueWithItsRevision() throws IOException {
+      var answer = client.get("/v1/values/directory");
+      assertThat(answer.body(), is("{\"version\":1}"));
+      assertThat(answer.header("X-Revision"), is("1"));
+    }
+
+    @Test
+    void knowsNoOtherKey() throws IOException {
+      assertThat(client.get("/v1/values/other").status(), is(404));
+    }
+
+    @Test
+    void refusesCallsOverItsBudget() throws IOException {
+      restartWith(ConfigOptions.defaults().withCallsPerSecond(1));
+      int refused = 0;
+      for (int i = 0; i < 50; i++) {
+        refused += client.get("/v1/values/directory").status() == 429 ? 1 : 0;
+      }
+      assertThat(config.calls().refused(), is((long) refused));
+      assertThat(config.calls().peakPerSecond(), is(1));
+      assertThat(refused, greaterThan(0));
+    }
+  }
+
+  @Nested
+  class WhenWatched {
+
+    @Test
+    void answersOnceTheRevisionGrows() throws Exception {
+      var waiting = client.async("GET", "/v1/values/directory?after=1&waitMillis=60000", "");
+      awaitWatches(1);
+      config.put("directory", "2");
+      assertThat(waiting.get(30, TimeUnit.SECONDS).body(), is("2"));
+    }
+
+    @Test
+    void answersNotModifiedAfterTheWait() throws IOException {
+      assertThat(client.get("/v1/values/directory?after=1&waitMillis=1").status(), is(304));
+    }
+
+    @Test
+    void dropsTheWatchesWhenItGoesDown() throws Exception {
+      var waiting = client.async("GET", "/v1/values/directory?after=1&waitMillis=60000", "");
+      awaitWatches(1);
+      client.post("/admin/mode", "{\"mode\":\"down\"}");
+      assertThrows(ExecutionException.class, () -> waiting.get(30, TimeUnit.SECONDS));
+      assertThat(client.get("/v1/values/directory").status(), is(503));
+    }
+
+    private void awaitWatches(int number) {
+      org.awaitility.Awaitility.await().until(() -> config.calls().waiting() == number);
+    }
+  }
+
+  @Nested
+  class WhenPublished {
+
+    @Test
+    void refusesTheOperatorWhoLostTheRace() throws IOException {
+      assertThat(
+          client.call("PUT", "/admin/values/k", "1", Map.of("If-Match", "0")).status(), is(200));
+      var lost = client.call("PUT", "/admin/values/k", "2", Map.of("If-Match", "0"));
+      assertThat(lost.status(), is(409));
+      assertThat(client.get("/v1/values/k").body(), is("1"));
+    }
+
+    @Test
+    void refusesValuesOverOneMegabyte() throws IOException {
+      var large = client.put("/admin/values/k", "\"" + "x".repeat(1 << 20) + "\"");
+      assertThat(large.status(), is(413));
+      assertThat(large.body(), containsString("value_too_large"));
+    }
+
+    @Test
+    @DisplayName("publishes the parts of the settings under their SHA-256 and a manifest")
+    void publishesSettings() throws IOException {
+      client.post("/admin/settings", "{\"parts\":[{\"models\":[\"m\"]}]}");
+      var manifest = Json.MAPPER.readTree(client.get("/v1/values/settings/manifest").body());
+      String part = client.get("/v1/values/" + manifest.at("/parts/0/key").asText()).body();
+      assertThat(manifest.path("revision").asLong(), is(1L));
+      assertThat(manifest.at("/parts/0/sha256").asText(), is(Digests.sha256(part)));
+    }
+
+    @Test
+    void comparesTheRevisionOfTheManifest() {
+      config.publishSettings(List.of());
+      assertThat(
+          config.publishSettings(List.of(), OptionalLong.of(0), OptionalLong.empty()),
+          instanceOf(PublishResult.Conflict.class));
+    }
+
+    @Test
+    void keepsLaggingChangesInvisible() throws IOException {
+      restartWith(ConfigOptions.defaults().withLagMillis(Map.of("instances/", 3_600_000L)));
+      config.put("instances/graz", "1");
+      config.put("directory", "2");
+      assertThat(client.get("/v1/values/instances/graz").status(), is(404));
+      assertThat(client.get("/v1/values/directory").body(), is("2"));
+    }
+  }
+
+  @Nested
+  class WhenFaulty {
+
+    @Test
+    void answersTheOldValuesWhenStale() throws IOException {
+      client.post("/admin/mode", "{\"mode\":\"stale\"}");
+      config.put("directory", "2");
+      assertThat(client.get("/v1/values/directory").body(), is("{\"version\":1}"));
+      client.post("/admin/mode", "{\"mode\":\"up\"}");
+      assertThat(client.get("/v1/values/directory").body(), is("2"));
+    }
+
+    @Test
+    void answersAnOlderRevisionWhenRestored() throws IOException {
+      config.put("directory", "2");
+      config.put("directory", "3");
+      client.post("/admin/mode", "{\"mode\":\"restore\",\"steps\":1}");
+      assertThat(client.get("/v1/values/directory").header("X-Revision"), is("2"));
+    }
+
+    @Test
+    void refusesAnUnknownMode() throws IOException {
+      assertThat(client.post("/admin/mode", "{\"mode\":\"odd\"}").status(), is(400));
+    }
+  }
+
+  private void restartWith(ConfigOptions options) {
+    config.close();
+    config = ConfigStandin.start(options, Map.of("directory", "1"));
+  }
+}
--- /dev/null
+++ b/standin/src/test/java/org/gentianslip/standin/http/TestClient.java
@@ -0,0 +1,113 @@
+package org.gentianslip.standin.http;
+
+import java.io.IOException;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.function.IntSupplier;
+import okhttp3.Call;
+import okhttp3.Callback;
+import okhttp3.ConnectionPool;
+import okhttp3.OkHttpClient;
+import okhttp3.Request;
+import okhttp3.RequestBody;
+import okhttp3.Response;
+
+/** Calls a stand-in without repeating a call. Safe for use by several threads. */
+public final class TestClient {
+
+  private static final OkHttpClient HTTP =
+      new OkHttpClient.Builder()
+          .retryOnConnectionFailure(false)
+          .connectionPool(new ConnectionPool(0, 1, TimeUnit.SECONDS))
+          .readTimeout(60, TimeUnit.SECONDS)
+          .build();
+
+  private final IntSupplier port;
+
+  /** Creates a client of the port that is given at each call. */
+  public TestClient(IntSupplier port) {
+    this.port = port;
+  }
+
+  /** An answer. Immutable. */
+  public record Answer(int status, String body, Map<String, String> headers) {
+    /** Returns a header, or null. */
+    public String header(String name) {
+      return headers.get(name);
+    }
+  }
+
+  /** Calls with GET. */
+  public Answer get(String path) throws IOException {
+    return call("GET", path, null, Map.of());
+  }
+
+  /** Calls with POST. */
+  public Answer post(String path, String body) throws IOException {
+    return call("POST", path, body, Map.of());
+  }
+
+  /** Calls with PUT. */
+  public Answer put(String path, String body) throws IOException {
+    return call("PUT", path, body, Map.of());
+  }
+
+  /** Calls and waits for the answer. */
+  public Answer call(String method, String path, String body, Map<String, String> headers)
+      throws IOException {
+    try {
+      return async(method, path, body, headers).get();
+    } catch (ExecutionException e) {
+      throw new IOException(e.getCause());
+    } catch (InterruptedException e) {
+      throw new AssertionError(e);
+    }
+  }
+
+  /** Calls without headers and without waiting. */
+  public CompletableFuture<Answer> async(String method, String path, String body) {
+    return async(method, path, method.equals("GET") ? null : body, Map.of());
+  }
+
+  /** Calls without waiting. */
+  public CompletableFuture<Answer> async(
+      String method, String path, String body, Map<String, String> headers) {
+    var future = new CompletableFuture<Answer>();
+    start(method, path, body, headers)
+        .enqueue(
+            new Callback() {
+              @Override
+              public void onFailure(Call call, IOException e) {
+                future.completeExceptionally(e);
+              }
+
+              @Override
+              public void onResponse(Call call, Response response) {
+                try (response) {
+                  var all = new java.util.TreeMap<String, String>(String.CASE_INSENSITIVE_ORDER);
+                  response.headers().forEach(h -> all.put(h.getFirst(), h.getSecond()));
+                  future.complete(new Answer(response.code(), response.body().string(), all));
+                } catch (IOException e) {
+                  future.completeExceptionally(e);
+                }
+              }
+            });
+    return future;
+  }
+
+  /** Returns a call that is not sent yet. */
+  public Call start(String method, String path, String body, Map<String, String> headers) {
+    var request = new Request.Builder().url("http://127.0.0.1:" + port.getAsInt() + path);
+    headers.forEach(request::header);
+    return HTTP.newCall(
+        request
+            .method(
+                method,
+                body == null
+                    ? null
+                    : RequestBody.create(body.getBytes(java.nio.charset.StandardCharsets.UTF_8)))
+            .build());
+  }
+}
