--- a/entry/src/main/java/org/gentianslip/entry/EntryMain.java
+++ b/entry/src/main/java/org/gentianslip/entry/EntryMain.java
@@ -1,13 +1,30 @@
 package org.gentianslip.entry;
 
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Objects;
+import java.util.concurrent.Callable;
+import org.gentianslip.entry.process.EntryPlace;
+import org.gentianslip.entry.process.EntryProcess;
+import org.gentianslip.entry.process.InvalidPlaceException;
 import picocli.CommandLine;
+import sun.misc.Signal;
 
-/** Runs {@code gentian-entry}. Stateless; the command line is read by one thread. */
+/** Runs {@code gentian-entry}. The command line is read by one thread. */
 @CommandLine.Command(
     name = "gentian-entry",
+    description = "Serves callers of one data centre.",
     mixinStandardHelpOptions = true,
     versionProvider = EntryMain.Version.class)
-public final class EntryMain implements Runnable {
+public final class EntryMain implements Callable<Integer> {
+
+  @CommandLine.Option(
+      names = "--config",
+      required = true,
+      paramLabel = "FILE",
+      description = "The JSON file with the place of this instance.")
+  private Path config;
 
   /**
    * Starts the process.
@@ -19,7 +36,23 @@
   }
 
   @Override
-  public void run() {}
+  public Integer call() throws InterruptedException {
+    EntryPlace place;
+    try {
+      place = EntryPlace.parse(Files.readAllBytes(config));
+    } catch (InvalidPlaceException e) {
+      e.findings().forEach(f -> System.err.println(config + ":" + f));
+      return CommandLine.ExitCode.SOFTWARE;
+    } catch (IOException e) {
+      System.err.println(config + ": not readable: " + e.getMessage());
+      return CommandLine.ExitCode.SOFTWARE;
+    }
+    var process = EntryProcess.start(place);
+    Signal.handle(new Signal("TERM"), s -> new Thread(process::drainAndClose, "drain").start());
+    System.out.println("entry: ready for callers on " + place.host() + ":" + place.callerPort());
+    process.awaitClosed();
+    return CommandLine.ExitCode.OK;
+  }
 
   /** Reads the version from the manifest. Stateless. */
   static final class Version implements CommandLine.IVersionProvider {
@@ -27,8 +60,7 @@
     public String[] getVersion() {
       return new String[] {
         "gentian-entry "
-            + java.util.Objects.toString(
-                EntryMain.class.getPackage().getImplementationVersion(), "dev")
+            + Objects.toString(EntryMain.class.getPackage().getImplementationVersion(), "dev")
       };
     }
   }
--- /dev/null
+++ b/entry/src/main/java/org/gentianslip/entry/caller/RequestSettings.java
@@ -0,0 +1,67 @@
+package org.gentianslip.entry.caller;
+
+import java.time.Duration;
+import java.util.Set;
+import java.util.stream.Collectors;
+import org.gentianslip.core.id.CustomerId;
+import org.gentianslip.core.id.KindId;
+import org.gentianslip.core.id.Rank;
+import org.gentianslip.core.id.RegionId;
+import org.gentianslip.entry.relay.UpstreamTimeouts;
+import org.gentianslip.settings.EffectiveSettings;
+import org.gentianslip.settings.Region;
+import org.gentianslip.settings.SettingCatalog;
+import org.gentianslip.settings.Settings;
+
+/**
+ * Holds who sent a request and the values in force for it.
+ *
+ * <p>Immutable and safe for use by several threads.
+ *
+ * @param customer the customer, by the caller's key
+ * @param kind the kind of work
+ * @param effective the values in force
+ * @param allowedRegions the regions that may see the payload; never wider than the settings say
+ */
+public record RequestSettings(
+    CustomerId customer, KindId kind, EffectiveSettings effective, Set<RegionId> allowedRegions) {
+
+  /** Looks up the values in force. */
+  public static RequestSettings of(
+      Settings settings, CustomerId customer, RegionId region, KindId kind) {
+    EffectiveSettings effective = settings.effective(customer, region, kind);
+    return new RequestSettings(customer, kind, effective, allowed(settings, effective));
+  }
+
+  private static Set<RegionId> allowed(Settings settings, EffectiveSettings effective) {
+    boolean restricted = !effective.origin(SettingCatalog.ALLOWED_REGIONS).equals("default");
+    if (restricted) {
+      return effective.get(SettingCatalog.ALLOWED_REGIONS);
+    }
+    return settings.regions().stream().map(Region::id).collect(Collectors.toUnmodifiableSet());
+  }
+
+  /** Returns the rank. */
+  public Rank rank() {
+    return effective.get(SettingCatalog.RANK);
+  }
+
+  /** Returns how long the whole request may take. */
+  public Duration deadline() {
+    return effective.get(SettingCatalog.DEADLINE);
+  }
+
+  /** Returns the bounds of an exchange with a backend server that may take the given time. */
+  public UpstreamTimeouts timeouts(Duration remaining) {
+    return new UpstreamTimeouts(
+        effective.get(SettingCatalog.CONNECT_TIMEOUT),
+        effective.get(SettingCatalog.STREAM_SILENCE),
+        remaining);
+  }
+
+  /** Returns the bounds of an exchange whose answer comes as a whole at its end. */
+  public UpstreamTimeouts wholeAnswerTimeouts(Duration remaining) {
+    return new UpstreamTimeouts(
+        effective.get(SettingCatalog.CONNECT_TIMEOUT), remaining, remaining);
+  }
+}
--- /dev/null
+++ b/entry/src/main/java/org/gentianslip/entry/http/ErrorCode.java
@@ -0,0 +1,71 @@
+package org.gentianslip.entry.http;
+
+import java.util.Locale;
+
+/** Names an error towards callers. Immutable and safe for use by several threads. */
+public enum ErrorCode {
+  /** The body is no valid JSON or lacks a member. */
+  MALFORMED_JSON(400),
+  /** The request is no valid HTTP. */
+  MALFORMED_REQUEST(400),
+  /** The kind of work is not known for the customer. */
+  UNKNOWN_KIND(400),
+  /** The key belongs to no customer. */
+  UNKNOWN_CUSTOMER(401),
+  /** The peers' or operators' key is missing or wrong. */
+  FORBIDDEN(403),
+  /** Nothing is served at the path. */
+  UNKNOWN_PATH(404),
+  /** The model is not known. */
+  UNKNOWN_MODEL(404),
+  /** The service is not known. */
+  UNKNOWN_SERVICE(404),
+  /** Nothing is known of the request. */
+  UNKNOWN_REQUEST(404),
+  /** The method is not served at the path. */
+  METHOD_NOT_ALLOWED(405),
+  /** The ticket cannot be used here or any more. */
+  TICKET_INVALID(409),
+  /** The ticket was used before. */
+  TICKET_USED(409),
+  /** The body is larger than the settings allow. */
+  BODY_TOO_LARGE(413),
+  /** The content coding of the body is not supported. */
+  UNSUPPORTED_CODING(415),
+  /** This region may not see the payload. */
+  WRONG_REGION(421),
+  /** A call that is not idempotent needs a ticket. */
+  TICKET_REQUIRED(428),
+  /** The headers are larger than allowed. */
+  HEADERS_TOO_LARGE(431),
+  /** A fault of this instance. */
+  INTERNAL(500),
+  /** The backend server failed. */
+  BACKEND_FAILED(502),
+  /** The backend server may have run the request. */
+  OUTCOME_UNKNOWN(502),
+  /** No capacity is free. */
+  NO_CAPACITY(503),
+  /** This instance is leaving. */
+  LEAVING(503),
+  /** This instance has no settings yet. */
+  NOT_READY(503),
+  /** The deadline has passed. */
+  DEADLINE(504);
+
+  private final int status;
+
+  ErrorCode(int status) {
+    this.status = status;
+  }
+
+  /** Returns the HTTP status. */
+  public int status() {
+    return status;
+  }
+
+  /** Returns the stable text of the code in bodies. */
+  public String text() {
+    return name().toLowerCase(Locale.ROOT);
+  }
+}
--- /dev/null
+++ b/entry/src/main/java/org/gentianslip/entry/http/HttpServer.java
@@ -0,0 +1,88 @@
+package org.gentianslip.entry.http;
+
+import io.jooby.ExecutionMode;
+import io.jooby.Jooby;
+import io.jooby.ServerOptions;
+import io.jooby.StatusCode;
+import io.jooby.netty.NettyServer;
+import java.util.Map;
+import java.util.function.Consumer;
+
+/**
+ * Serves one port.
+ *
+ * <p>Handlers run on worker threads and must not block; a handler that answers later detaches its
+ * context. Faults of any kind are answered with an {@link ErrorReply}. Safe for use by several
+ * threads once started.
+ */
+public final class HttpServer implements AutoCloseable {
+
+  private final io.jooby.Server server;
+
+  private HttpServer(io.jooby.Server server) {
+    this.server = server;
+  }
+
+  /**
+   * Starts a server.
+   *
+   * @param host the IP number to listen on
+   * @param port the port to listen on
+   * @param maxBodyBytes the greatest size of a body, in bytes
+   * @param routes adds the routes
+   */
+  public static HttpServer start(String host, int port, int maxBodyBytes, Consumer<Jooby> routes) {
+    var options = new ServerOptions();
+    options.setPort(port);
+    options.setHost(host);
+    options.setMaxRequestSize(maxBodyBytes);
+    options.setDefaultHeaders(false);
+    options.setServer("netty");
+    var app = new Jooby();
+    app.setServerOptions(options);
+    app.setExecutionMode(ExecutionMode.WORKER);
+    app.setStartupSummary(java.util.List.of());
+    app.error((ctx, cause, status) -> answerFault(ctx, cause, status));
+    routes.accept(app);
+    var netty = new NettyServer();
+    netty.setOptions(options);
+    return new HttpServer(netty.start(app));
+  }
+
+  private static void answerFault(io.jooby.Context ctx, Throwable cause, StatusCode status) {
+    ErrorReply reply = toReply(ctx, status);
+    ctx.setResponseCode(reply.code().status());
+    ctx.setResponseType("application/json");
+    ctx.setResponseHeader(HeaderNames.OUTCOME, reply.outcome().text());
+    reply.headers().forEach(ctx::setResponseHeader);
+    ctx.send(reply.toJson());
+  }
+
+  private static ErrorReply toReply(io.jooby.Context ctx, StatusCode status) {
+    if (ctx.getRequestPath().equals("/bad-request")) {
+      return ErrorReply.notRun(
+              ErrorCode.HEADERS_TOO_LARGE, "The request line or the headers are too large.")
+          .withHeader("Connection", "close");
+    }
+    return switch (status.value()) {
+      case 400 -> ErrorReply.notRun(ErrorCode.MALFORMED_REQUEST, "The request is malformed.");
+      case 404 -> ErrorReply.notRun(ErrorCode.UNKNOWN_PATH, "Nothing is served at this path.");
+      case 405 ->
+          ErrorReply.notRun(ErrorCode.METHOD_NOT_ALLOWED, "The method is not served at this path.");
+      case 413 ->
+          new ErrorReply(
+              ErrorCode.BODY_TOO_LARGE,
+              "The body is larger than this instance reads.",
+              OutcomeName.NOT_RUN,
+              java.util.List.of(),
+              Map.of("Connection", "close"));
+      default -> ErrorReply.unknown(ErrorCode.INTERNAL, "This instance failed.");
+    };
+  }
+
+  /** Stops serving; a graceful shutdown has ended all exchanges before. */
+  @Override
+  public void close() {
+    server.stop();
+  }
+}
--- /dev/null
+++ b/entry/src/main/java/org/gentianslip/entry/http/JoobySink.java
@@ -0,0 +1,93 @@
+package org.gentianslip.entry.http;
+
+import io.jooby.Context;
+import io.jooby.Sender;
+import java.io.IOException;
+import java.io.InterruptedIOException;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+
+/**
+ * Sends an answer through Jooby.
+ *
+ * <p>The context must be detached from its handler. At most one write is on its way at a time, so a
+ * slow receiver slows the backend server and fills no memory here. Used by one thread at a time.
+ */
+public final class JoobySink implements ResponseSink {
+
+  private static final long WRITE_TIMEOUT_SECONDS = 30;
+
+  private final Context ctx;
+  private final String requestId;
+  private Sender sender;
+
+  /** Creates a sink for a detached context. */
+  public JoobySink(Context ctx, String requestId) {
+    this.ctx = ctx;
+    this.requestId = requestId;
+  }
+
+  @Override
+  public void fail(ErrorReply reply) {
+    ctx.setResponseHeader(HeaderNames.OUTCOME, reply.outcome().text());
+    send(reply.code().status(), reply.headers(), reply.toJson());
+  }
+
+  @Override
+  public void send(int status, Map<String, String> headers, byte[] body) {
+    start(status, headers);
+    ctx.send(body);
+  }
+
+  @Override
+  public void begin(int status, Map<String, String> headers) {
+    start(status, headers);
+    sender = ctx.responseSender();
+  }
+
+  private void start(int status, Map<String, String> headers) {
+    ctx.setResponseCode(status);
+    ctx.setResponseType("application/json");
+    ctx.setResponseHeader(HeaderNames.REQUEST_ID, requestId);
+    headers.forEach(
+        (name, value) -> {
+          if (name.equalsIgnoreCase("Content-Type")) {
+            ctx.setResponseType(value);
+          } else {
+            ctx.setResponseHeader(name, value);
+          }
+        });
+  }
+
+  @Override
+  public void write(byte[] part) throws IOException {
+    var written = new CompletableFuture<Void>();
+    sender.write(
+        part,
+        (context, cause) -> {
+          if (cause == null) {
+            written.complete(null);
+          } else {
+            written.completeExceptionally(cause);
+          }
+        });
+    try {
+      written.get(WRITE_TIMEOUT_SECONDS, TimeUnit.SECONDS);
+    } catch (ExecutionException e) {
+      throw new IOException("The receiver has gone away", e.getCause());
+    } catch (TimeoutException e) {
+      throw new IOException("The receiver took no bytes in time", e);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      throw new InterruptedIOException("Interrupted while writing");
+    }
+  }
+
+  @Override
+  public void end() {
+    sender.close();
+  }
+}
--- /dev/null
+++ b/entry/src/main/java/org/gentianslip/entry/metrics/package-info.java
@@ -0,0 +1,2 @@
+/** The Prometheus metrics of an instance. */
+package org.gentianslip.entry.metrics;
--- /dev/null
+++ b/entry/src/main/java/org/gentianslip/entry/model/AnswerCopy.java
@@ -0,0 +1,80 @@
+package org.gentianslip.entry.model;
+
+import java.io.IOException;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import okhttp3.Response;
+import org.gentianslip.core.id.RegionId;
+import org.gentianslip.core.outcome.Outcome;
+import org.gentianslip.entry.http.HeaderNames;
+import org.gentianslip.entry.http.OutcomeName;
+import org.gentianslip.entry.relay.StreamRelay;
+import org.gentianslip.entry.relay.UpstreamResult;
+import org.gentianslip.entry.relay.WholeBody;
+
+/**
+ * Copies an answer to the caller, streamed or as a whole.
+ *
+ * <p>Stateless and safe for use by several threads.
+ */
+final class AnswerCopy {
+
+  private static final String EVENT_STREAM = "text/event-stream";
+
+  private AnswerCopy() {}
+
+  /**
+   * Copies the answer, which ends the exchange.
+   *
+   * @return nothing if the exchange has ended; otherwise the outcome of an attempt whose answer did
+   *     not come in whole and of which the caller has seen nothing
+   */
+  static Optional<Outcome> copy(
+      ModelExchange exchange, UpstreamResult.Answer answer, RegionId region, ModelReport report) {
+    Response response = answer.response();
+    String type = response.header("Content-Type", "application/json");
+    Map<String, String> headers = new HashMap<>();
+    headers.put("Content-Type", type);
+    headers.put(HeaderNames.SERVED_REGION, region.value());
+    if (type.startsWith(EVENT_STREAM)) {
+      copyStream(exchange, response, headers, report);
+      return Optional.empty();
+    }
+    byte[] body;
+    try {
+      body = WholeBody.read(response);
+    } catch (IOException e) {
+      return Optional.of(answer.journal().close());
+    }
+    answer.journal().answerRead();
+    copyWhole(exchange, response, headers, body, report);
+    return Optional.empty();
+  }
+
+  private static void copyStream(
+      ModelExchange exchange, Response response, Map<String, String> headers, ModelReport report) {
+    if (!exchange.finishOnce()) {
+      response.close();
+      return;
+    }
+    var clock = new TokenClock(exchange, report);
+    StreamRelay.End end = StreamRelay.copy(response, headers, exchange.sink(), clock);
+    report.streamed(System.nanoTime(), exchange, end);
+  }
+
+  private static void copyWhole(
+      ModelExchange exchange,
+      Response response,
+      Map<String, String> headers,
+      byte[] body,
+      ModelReport report) {
+    if (!exchange.finishOnce()) {
+      return;
+    }
+    String outcome = response.header(HeaderNames.OUTCOME, OutcomeName.COMPLETED.text());
+    headers.put(HeaderNames.OUTCOME, outcome);
+    report.answered(System.nanoTime(), exchange, outcome);
+    exchange.sink().send(response.code(), headers, body);
+  }
+}
--- /dev/null
+++ b/entry/src/main/java/org/gentianslip/entry/model/Forwarding.java
@@ -0,0 +1,19 @@
+package org.gentianslip.entry.model;
+
+import java.util.Optional;
+import java.util.function.Consumer;
+import okhttp3.Call;
+import org.gentianslip.core.id.RegionId;
+import org.gentianslip.entry.relay.UpstreamResult;
+
+/** Sends a request to an instance of another region. Implementations are thread-safe. */
+interface Forwarding {
+
+  /**
+   * Sends a request.
+   *
+   * @return the exchange, or nothing if no instance of the region can be used
+   */
+  Optional<Call> forward(
+      long nowNanos, ModelExchange exchange, RegionId region, Consumer<UpstreamResult> receiver);
+}
--- /dev/null
+++ b/entry/src/main/java/org/gentianslip/entry/model/ModelBody.java
@@ -0,0 +1,98 @@
+package org.gentianslip.entry.model;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import org.gentianslip.entry.http.ErrorCode;
+import org.gentianslip.entry.http.ErrorReply;
+import org.gentianslip.entry.http.Json;
+
+/**
+ * Holds what the gateway reads of a model request's body.
+ *
+ * <p>Immutable and safe for use by several threads.
+ *
+ * @param model the model's name
+ * @param prompt the prompt as one text
+ * @param maxTokens the greatest length of the answer, in tokens
+ * @param stream whether the answer is streamed
+ */
+public record ModelBody(String model, String prompt, int maxTokens, boolean stream) {
+
+  private static final int DEFAULT_MAX_TOKENS = 256;
+
+  /** Tells how the reading of a body ended. Immutable. */
+  public sealed interface Result {
+
+    /**
+     * The body is valid.
+     *
+     * @param body the body
+     */
+    record Valid(ModelBody body) implements Result {}
+
+    /**
+     * The body is not valid.
+     *
+     * @param reply the answer
+     */
+    record Invalid(ErrorReply reply) implements Result {}
+  }
+
+  /** Reads a body. */
+  public static Result read(byte[] bytes) {
+    JsonNode root;
+    try {
+      root = Json.parse(bytes);
+    } catch (JsonProcessingException e) {
+      var at = e.getLocation();
+      return invalid(
+          "The body is not valid JSON at line " + at.getLineNr() + ", column " + at.getColumnNr());
+    }
+    if (!root.isObject()) {
+      return invalid("The body must be a JSON object");
+    }
+    if (!root.path("model").isTextual()) {
+      return invalid("/model must be a text");
+    }
+    String prompt = prompt(root);
+    if (prompt == null) {
+      return invalid("/messages must be a list of messages with texts, or /prompt a text");
+    }
+    JsonNode max = root.path("max_tokens");
+    if (!max.isMissingNode() && (!max.canConvertToInt() || max.intValue() < 1)) {
+      return invalid("/max_tokens must be a whole number of at least 1");
+    }
+    JsonNode stream = root.path("stream");
+    if (!stream.isMissingNode() && !stream.isBoolean()) {
+      return invalid("/stream must be true or false");
+    }
+    return new Result.Valid(
+        new ModelBody(
+            root.path("model").textValue(),
+            prompt,
+            max.asInt(DEFAULT_MAX_TOKENS),
+            stream.asBoolean(false)));
+  }
+
+  private static String prompt(JsonNode root) {
+    if (root.path("prompt").isTextual()) {
+      return root.path("prompt").textValue();
+    }
+    JsonNode messages = root.path("messages");
+    if (!messages.isArray() || messages.isEmpty()) {
+      return null;
+    }
+    var text = new StringBuilder();
+    for (JsonNode message : messages) {
+      if (!message.path("content").isTextual()) {
+        return null;
+      }
+      text.append(message.path("content").textValue()).append('\n');
+    }
+    return text.toString();
+  }
+
+  private static Result invalid(String message) {
+    return new Result.Invalid(ErrorReply.notRun(ErrorCode.MALFORMED_JSON, message + "."));
+  }
+}
--- /dev/null
+++ b/entry/src/main/java/org/gentianslip/entry/model/ModelRequests.java
@@ -0,0 +1,173 @@
+package org.gentianslip.entry.model;
+
+import java.time.Duration;
+import org.gentianslip.core.id.ModelId;
+import org.gentianslip.core.id.RequestId;
+import org.gentianslip.core.outcome.RetryBudget;
+import org.gentianslip.core.outcome.RetryRule;
+import org.gentianslip.core.routing.RouteRequest;
+import org.gentianslip.core.routing.RoutingPolicy;
+import org.gentianslip.entry.caller.EntryDirectory;
+import org.gentianslip.entry.caller.RequestSettings;
+import org.gentianslip.entry.explain.DecisionLog;
+import org.gentianslip.entry.http.ErrorCode;
+import org.gentianslip.entry.http.ErrorReply;
+import org.gentianslip.entry.http.HeaderNames;
+import org.gentianslip.entry.http.ResponseSink;
+import org.gentianslip.entry.metrics.EntryMetrics;
+import org.gentianslip.entry.process.InFlight;
+import org.gentianslip.entry.relay.UpstreamClient;
+import org.gentianslip.entry.state.FleetState;
+import org.gentianslip.settings.SettingCatalog;
+
+/**
+ * Serves model requests of callers and of peers.
+ *
+ * <p>Peers' requests go through a dispatcher that cannot forward. Safe for use by several threads.
+ */
+public final class ModelRequests {
+
+  private static final int MAX_ATTEMPTS = 3;
+  private static final long LEAST_USEFUL_NANOS = 10_000_000L;
+  private static final double RETRY_SHARE = 0.1;
+  private static final int RETRY_BURST = 20;
+
+  private final FleetState state;
+  private final EntryDirectory directory;
+  private final PrefixDigest digest;
+  private final EntryMetrics metrics;
+  private final RetryBudget budget = RetryBudget.of(RETRY_SHARE, RETRY_BURST);
+  private final ModelDispatcher fromCallers;
+  private final ModelDispatcher fromPeers;
+
+  /** Creates the two dispatchers. */
+  public ModelRequests(
+      FleetState state,
+      EntryDirectory directory,
+      RoutingPolicy policy,
+      UpstreamClient client,
+      EntryMetrics metrics,
+      DecisionLog decisions,
+      InFlight inFlight) {
+    this.state = state;
+    this.directory = directory;
+    this.metrics = metrics;
+    this.digest = new PrefixDigest(state.place().peerKey());
+    var report = new ModelReport(state, metrics, decisions, inFlight);
+    var retries = new RetryRule(MAX_ATTEMPTS, LEAST_USEFUL_NANOS, budget);
+    this.fromCallers =
+        new ModelDispatcher(
+            state, policy, new PeerForwarding(state, client), client, retries, report);
+    this.fromPeers =
+        new ModelDispatcher(state, policy, new NoForwarding(), client, retries, report);
+  }
+
+  /** Takes a caller's request. */
+  public void fromCaller(
+      long nowNanos,
+      RequestId id,
+      RequestSettings settings,
+      String path,
+      byte[] body,
+      ResponseSink sink) {
+    take(nowNanos, id, settings, path, body, sink, settings.deadline(), false);
+  }
+
+  /** Takes a request that a peer forwarded; it stays in this region. */
+  public void fromPeer(
+      long nowNanos,
+      RequestId id,
+      RequestSettings settings,
+      String path,
+      byte[] body,
+      ResponseSink sink,
+      Duration remaining) {
+    take(nowNanos, id, settings, path, body, sink, remaining, true);
+  }
+
+  private void take(
+      long nowNanos,
+      RequestId id,
+      RequestSettings settings,
+      String path,
+      byte[] body,
+      ResponseSink sink,
+      Duration remaining,
+      boolean forwarded) {
+    if (state.leaving()) {
+      var reply = ErrorReply.notRun(ErrorCode.LEAVING, "This instance is leaving.");
+      refuse(
+          settings,
+          sink,
+          forwarded
+              ? reply.withHeader(HeaderNames.NOT_STARTED, "true")
+              : reply.withEntries(directory.entriesFor(nowNanos, settings)));
+      return;
+    }
+    ModelBody.Result read = ModelBody.read(body);
+    if (read instanceof ModelBody.Result.Invalid invalid) {
+      refuse(settings, sink, invalid.reply());
+      return;
+    }
+    ModelBody parsed = ((ModelBody.Result.Valid) read).body();
+    if (!knowsModel(parsed.model())) {
+      var reply = ErrorReply.notRun(ErrorCode.UNKNOWN_MODEL, "The model is not known.");
+      refuse(settings, sink, reply);
+      return;
+    }
+    var route = route(nowNanos, id, settings, parsed, remaining, forwarded);
+    var exchange =
+        new ModelExchange(
+            route, settings, path, body, parsed.stream(), sink, nowNanos + remaining.toNanos());
+    budget.requestStarted();
+    (forwarded ? fromPeers : fromCallers).submit(nowNanos, exchange);
+  }
+
+  private void refuse(RequestSettings settings, ResponseSink sink, ErrorReply reply) {
+    metrics.refused(settings.rank(), reply.code().text());
+    sink.fail(reply);
+  }
+
+  private boolean knowsModel(String model) {
+    try {
+      return state.settings().models().contains(ModelId.of(model));
+    } catch (IllegalArgumentException e) {
+      return false;
+    }
+  }
+
+  private RouteRequest route(
+      long nowNanos,
+      RequestId id,
+      RequestSettings settings,
+      ModelBody body,
+      Duration remaining,
+      boolean forwarded) {
+    int prefixTokens = settings.effective().get(SettingCatalog.PREFIX_TOKENS);
+    return new RouteRequest(
+        id,
+        settings.customer(),
+        settings.kind(),
+        settings.rank(),
+        ModelId.of(body.model()),
+        digest.of(settings.customer().value(), body.prompt(), prefixTokens),
+        body.prompt().length() / PrefixDigest.CHARS_PER_TOKEN,
+        body.maxTokens(),
+        nowNanos,
+        nowNanos + remaining.toNanos(),
+        settings.allowedRegions(),
+        forwarded);
+  }
+
+  /** Decides again about the waiting requests; to be called from time to time. */
+  public void tick(long nowNanos) {
+    fromCallers.retryWaiting(nowNanos);
+    fromPeers.retryWaiting(nowNanos);
+    metrics.queued(waitingCount());
+  }
+
+  /** Returns the number of waiting requests. */
+  public int waitingCount() {
+    return fromCallers.waitingCount() + fromPeers.waitingCount();
+  }
+}
--- /dev/null
+++ b/entry/src/main/java/org/gentianslip/entry/model/NoForwarding.java
@@ -0,0 +1,21 @@
+package org.gentianslip.entry.model;
+
+import java.util.Optional;
+import java.util.function.Consumer;
+import okhttp3.Call;
+import org.gentianslip.core.id.RegionId;
+import org.gentianslip.entry.relay.UpstreamResult;
+
+/**
+ * Forwards nothing; it serves requests that were forwarded once already.
+ *
+ * <p>Stateless and safe for use by several threads.
+ */
+final class NoForwarding implements Forwarding {
+
+  @Override
+  public Optional<Call> forward(
+      long nowNanos, ModelExchange exchange, RegionId region, Consumer<UpstreamResult> receiver) {
+    return Optional.empty();
+  }
+}
--- /dev/null
+++ b/entry/src/main/java/org/gentianslip/entry/model/PeerForwarding.java
@@ -0,0 +1,80 @@
+package org.gentianslip.entry.model;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Consumer;
+import okhttp3.Call;
+import org.gentianslip.core.id.RegionId;
+import org.gentianslip.entry.caller.RendezvousHash;
+import org.gentianslip.entry.http.HeaderNames;
+import org.gentianslip.entry.platform.EntryRecord;
+import org.gentianslip.entry.relay.UpstreamClient;
+import org.gentianslip.entry.relay.UpstreamRequest;
+import org.gentianslip.entry.relay.UpstreamResult;
+import org.gentianslip.entry.state.FleetState;
+
+/**
+ * Forwards over the peers' port.
+ *
+ * <p>It sends a payload only to regions that may see it. Safe for use by several threads.
+ */
+final class PeerForwarding implements Forwarding {
+
+  private final FleetState state;
+  private final UpstreamClient client;
+
+  PeerForwarding(FleetState state, UpstreamClient client) {
+    this.state = state;
+    this.client = client;
+  }
+
+  @Override
+  public Optional<Call> forward(
+      long nowNanos, ModelExchange exchange, RegionId region, Consumer<UpstreamResult> receiver) {
+    if (!exchange.route().allowedRegions().contains(region)) {
+      return Optional.empty();
+    }
+    Optional<EntryRecord> target = target(nowNanos, exchange, region);
+    if (target.isEmpty()) {
+      return Optional.empty();
+    }
+    var remaining = exchange.remaining(nowNanos);
+    Map<String, String> headers = new HashMap<>();
+    headers.put(HeaderNames.PEER_KEY, state.place().peerKey());
+    headers.put(HeaderNames.REQUEST_ID, exchange.route().id().value());
+    headers.put(HeaderNames.CUSTOMER, exchange.route().customer().value());
+    headers.put(HeaderNames.KIND, exchange.route().kind().value());
+    headers.put(HeaderNames.ATTEMPT, Integer.toString(exchange.attempts()));
+    headers.put(HeaderNames.REMAINING_MILLIS, Long.toString(remaining.toMillis()));
+    var request =
+        new UpstreamRequest(
+            "POST",
+            "http://" + target.get().peerAddress() + "/peer/v1/forward" + exchange.path(),
+            headers,
+            exchange.body(),
+            "application/json",
+            nowNanos + remaining.toNanos());
+    var timeouts =
+        exchange.stream()
+            ? exchange.settings().timeouts(remaining)
+            : exchange.settings().wholeAnswerTimeouts(remaining);
+    return Optional.of(client.start(request, timeouts, receiver));
+  }
+
+  private Optional<EntryRecord> target(long nowNanos, ModelExchange exchange, RegionId region) {
+    String key = Long.toHexString(exchange.route().prefixDigest());
+    EntryRecord best = null;
+    long bestWeight = 0;
+    for (EntryRecord entry : state.entriesOf(region.value())) {
+      boolean leaving =
+          state.peers().fresh(nowNanos, entry.id()).map(p -> p.leaving()).orElse(false);
+      long weight = RendezvousHash.weight(key, entry.id());
+      if (!leaving && (best == null || weight > bestWeight)) {
+        best = entry;
+        bestWeight = weight;
+      }
+    }
+    return Optional.ofNullable(best);
+  }
+}
--- /dev/null
+++ b/entry/src/main/java/org/gentianslip/entry/model/PrefixDigest.java
@@ -0,0 +1,46 @@
+package org.gentianslip.entry.model;
+
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.security.GeneralSecurityException;
+import javax.crypto.Mac;
+import javax.crypto.spec.SecretKeySpec;
+
+/**
+ * Digests the start of a prompt with a key that instances share.
+ *
+ * <p>Without the key a digest tells nothing of the prompt. Safe for use by several threads.
+ */
+final class PrefixDigest {
+
+  /** An estimate of the characters in a token. */
+  static final int CHARS_PER_TOKEN = 4;
+
+  private static final String ALGORITHM = "HmacSHA256";
+
+  private final SecretKeySpec key;
+
+  PrefixDigest(String sharedKey) {
+    this.key = new SecretKeySpec(sharedKey.getBytes(StandardCharsets.UTF_8), ALGORITHM);
+  }
+
+  /** Returns the digest of the first tokens of a prompt for a customer. */
+  long of(String customer, String prompt, int tokens) {
+    int length = (int) Math.min(prompt.length(), (long) tokens * CHARS_PER_TOKEN);
+    Mac mac = mac();
+    mac.update(customer.getBytes(StandardCharsets.UTF_8));
+    mac.update((byte) 0);
+    mac.update(prompt.substring(0, length).getBytes(StandardCharsets.UTF_8));
+    return ByteBuffer.wrap(mac.doFinal()).getLong();
+  }
+
+  private Mac mac() {
+    try {
+      Mac mac = Mac.getInstance(ALGORITHM);
+      mac.init(key);
+      return mac;
+    } catch (GeneralSecurityException e) {
+      throw new IllegalStateException(ALGORITHM + " is missing from this runtime", e);
+    }
+  }
+}
--- /dev/null
+++ b/entry/src/main/java/org/gentianslip/entry/model/TokenClock.java
@@ -0,0 +1,29 @@
+package org.gentianslip.entry.model;
+
+import org.gentianslip.entry.relay.StreamRelay;
+
+/** Measures the times of a streamed answer's tokens. Used by one thread. */
+final class TokenClock implements StreamRelay.Progress {
+
+  private final ModelExchange exchange;
+  private final ModelReport report;
+  private boolean started;
+  private long lastNanos;
+
+  TokenClock(ModelExchange exchange, ModelReport report) {
+    this.exchange = exchange;
+    this.report = report;
+  }
+
+  @Override
+  public void events(int count) {
+    long now = System.nanoTime();
+    if (!started) {
+      report.firstToken(now, exchange);
+    } else {
+      report.tokenGap(exchange, (now - lastNanos) / count);
+    }
+    started = true;
+    lastNanos = now;
+  }
+}
--- /dev/null
+++ b/entry/src/main/java/org/gentianslip/entry/platform/LoadPoller.java
@@ -0,0 +1,74 @@
+package org.gentianslip.entry.platform;
+
+import java.io.IOException;
+import java.time.Duration;
+import okhttp3.Call;
+import okhttp3.Callback;
+import okhttp3.OkHttpClient;
+import okhttp3.Request;
+import okhttp3.Response;
+import org.gentianslip.entry.http.Json;
+import org.gentianslip.entry.metrics.EntryMetrics;
+import org.gentianslip.entry.state.EngineLoad;
+import org.gentianslip.entry.state.EngineState;
+import org.gentianslip.entry.state.EngineTable;
+
+/** Reads the load reports of the region's engines. Safe for use by several threads. */
+public final class LoadPoller {
+
+  private static final Duration TIMEOUT = Duration.ofSeconds(1);
+  private static final long MAX_REPORT_BYTES = 64 * 1024;
+
+  private final EngineTable engines;
+  private final OkHttpClient client;
+  private final EntryMetrics metrics;
+
+  /** Creates a poller. */
+  public LoadPoller(EngineTable engines, OkHttpClient client, EntryMetrics metrics) {
+    this.engines = engines;
+    this.client = client.newBuilder().callTimeout(TIMEOUT).build();
+    this.metrics = metrics;
+  }
+
+  /** Asks every engine once. */
+  public void round() {
+    for (EngineState engine : engines.all()) {
+      ask(engine);
+    }
+  }
+
+  private void ask(EngineState engine) {
+    var request =
+        new Request.Builder().url("http://" + engine.listed().address() + "/load").build();
+    client
+        .newCall(request)
+        .enqueue(
+            new Callback() {
+              @Override
+              public void onFailure(Call call, IOException e) {
+                metrics.controlMessage("load-failed", 0, 0);
+              }
+
+              @Override
+              public void onResponse(Call call, Response response) throws IOException {
+                try (response) {
+                  if (response.isSuccessful()) {
+                    report(engine, response.peekBody(MAX_REPORT_BYTES).bytes());
+                  }
+                }
+              }
+            });
+  }
+
+  private void report(EngineState engine, byte[] body) throws IOException {
+    metrics.controlMessage("load", 0, body.length);
+    var node = Json.parse(body);
+    engine.report(
+        new EngineLoad(
+            node.path("slots").asInt(),
+            node.path("running").asInt(),
+            node.path("waiting").asInt(),
+            node.path("leaving").asBoolean(),
+            System.nanoTime()));
+  }
+}
--- /dev/null
+++ b/entry/src/main/java/org/gentianslip/entry/process/EntryPlace.java
@@ -0,0 +1,103 @@
+package org.gentianslip.entry.process;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.ArrayList;
+import java.util.List;
+import org.gentianslip.core.id.DataCentreId;
+import org.gentianslip.core.id.InstanceId;
+import org.gentianslip.core.id.RegionId;
+import org.gentianslip.entry.http.Json;
+
+/**
+ * Holds what an instance learns of its own place at its start.
+ *
+ * <p>Immutable and safe for use by several threads.
+ *
+ * @param instance the id of the instance
+ * @param region its region
+ * @param dataCentre its data centre
+ * @param host the IP number that it listens on
+ * @param callerPort the port for callers
+ * @param peerPort the port for other instances
+ * @param operatorPort the port for operators
+ * @param configService the config service as {@code IP:PORT}
+ * @param peerKey the key that instances share
+ * @param operatorKey the operators' key
+ */
+public record EntryPlace(
+    InstanceId instance,
+    RegionId region,
+    DataCentreId dataCentre,
+    String host,
+    int callerPort,
+    int peerPort,
+    int operatorPort,
+    String configService,
+    String peerKey,
+    String operatorKey) {
+
+  private static final int MAX_PORT = 65_535;
+
+  /**
+   * Parses the JSON form.
+   *
+   * @throws InvalidPlaceException if members are missing or not allowed; it lists all of them
+   */
+  public static EntryPlace parse(byte[] bytes) throws InvalidPlaceException {
+    JsonNode root;
+    try {
+      root = Json.parse(bytes);
+    } catch (JsonProcessingException e) {
+      throw new InvalidPlaceException(List.of("/: not valid JSON: " + e.getOriginalMessage()));
+    }
+    var findings = new ArrayList<String>();
+    var instance = text(root, "instance", findings);
+    var region = text(root, "region", findings);
+    var dataCentre = text(root, "dataCentre", findings);
+    var host = text(root, "host", findings);
+    int callerPort = port(root, "callerPort", findings);
+    int peerPort = port(root, "peerPort", findings);
+    int operatorPort = port(root, "operatorPort", findings);
+    var configService = text(root, "configService", findings);
+    var peerKey = text(root, "peerKey", findings);
+    var operatorKey = text(root, "operatorKey", findings);
+    if (!findings.isEmpty()) {
+      throw new InvalidPlaceException(findings);
+    }
+    try {
+      return new EntryPlace(
+          InstanceId.of(instance),
+          RegionId.of(region),
+          DataCentreId.of(dataCentre),
+          host,
+          callerPort,
+          peerPort,
+          operatorPort,
+          configService,
+          peerKey,
+          operatorKey);
+    } catch (IllegalArgumentException e) {
+      throw new InvalidPlaceException(List.of("/: " + e.getMessage()));
+    }
+  }
+
+  private static String text(JsonNode root, String name, List<String> findings) {
+    JsonNode node = root.path(name);
+    if (!node.isTextual() || node.textValue().isBlank()) {
+      findings.add("/" + name + ": must be a text that is not empty, but is " + node);
+      return "";
+    }
+    return node.textValue();
+  }
+
+  private static int port(JsonNode root, String name, List<String> findings) {
+    JsonNode node = root.path(name);
+    if (!node.isInt() || node.intValue() < 1 || node.intValue() > MAX_PORT) {
+      findings.add(
+          "/" + name + ": must be a whole number from 1 to " + MAX_PORT + ", but is " + node);
+      return 0;
+    }
+    return node.intValue();
+  }
+}
--- /dev/null
+++ b/entry/src/main/java/org/gentianslip/entry/process/EntryProcess.java
@@ -0,0 +1,223 @@
+package org.gentianslip.entry.process;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.google.common.flogger.FluentLogger;
+import java.security.SecureRandom;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import okhttp3.OkHttpClient;
+import org.gentianslip.core.id.Incarnation;
+import org.gentianslip.core.routing.LeastLoadedPolicy;
+import org.gentianslip.core.ticket.TicketLedger;
+import org.gentianslip.core.ticket.TicketMint;
+import org.gentianslip.entry.caller.AdmissionCheck;
+import org.gentianslip.entry.caller.EntriesPort;
+import org.gentianslip.entry.caller.EntryDirectory;
+import org.gentianslip.entry.caller.RequestIds;
+import org.gentianslip.entry.explain.DecisionLog;
+import org.gentianslip.entry.http.HttpServer;
+import org.gentianslip.entry.http.Json;
+import org.gentianslip.entry.metrics.EntryMetrics;
+import org.gentianslip.entry.model.ModelRequests;
+import org.gentianslip.entry.operator.OperatorPort;
+import org.gentianslip.entry.operator.StatusPage;
+import org.gentianslip.entry.peer.HelloExchange;
+import org.gentianslip.entry.peer.PeerPort;
+import org.gentianslip.entry.platform.ConfigReader;
+import org.gentianslip.entry.platform.InstanceList;
+import org.gentianslip.entry.platform.KeyWatcher;
+import org.gentianslip.entry.platform.LoadPoller;
+import org.gentianslip.entry.platform.ReadResult;
+import org.gentianslip.entry.platform.SettingsIntake;
+import org.gentianslip.entry.relay.UpstreamClient;
+import org.gentianslip.entry.service.ServiceReport;
+import org.gentianslip.entry.service.ServiceRequests;
+import org.gentianslip.entry.state.FleetState;
+
+/**
+ * Runs one instance.
+ *
+ * <p>It is started once and drained or closed once. Safe for use by several threads.
+ */
+public final class EntryProcess implements AutoCloseable {
+
+  private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+  private static final int MAX_BODY_BYTES = 8 << 20;
+  private static final int KEY_BYTES = 32;
+  private static final int LEDGER_CAPACITY = 100_000;
+  private static final long LEDGER_RETENTION_NANOS = TimeUnit.MINUTES.toNanos(2);
+  private static final long TICK_MILLIS = 10;
+  private static final long LOAD_MILLIS = 250;
+  private static final long HELLO_MILLIS = 500;
+  private static final long SWEEP_MILLIS = 1_000;
+
+  private final EntryPlace place;
+  private final FleetState state;
+  private final EntryMetrics metrics = new EntryMetrics();
+  private final DecisionLog decisions = new DecisionLog();
+  private final InFlight inFlight = new InFlight(metrics);
+  private final ScheduledExecutorService timer =
+      Executors.newScheduledThreadPool(2, r -> daemon(r, "timer"));
+  private final UpstreamClient upstream = new UpstreamClient();
+  private final OkHttpClient control = new OkHttpClient();
+  private final ConfigReader reader;
+  private final SettingsIntake intake;
+  private final TicketLedger ledger;
+  private final HelloExchange hellos;
+  private final ModelRequests models;
+  private final ServiceRequests services;
+  private final EntryDirectory directory;
+  private final Drain drain;
+  private final java.util.List<AutoCloseable> started = new java.util.ArrayList<>();
+
+  private EntryProcess(EntryPlace place) {
+    var random = new SecureRandom();
+    this.place = place;
+    this.state = new FleetState(place, Incarnation.of(random.nextLong()));
+    this.directory = new EntryDirectory(state);
+    this.reader = new ConfigReader(control, place.configService());
+    this.intake = new SettingsIntake(state, this::readPart, metrics);
+    byte[] key = new byte[KEY_BYTES];
+    random.nextBytes(key);
+    var mint = new TicketMint(place.instance(), state.incarnation(), key);
+    this.ledger =
+        new TicketLedger(mint, LEDGER_CAPACITY, LEDGER_RETENTION_NANOS, System.nanoTime());
+    this.hellos = new HelloExchange(state, control, metrics);
+    this.models =
+        new ModelRequests(
+            state, directory, new LeastLoadedPolicy(), upstream, metrics, decisions, inFlight);
+    var report = new ServiceReport(place.region().value(), metrics, decisions, inFlight);
+    this.services = new ServiceRequests(state, directory, upstream, mint, ledger, report);
+    this.drain = new Drain(state, inFlight, hellos);
+  }
+
+  /** Starts an instance and returns when its ports are open; it may not be ready yet. */
+  public static EntryProcess start(EntryPlace place) {
+    var process = new EntryProcess(place);
+    process.watch();
+    process.schedule();
+    process.listen();
+    LOGGER.atInfo().log(
+        "entry: %s %s listens on %s:%s.",
+        place.instance(), process.state.incarnation(), place.host(), place.callerPort());
+    return process;
+  }
+
+  private byte[] readPart(String key) {
+    ReadResult result = reader.read(key);
+    return result instanceof ReadResult.Found found ? found.value() : null;
+  }
+
+  private void watch() {
+    watch("settings/manifest", (revision, value) -> intake.offer(value));
+    watch("instances/" + place.region(), (revision, value) -> takeList(value));
+  }
+
+  private void watch(String key, KeyWatcher.ValueListener listener) {
+    var watcher = new KeyWatcher(reader, key, listener);
+    started.add(watcher);
+    watcher.start();
+  }
+
+  private boolean takeList(byte[] value) {
+    try {
+      state.update(Json.parse(value, InstanceList.class));
+    } catch (JsonProcessingException | IllegalArgumentException e) {
+      LOGGER.atWarning().log("list: The list is not readable. %s", e.getMessage());
+    }
+    return true;
+  }
+
+  private void schedule() {
+    var poller = new LoadPoller(state.engines(), control, metrics);
+    every(TICK_MILLIS, () -> models.tick(System.nanoTime()));
+    every(LOAD_MILLIS, poller::round);
+    every(HELLO_MILLIS, () -> hellos.round(System.nanoTime()));
+    every(SWEEP_MILLIS, () -> ledger.sweep(System.nanoTime()));
+  }
+
+  private void every(long millis, Runnable task) {
+    timer.scheduleWithFixedDelay(() -> runSafely(task), millis, millis, TimeUnit.MILLISECONDS);
+  }
+
+  private static void runSafely(Runnable task) {
+    try {
+      task.run();
+    } catch (RuntimeException e) {
+      LOGGER.atSevere().withCause(e).atMostEvery(1, TimeUnit.SECONDS).log("entry: A task failed.");
+    }
+  }
+
+  private void listen() {
+    var ids = new RequestIds(place.instance(), state.incarnation());
+    var check = new AdmissionCheck(state, directory);
+    var ports = new RequestPorts(state, ids, models, services, metrics);
+    var peerKey = new SharedKey(place.peerKey());
+    var operatorKey = new SharedKey(place.operatorKey());
+    serve(
+        place.peerPort(),
+        app -> {
+          new PeerPort(hellos, peerKey::matches).addTo(app);
+          ports.addTo(app, "/peer/v1/forward", new PeerDoor(check, peerKey));
+        });
+    var status = new StatusPage(state, intake, inFlight, models::waitingCount);
+    serve(
+        place.operatorPort(),
+        app ->
+            new OperatorPort(
+                    state, metrics, decisions, status, operatorKey::matches, this::startDrain)
+                .addTo(app));
+    serve(
+        place.callerPort(),
+        app -> {
+          new EntriesPort(state, directory).addTo(app);
+          ports.addTo(app, "", new CallerDoor(check));
+        });
+  }
+
+  private void serve(int port, java.util.function.Consumer<io.jooby.Jooby> routes) {
+    started.add(HttpServer.start(place.host(), port, MAX_BODY_BYTES, routes));
+  }
+
+  private void startDrain() {
+    daemon(this::drainAndClose, "drain").start();
+  }
+
+  /** Shuts down gracefully: refuses new work, waits for work in flight, then closes. */
+  public void drainAndClose() {
+    if (drain.run()) {
+      close();
+    }
+  }
+
+  /** Waits until the instance is closed. */
+  public void awaitClosed() throws InterruptedException {
+    drain.awaitClosed();
+  }
+
+  /** Returns whether the instance has all that it needs to serve. */
+  public boolean ready() {
+    return state.ready();
+  }
+
+  /** Closes the ports at once. */
+  @Override
+  public void close() {
+    timer.shutdownNow();
+    for (int i = started.size() - 1; i >= 0; i--) {
+      try {
+        started.get(i).close();
+      } catch (Exception e) {
+        LOGGER.atWarning().withCause(e).log("entry: A part did not close.");
+      }
+    }
+    drain.closed();
+  }
+
+  private static Thread daemon(Runnable task, String name) {
+    var thread = new Thread(task, name);
+    thread.setDaemon(true);
+    return thread;
+  }
+}
--- /dev/null
+++ b/entry/src/main/java/org/gentianslip/entry/process/InFlight.java
@@ -0,0 +1,35 @@
+package org.gentianslip.entry.process;
+
+import java.util.concurrent.atomic.AtomicInteger;
+import org.gentianslip.entry.metrics.EntryMetrics;
+
+/**
+ * Counts the requests that were admitted and have not ended.
+ *
+ * <p>A graceful shutdown waits until the count is 0. Safe for use by several threads.
+ */
+public final class InFlight {
+
+  private final AtomicInteger count = new AtomicInteger();
+  private final EntryMetrics metrics;
+
+  /** Creates a count of 0 that is shown in the metrics. */
+  public InFlight(EntryMetrics metrics) {
+    this.metrics = metrics;
+  }
+
+  /** Counts an admitted request. */
+  public void begin() {
+    metrics.inFlight(count.incrementAndGet());
+  }
+
+  /** Counts the end of a request. */
+  public void end() {
+    metrics.inFlight(count.decrementAndGet());
+  }
+
+  /** Returns the number of requests. */
+  public int count() {
+    return count.get();
+  }
+}
--- /dev/null
+++ b/entry/src/main/java/org/gentianslip/entry/process/IncomingRequest.java
@@ -0,0 +1,62 @@
+package org.gentianslip.entry.process;
+
+import io.jooby.Context;
+import java.util.Optional;
+import org.gentianslip.entry.http.ErrorCode;
+import org.gentianslip.entry.http.ErrorReply;
+import org.gentianslip.entry.http.HeaderNames;
+
+/** Reads parts of an HTTP request. Stateless and safe for use by several threads. */
+final class IncomingRequest {
+
+  private IncomingRequest() {}
+
+  /** Returns a header, or null if it is missing. */
+  static String header(Context ctx, String name) {
+    return ctx.header(name).valueOrNull();
+  }
+
+  /** Returns the body, empty if there is none. */
+  static byte[] body(Context ctx) {
+    byte[] bytes = ctx.body().bytes();
+    return bytes == null ? new byte[0] : bytes;
+  }
+
+  /** Returns why the form of a request is refused, if it is. */
+  static Optional<ErrorReply> fault(Context ctx, long maxBodyBytes, byte[] body) {
+    String coding = header(ctx, "Content-Encoding");
+    if (coding != null && !coding.equalsIgnoreCase("identity")) {
+      return Optional.of(
+          ErrorReply.notRun(
+              ErrorCode.UNSUPPORTED_CODING, "Send the body without a content coding."));
+    }
+    if (body.length > maxBodyBytes) {
+      return Optional.of(
+          ErrorReply.notRun(
+              ErrorCode.BODY_TOO_LARGE,
+              "The body has " + body.length + " bytes; at most " + maxBodyBytes + " are allowed."));
+    }
+    return Optional.empty();
+  }
+
+  /** Returns the path and query below a prefix, or nothing if it has dot segments. */
+  static Optional<String> pathBelow(Context ctx, String prefix) {
+    String path = ctx.getRequestPath().substring(prefix.length());
+    if (path.isEmpty()) {
+      path = "/";
+    }
+    for (String segment : path.split("/")) {
+      String plain = segment.replace("%2e", ".").replace("%2E", ".");
+      if (plain.equals(".") || plain.equals("..")) {
+        return Optional.empty();
+      }
+    }
+    String query = ctx.queryString();
+    return Optional.of(query == null || query.isEmpty() ? path : path + query);
+  }
+
+  /** Returns the ticket that came with a call. */
+  static Optional<String> ticket(Context ctx) {
+    return Optional.ofNullable(header(ctx, HeaderNames.TICKET));
+  }
+}
--- /dev/null
+++ b/entry/src/main/java/org/gentianslip/entry/relay/StreamRelay.java
@@ -0,0 +1,94 @@
+package org.gentianslip.entry.relay;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.Map;
+import okhttp3.Response;
+import okio.Buffer;
+import org.gentianslip.entry.http.ErrorCode;
+import org.gentianslip.entry.http.ErrorReply;
+import org.gentianslip.entry.http.ResponseSink;
+
+/**
+ * Copies a streamed answer to its caller, part by part.
+ *
+ * <p>A stream that breaks off ends with an event {@code error} and never with the mark of a whole
+ * answer. A caller that goes away cancels the exchange. Stateless and safe for use by several
+ * threads.
+ */
+public final class StreamRelay {
+
+  private static final long PART_BYTES = 8_192;
+
+  /** Receives what happens to a stream, on the copying thread. */
+  public interface Progress {
+
+    /** Tells that data events arrived; the first call stands for the first token. */
+    void events(int count);
+  }
+
+  /** Names how a stream ended. */
+  public enum End {
+    /** The whole answer reached the caller's connection. */
+    WHOLE,
+    /** The other side broke off; the caller was told. */
+    TRUNCATED,
+    /** The caller went away. */
+    ABANDONED
+  }
+
+  private StreamRelay() {}
+
+  /** Copies the stream and closes the response. */
+  public static End copy(
+      Response response, Map<String, String> headers, ResponseSink sink, Progress progress) {
+    var tracker = new SseTracker();
+    try (response) {
+      sink.begin(response.code(), headers);
+      End end = copyParts(response, sink, tracker, progress);
+      if (end == End.TRUNCATED) {
+        sink.write(errorEvent());
+      }
+      if (end != End.ABANDONED) {
+        sink.end();
+      }
+      return end;
+    } catch (IOException e) {
+      return End.ABANDONED;
+    }
+  }
+
+  private static End copyParts(
+      Response response, ResponseSink sink, SseTracker tracker, Progress progress) {
+    var source = response.body().source();
+    var buffer = new Buffer();
+    int seen = 0;
+    while (true) {
+      byte[] part;
+      try {
+        if (source.read(buffer, PART_BYTES) < 0) {
+          return tracker.whole() ? End.WHOLE : End.TRUNCATED;
+        }
+        part = buffer.readByteArray();
+      } catch (IOException e) {
+        return tracker.whole() ? End.WHOLE : End.TRUNCATED;
+      }
+      tracker.accept(part);
+      if (tracker.events() > seen) {
+        progress.events(tracker.events() - seen);
+        seen = tracker.events();
+      }
+      try {
+        sink.write(part);
+      } catch (IOException e) {
+        return End.ABANDONED;
+      }
+    }
+  }
+
+  private static byte[] errorEvent() {
+    var reply = ErrorReply.unknown(ErrorCode.BACKEND_FAILED, "The answer broke off.");
+    String data = new String(reply.toJson(), StandardCharsets.UTF_8);
+    return ("\n\nevent: error\ndata: " + data + "\n\n").getBytes(StandardCharsets.UTF_8);
+  }
+}
--- /dev/null
+++ b/entry/src/main/java/org/gentianslip/entry/relay/WholeBody.java
@@ -0,0 +1,28 @@
+package org.gentianslip.entry.relay;
+
+import java.io.IOException;
+import okhttp3.Response;
+
+/** Reads a bounded answer as a whole. Stateless and safe for use by several threads. */
+public final class WholeBody {
+
+  /** The greatest size of an answer that is not streamed, in bytes. */
+  public static final long MAX_BYTES = 16L << 20;
+
+  private WholeBody() {}
+
+  /**
+   * Reads the body and closes the response.
+   *
+   * @throws IOException if the body breaks off or is larger than {@link #MAX_BYTES}
+   */
+  public static byte[] read(Response response) throws IOException {
+    try (response) {
+      var source = response.body().source();
+      if (source.request(MAX_BYTES + 1)) {
+        throw new IOException("The answer is larger than " + MAX_BYTES + " bytes");
+      }
+      return source.readByteArray();
+    }
+  }
+}
--- /dev/null
+++ b/entry/src/main/java/org/gentianslip/entry/service/RepeatableCalls.java
@@ -0,0 +1,115 @@
+package org.gentianslip.entry.service;
+
+import java.io.IOException;
+import java.util.Comparator;
+import java.util.List;
+import org.gentianslip.core.outcome.AttemptJournal;
+import org.gentianslip.core.outcome.NotRunReason;
+import org.gentianslip.core.outcome.Outcome;
+import org.gentianslip.core.outcome.RetryBudget;
+import org.gentianslip.core.outcome.RetryDecision;
+import org.gentianslip.core.outcome.RetryRule;
+import org.gentianslip.entry.caller.RendezvousHash;
+import org.gentianslip.entry.http.ErrorCode;
+import org.gentianslip.entry.http.ErrorReply;
+import org.gentianslip.entry.platform.BackendRecord;
+import org.gentianslip.entry.relay.UpstreamClient;
+import org.gentianslip.entry.relay.UpstreamResult;
+import org.gentianslip.entry.relay.WholeBody;
+import org.gentianslip.entry.state.FleetState;
+
+/**
+ * Runs calls that may be repeated.
+ *
+ * <p>A failed attempt goes to the next backend server, within the retry budget and the deadline.
+ * Safe for use by several threads.
+ */
+final class RepeatableCalls {
+
+  private static final int MAX_ATTEMPTS = 3;
+  private static final long LEAST_USEFUL_NANOS = 5_000_000L;
+  private static final double RETRY_SHARE = 0.1;
+  private static final int RETRY_BURST = 20;
+
+  private final FleetState state;
+  private final UpstreamClient client;
+  private final RetryBudget budget = RetryBudget.of(RETRY_SHARE, RETRY_BURST);
+  private final RetryRule rule = new RetryRule(MAX_ATTEMPTS, LEAST_USEFUL_NANOS, budget);
+
+  RepeatableCalls(FleetState state, UpstreamClient client) {
+    this.state = state;
+    this.client = client;
+  }
+
+  void run(long nowNanos, ServiceExchange exchange) {
+    budget.requestStarted();
+    attempt(nowNanos, exchange);
+  }
+
+  private void attempt(long nowNanos, ServiceExchange exchange) {
+    ServiceCall call = exchange.call();
+    List<BackendRecord> backends =
+        state.serviceBackends(call.service().id().value()).stream()
+            .sorted(Comparator.comparingLong(b -> RendezvousHash.weight(call.id().value(), b.id())))
+            .toList();
+    if (backends.isEmpty()) {
+      exchange.fail(
+          ErrorReply.notRun(
+              ErrorCode.NO_CAPACITY, "No backend server of this region runs the service."));
+      return;
+    }
+    int attempt = exchange.nextAttempt();
+    BackendRecord backend = backends.get((attempt - 1) % backends.size());
+    exchange.step(nowNanos, "to-service", backend.id(), "REPEATABLE");
+    client.start(
+        BackendRequests.toBackend(call, backend, call.endNanos()),
+        exchange.timeouts(nowNanos),
+        result -> answered(exchange, result));
+  }
+
+  private void answered(ServiceExchange exchange, UpstreamResult result) {
+    if (result instanceof UpstreamResult.Answer answer) {
+      copy(exchange, answer);
+    } else if (result instanceof UpstreamResult.Refused) {
+      again(exchange, new Outcome.NotRun(NotRunReason.REFUSED_BEFORE_START));
+    } else if (result instanceof UpstreamResult.Failed failed) {
+      again(exchange, failed.outcome());
+    }
+  }
+
+  private void copy(ServiceExchange exchange, UpstreamResult.Answer answer) {
+    AttemptJournal journal = answer.journal();
+    byte[] body;
+    try {
+      body = WholeBody.read(answer.response());
+    } catch (IOException e) {
+      again(exchange, journal.close());
+      return;
+    }
+    journal.answerRead();
+    String region = state.place().region().value();
+    exchange.send(
+        answer.response().code(),
+        BackendRequests.answerHeaders(answer.response(), region, journal.close()),
+        body);
+  }
+
+  private void again(ServiceExchange exchange, Outcome outcome) {
+    long now = System.nanoTime();
+    RetryDecision decision =
+        rule.decide(now, exchange.call().endNanos(), exchange.attempts(), true, false, outcome);
+    exchange.step(now, "retry", "", decision.name());
+    if (decision.isRetry()) {
+      attempt(now, exchange);
+      return;
+    }
+    exchange.fail(failure(outcome));
+  }
+
+  private static ErrorReply failure(Outcome outcome) {
+    String message = "No backend server answered the call.";
+    return outcome instanceof Outcome.NotRun
+        ? ErrorReply.notRun(ErrorCode.NO_CAPACITY, message)
+        : ErrorReply.unknown(ErrorCode.BACKEND_FAILED, message);
+  }
+}
--- /dev/null
+++ b/entry/src/main/java/org/gentianslip/entry/service/ServiceCall.java
@@ -0,0 +1,50 @@
+package org.gentianslip.entry.service;
+
+import java.util.Optional;
+import org.gentianslip.core.id.RequestId;
+import org.gentianslip.core.ticket.TicketBinding;
+import org.gentianslip.entry.caller.RequestSettings;
+import org.gentianslip.settings.Service;
+
+/**
+ * Holds a call to a plain service.
+ *
+ * <p>The body is not copied and must not be changed. Safe for use by several threads.
+ *
+ * @param id the id of the request
+ * @param callId the id by which the service records the call
+ * @param settings who calls and the values in force
+ * @param service the service
+ * @param method the HTTP method
+ * @param path the path and query below the service's prefix, with the leading slash
+ * @param contentType the type of the body, or null
+ * @param body the body, empty if there is none
+ * @param ticket the text of the ticket that came with the call, if any
+ * @param forwarded whether another instance passed the call here
+ * @param endNanos when the call's time is over, in nanoseconds of the monotonic clock
+ */
+@SuppressWarnings("ArrayRecordComponent")
+public record ServiceCall(
+    RequestId id,
+    String callId,
+    RequestSettings settings,
+    Service service,
+    String method,
+    String path,
+    String contentType,
+    byte[] body,
+    Optional<String> ticket,
+    boolean forwarded,
+    long endNanos) {
+
+  /** Returns whether the call may be repeated. */
+  boolean idempotent() {
+    int query = path.indexOf('?');
+    return service.isIdempotent(method, query < 0 ? path : path.substring(0, query));
+  }
+
+  /** Returns the binding of a ticket for this call. */
+  TicketBinding binding() {
+    return TicketBinding.of(settings.customer(), service.id(), method, path);
+  }
+}
--- /dev/null
+++ b/entry/src/main/java/org/gentianslip/entry/service/ServiceExchange.java
@@ -0,0 +1,75 @@
+package org.gentianslip.entry.service;
+
+import java.time.Duration;
+import java.util.Map;
+import org.gentianslip.entry.http.ErrorReply;
+import org.gentianslip.entry.http.HeaderNames;
+import org.gentianslip.entry.http.OutcomeName;
+import org.gentianslip.entry.http.ResponseSink;
+import org.gentianslip.entry.relay.UpstreamTimeouts;
+
+/**
+ * Holds one service call from its admission to its end.
+ *
+ * <p>One thread at a time works on it. It ends exactly once.
+ */
+final class ServiceExchange {
+
+  private final ServiceCall call;
+  private final ResponseSink sink;
+  private final long arrivedNanos;
+  private final ServiceReport report;
+  private int attempts;
+  private boolean ended;
+
+  ServiceExchange(ServiceCall call, ResponseSink sink, long arrivedNanos, ServiceReport report) {
+    this.call = call;
+    this.sink = sink;
+    this.arrivedNanos = arrivedNanos;
+    this.report = report;
+  }
+
+  ServiceCall call() {
+    return call;
+  }
+
+  int nextAttempt() {
+    attempts++;
+    return attempts;
+  }
+
+  int attempts() {
+    return attempts;
+  }
+
+  Duration remaining(long nowNanos) {
+    return Duration.ofNanos(Math.max(0, call.endNanos() - nowNanos));
+  }
+
+  UpstreamTimeouts timeouts(long nowNanos) {
+    return call.settings().wholeAnswerTimeouts(remaining(nowNanos));
+  }
+
+  void step(long nowNanos, String step, String target, String reason) {
+    report.step(nowNanos - arrivedNanos, call, step, target, reason);
+  }
+
+  void fail(ErrorReply reply) {
+    if (ended) {
+      throw new IllegalStateException("The call " + call.id() + " has ended already");
+    }
+    ended = true;
+    report.failed(call, reply);
+    boolean refusal = call.forwarded() && reply.outcome() == OutcomeName.NOT_RUN;
+    sink.fail(refusal ? reply.withHeader(HeaderNames.NOT_STARTED, "true") : reply);
+  }
+
+  void send(int status, Map<String, String> headers, byte[] body) {
+    if (ended) {
+      throw new IllegalStateException("The call " + call.id() + " has ended already");
+    }
+    ended = true;
+    report.ended(call, headers.getOrDefault(HeaderNames.OUTCOME, "unknown"));
+    sink.send(status, headers, body);
+  }
+}
--- /dev/null
+++ b/entry/src/main/java/org/gentianslip/entry/service/ServiceReport.java
@@ -0,0 +1,55 @@
+package org.gentianslip.entry.service;
+
+import java.util.concurrent.TimeUnit;
+import org.gentianslip.entry.explain.DecisionLog;
+import org.gentianslip.entry.http.ErrorReply;
+import org.gentianslip.entry.metrics.EntryMetrics;
+import org.gentianslip.entry.process.InFlight;
+
+/**
+ * Reports what happens to service calls to metrics, the decision log and the in-flight count.
+ *
+ * <p>Safe for use by several threads.
+ */
+public final class ServiceReport {
+
+  private final String region;
+  private final EntryMetrics metrics;
+  private final DecisionLog decisions;
+  private final InFlight inFlight;
+
+  /** Creates a report for an instance of the region. */
+  public ServiceReport(
+      String region, EntryMetrics metrics, DecisionLog decisions, InFlight inFlight) {
+    this.region = region;
+    this.metrics = metrics;
+    this.decisions = decisions;
+    this.inFlight = inFlight;
+  }
+
+  void admitted() {
+    inFlight.begin();
+  }
+
+  void step(long sinceNanos, ServiceCall call, String step, String target, String reason) {
+    long at = TimeUnit.NANOSECONDS.toMillis(sinceNanos);
+    decisions.add(call.id(), new DecisionLog.Step(at, step, target, reason));
+  }
+
+  void failed(ServiceCall call, ErrorReply reply) {
+    metrics.refused(call.settings().rank(), reply.code().text());
+    ended(call, reply.outcome().text());
+  }
+
+  void ended(ServiceCall call, String outcome) {
+    inFlight.end();
+    if (!call.forwarded()) {
+      metrics.ended(
+          call.settings().rank(),
+          call.settings().kind().value(),
+          region,
+          call.settings().customer().value(),
+          outcome);
+    }
+  }
+}
