Stand in for model engines and plain services

Cause: the entry's calls need backend servers that batch, stream, refuse, stall and break off, and that count what they executed. Ruled out: a close listener per call, which would keep every call of a pooled connection in memory until the connection ends; the reader of the connection holds the one current call instead. Change: `gentian-standin engine` and `service`, with EngineStandin and ServiceStandin for tests.

--- a/standin/src/main/java/org/gentianslip/standin/StandinMain.java
+++ b/standin/src/main/java/org/gentianslip/standin/StandinMain.java
@@ -1,6 +1,8 @@
 package org.gentianslip.standin;
 
 import org.gentianslip.standin.command.ConfigCommand;
+import org.gentianslip.standin.command.EngineCommand;
+import org.gentianslip.standin.command.ServiceCommand;
 import org.gentianslip.standin.command.StandinVersion;
 import picocli.CommandLine;
 
@@ -10,7 +12,7 @@
     description = "Stand-ins for the platform and the backend servers.",
     mixinStandardHelpOptions = true,
     versionProvider = StandinVersion.class,
-    subcommands = {ConfigCommand.class})
+    subcommands = {ConfigCommand.class, EngineCommand.class, ServiceCommand.class})
 public final class StandinMain {
 
   private StandinMain() {}
--- a/standin/src/main/java/org/gentianslip/standin/config/ConfigHandler.java
+++ b/standin/src/main/java/org/gentianslip/standin/config/ConfigHandler.java
@@ -1,6 +1,7 @@
 package org.gentianslip.standin.config;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Locale;
 import java.util.Map;
@@ -64,7 +65,7 @@
     }
     long delay = standin.delayMillis();
     if (delay > 0) {
-      call.schedule(delay, () -> read(call));
+      call.schedule(Duration.ofMillis(delay), () -> read(call));
       return;
     }
     read(call);
@@ -101,7 +102,7 @@
       return;
     }
     call.onClose(() -> standin.forget(watch));
-    call.schedule(wait, () -> expire(watch));
+    call.schedule(Duration.ofMillis(wait), () -> expire(watch));
   }
 
   private void expire(Watch watch) {
@@ -137,7 +138,7 @@
   }
 
   private void setMode(HttpCall call) {
-    JsonNode body = call.bodyJson().orElseThrow(() -> new IllegalArgumentException("no JSON"));
+    JsonNode body = call.requireJson();
     String name = body.path("mode").asText();
     if (name.equals("restore")) {
       int steps = body.path("steps").asInt(1);
--- /dev/null
+++ b/standin/src/main/java/org/gentianslip/standin/engine/package-info.java
@@ -0,0 +1,2 @@
+/** Stands in for a model engine that batches continuously and caches prompt prefixes. */
+package org.gentianslip.standin.engine;
--- a/standin/src/main/java/org/gentianslip/standin/http/HttpCall.java
+++ b/standin/src/main/java/org/gentianslip/standin/http/HttpCall.java
@@ -19,10 +19,12 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.handler.codec.http.QueryStringDecoder;
 import java.nio.charset.StandardCharsets;
+import java.time.Duration;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicReference;
 
 /**
  * One call and the way to answer it.
@@ -39,6 +41,7 @@
   private final byte[] body;
   private final boolean keepAlive;
   private final AtomicBoolean answered = new AtomicBoolean();
+  private final AtomicReference<Runnable> closeAction = new AtomicReference<>();
 
   private HttpCall(Channel channel, FullHttpRequest request) {
     this.channel = channel;
@@ -115,6 +118,15 @@
     }
   }
 
+  /**
+   * Returns the body as JSON.
+   *
+   * @throws IllegalArgumentException if it is none
+   */
+  public JsonNode requireJson() {
+    return bodyJson().orElseThrow(() -> new IllegalArgumentException("the body is no JSON"));
+  }
+
   /** Answers with JSON. */
   public void answerJson(int status, Object value) {
     answer(status, "application/json", Json.text(value), Map.of());
@@ -131,12 +143,17 @@
     answer(status, "application/json", Json.text(value), more);
   }
 
-  /** Answers with a whole body. */
+  /** Answers with a text in UTF-8. */
   public void answer(int status, String contentType, String text, Map<String, String> more) {
+    answer(status, contentType, text.getBytes(StandardCharsets.UTF_8), more);
+  }
+
+  /** Answers with a whole body. */
+  public void answer(int status, String contentType, byte[] bytes, Map<String, String> more) {
     if (!answered.compareAndSet(false, true)) {
       return;
     }
-    var content = Unpooled.wrappedBuffer(text.getBytes(StandardCharsets.UTF_8));
+    var content = Unpooled.wrappedBuffer(bytes);
     var response =
         new DefaultFullHttpResponse(
             HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status), content);
@@ -180,18 +197,29 @@
     channel.close();
   }
 
-  /** Runs an action when the connection closes, whoever closes it, or now if it is closed. */
-  public void onClose(Runnable action) {
-    channel.closeFuture().addListener(closed -> action.run());
-  }
-
   /**
-   * Runs an action on the event loop of the connection.
+   * Runs an action when the connection closes before the next call, or now if it is closed.
    *
-   * @param delayMillis the delay in milliseconds
+   * <p>It replaces an action that was set before and runs at most once.
    */
-  public void schedule(long delayMillis, Runnable action) {
-    channel.eventLoop().schedule(action, delayMillis, TimeUnit.MILLISECONDS);
+  public void onClose(Runnable action) {
+    closeAction.set(action);
+    if (!channel.isActive()) {
+      runCloseAction();
+    }
+  }
+
+  /** Runs the action for a closed connection, once. */
+  void runCloseAction() {
+    var action = closeAction.getAndSet(null);
+    if (action != null) {
+      action.run();
+    }
+  }
+
+  /** Runs an action on the event loop of the connection after a delay. */
+  public void schedule(Duration delay, Runnable action) {
+    channel.eventLoop().schedule(action, delay.toNanos(), TimeUnit.NANOSECONDS);
   }
 
   private void write(DefaultFullHttpResponse response) {
--- a/standin/src/main/java/org/gentianslip/standin/http/HttpCallReader.java
+++ b/standin/src/main/java/org/gentianslip/standin/http/HttpCallReader.java
@@ -15,6 +15,7 @@
   private static final FluentLogger log = FluentLogger.forEnclosingClass();
 
   private final HttpHandler handler;
+  private HttpCall current;
 
   HttpCallReader(HttpHandler handler) {
     this.handler = handler;
@@ -23,6 +24,7 @@
   @Override
   protected void channelRead0(ChannelHandlerContext ctx, FullHttpRequest request) {
     var call = HttpCall.of(ctx.channel(), request);
+    current = call;
     if (request.decoderResult().isFailure()) {
       call.answerError(400, "malformed_request", "The request is no valid HTTP.");
       return;
@@ -35,6 +37,13 @@
     }
   }
 
+  @Override
+  public void channelInactive(ChannelHandlerContext ctx) {
+    if (current != null) {
+      current.runCloseAction();
+    }
+  }
+
   @Override
   public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
     ctx.close();
--- /dev/null
+++ b/standin/src/main/java/org/gentianslip/standin/service/ServiceOptions.java
@@ -0,0 +1,36 @@
+package org.gentianslip.standin.service;
+
+/**
+ * The options of a {@link ServiceStandin}. Immutable.
+ *
+ * @param port the port to listen on, or 0 for a free one
+ * @param id the id of the backend server
+ * @param service the service that it offers
+ * @param latencyMillis the time from a call's arrival to its execution in milliseconds
+ */
+public record ServiceOptions(int port, String id, String service, long latencyMillis) {
+
+  /** The usual time from a call's arrival to its execution. */
+  public static final long DEFAULT_LATENCY_MILLIS = 2;
+
+  /**
+   * Checks the options.
+   *
+   * @throws IllegalArgumentException if {@code latencyMillis} is negative
+   */
+  public ServiceOptions {
+    if (latencyMillis < 0) {
+      throw new IllegalArgumentException("latencyMillis must not be negative: " + latencyMillis);
+    }
+  }
+
+  /** Returns the usual options with a free port. */
+  public static ServiceOptions of(String id, String service) {
+    return new ServiceOptions(0, id, service, DEFAULT_LATENCY_MILLIS);
+  }
+
+  /** Returns these options with another port. */
+  public ServiceOptions withPort(int other) {
+    return new ServiceOptions(other, id, service, latencyMillis);
+  }
+}
--- /dev/null
+++ b/standin/src/main/java/org/gentianslip/standin/service/package-info.java
@@ -0,0 +1,2 @@
+/** Stands in for a plain service, some of whose calls may not be repeated. */
+package org.gentianslip.standin.service;
--- a/standin/src/test/java/org/gentianslip/standin/config/ConfigStandinTest.java
+++ b/standin/src/test/java/org/gentianslip/standin/config/ConfigStandinTest.java
@@ -1,5 +1,6 @@
 package org.gentianslip.standin.config;
 
+import static org.awaitility.Awaitility.await;
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.containsString;
 import static org.hamcrest.Matchers.greaterThan;
@@ -88,7 +89,7 @@
     }
 
     private void awaitWatches(int number) {
-      org.awaitility.Awaitility.await().until(() -> config.calls().waiting() == number);
+      await().until(() -> config.calls().waiting() == number);
     }
   }
 
--- a/standin/src/test/java/org/gentianslip/standin/http/TestClient.java
+++ b/standin/src/test/java/org/gentianslip/standin/http/TestClient.java
@@ -1,7 +1,9 @@
 package org.gentianslip.standin.http;
 
 import java.io.IOException;
+import java.nio.charset.StandardCharsets;
 import java.util.Map;
+import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
@@ -24,6 +26,10 @@
           .readTimeout(60, TimeUnit.SECONDS)
           .build();
 
+  static {
+    HTTP.dispatcher().setMaxRequestsPerHost(64);
+  }
+
   private final IntSupplier port;
 
   /** Creates a client of the port that is given at each call. */
@@ -74,26 +80,30 @@
   /** Calls without waiting. */
   public CompletableFuture<Answer> async(
       String method, String path, String body, Map<String, String> headers) {
+    return enqueue(start(method, path, body, headers));
+  }
+
+  /** Sends a call without waiting. */
+  public CompletableFuture<Answer> enqueue(Call call) {
     var future = new CompletableFuture<Answer>();
-    start(method, path, body, headers)
-        .enqueue(
-            new Callback() {
-              @Override
-              public void onFailure(Call call, IOException e) {
-                future.completeExceptionally(e);
-              }
-
-              @Override
-              public void onResponse(Call call, Response response) {
-                try (response) {
-                  var all = new java.util.TreeMap<String, String>(String.CASE_INSENSITIVE_ORDER);
-                  response.headers().forEach(h -> all.put(h.getFirst(), h.getSecond()));
-                  future.complete(new Answer(response.code(), response.body().string(), all));
-                } catch (IOException e) {
-                  future.completeExceptionally(e);
-                }
-              }
-            });
+    call.enqueue(
+        new Callback() {
+          @Override
+          public void onFailure(Call failed, IOException e) {
+            future.completeExceptionally(e);
+          }
+
+          @Override
+          public void onResponse(Call answered, Response response) {
+            try (response) {
+              var all = new TreeMap<String, String>(String.CASE_INSENSITIVE_ORDER);
+              response.headers().forEach(h -> all.put(h.getFirst(), h.getSecond()));
+              future.complete(new Answer(response.code(), response.body().string(), all));
+            } catch (IOException e) {
+              future.completeExceptionally(e);
+            }
+          }
+        });
     return future;
   }
 
@@ -105,9 +115,7 @@
         request
             .method(
                 method,
-                body == null
-                    ? null
-                    : RequestBody.create(body.getBytes(java.nio.charset.StandardCharsets.UTF_8)))
+                body == null ? null : RequestBody.create(body.getBytes(StandardCharsets.UTF_8)))
             .build());
   }
 }
