--- a/core/src/main/java/org/gentianslip/core/outcome/NotRunReason.java
+++ b/core/src/main/java/org/gentianslip/core/outcome/NotRunReason.java
@@ -9,5 +9,11 @@
   /** The ticket expired before the first byte was written. */
   EXPIRED_BEFORE_WRITE,
   /** The ticket was withdrawn before it was used and can no longer be used. */
-  WITHDRAWN
+  WITHDRAWN,
+  /** The ticket expired before it was used and can no longer be used. */
+  EXPIRED_UNUSED,
+  /** The ticket is forged or bound to another call, so it never can run this one. */
+  TICKET_INVALID,
+  /** Too many tickets are in use; this one was not used and can no longer be used. */
+  LEDGER_FULL
 }
--- a/core/src/main/java/org/gentianslip/core/ticket/TicketLedger.java
+++ b/core/src/main/java/org/gentianslip/core/ticket/TicketLedger.java
@@ -66,17 +66,17 @@
    * @param binding the call that came
    */
   public Redemption redeem(long nowNanos, Ticket ticket, TicketBinding binding) {
-    Redemption refusal = refusalOfStranger(ticket, binding);
+    Redemption.Refusal refusal = refusalOfStranger(ticket, binding);
     if (refusal != null) {
       return refusal;
     }
     if (!stillValid(nowNanos, ticket)) {
-      Redemption withdrawn = withdrawOwn(nowNanos, ticket);
+      Redemption.Refusal withdrawn = withdrawOwn(nowNanos, ticket);
       return withdrawn == null ? new Redemption.Expired(true) : withdrawn;
     }
-    Redemption used = claim(nowNanos, ticket, capacity);
+    Redemption.Refusal used = claim(nowNanos, ticket, capacity);
     if (used instanceof Redemption.TableFull) {
-      Redemption withdrawn = withdrawOwn(nowNanos, ticket);
+      Redemption.Refusal withdrawn = withdrawOwn(nowNanos, ticket);
       return withdrawn == null ? new Redemption.TableFull(true) : withdrawn;
     }
     return used == null ? new Redemption.Execute(ticket) : used;
@@ -86,18 +86,18 @@
    * Makes the ticket useless, if it was not used before.
    *
    * <p>An answer {@link Redemption.AlreadyUsed} with {@link NotRunReason#WITHDRAWN} tells that the
-   * call never ran and never will under this ticket. {@link Redemption.Execute} is never given.
+   * call never ran and never will under this ticket.
    *
    * @param nowNanos the present time, in nanoseconds of the monotonic clock
    * @param ticket the ticket
    * @param binding the call that the ticket is bound to
    */
-  public Redemption withdraw(long nowNanos, Ticket ticket, TicketBinding binding) {
-    Redemption refusal = refusalOfStranger(ticket, binding);
+  public Redemption.Refusal withdraw(long nowNanos, Ticket ticket, TicketBinding binding) {
+    Redemption.Refusal refusal = refusalOfStranger(ticket, binding);
     if (refusal != null) {
       return refusal;
     }
-    Redemption withdrawn = withdrawOwn(nowNanos, ticket);
+    Redemption.Refusal withdrawn = withdrawOwn(nowNanos, ticket);
     return withdrawn == null
         ? new Redemption.AlreadyUsed(new TicketUse.Ended(WITHDRAWN))
         : withdrawn;
@@ -152,7 +152,7 @@
     return size.get();
   }
 
-  private Redemption refusalOfStranger(Ticket ticket, TicketBinding binding) {
+  private Redemption.Refusal refusalOfStranger(Ticket ticket, TicketBinding binding) {
     if (!mint.isOwnerOf(ticket)) {
       return new Redemption.Foreign(ticket.owner(), ticket.incarnation());
     }
@@ -160,8 +160,8 @@
   }
 
   /** Withdraws an unused ticket and returns null, or returns why it could not. */
-  private Redemption withdrawOwn(long nowNanos, Ticket ticket) {
-    Redemption refusal = claim(nowNanos, ticket, 2 * capacity);
+  private Redemption.Refusal withdrawOwn(long nowNanos, Ticket ticket) {
+    Redemption.Refusal refusal = claim(nowNanos, ticket, 2 * capacity);
     if (refusal == null) {
       complete(ticket, WITHDRAWN);
     }
@@ -174,7 +174,7 @@
    * <p>The horizon is read after the record was put, since a sweep raises it before it drops one.
    * Until then others see a call in progress, which claims nothing.
    */
-  private Redemption claim(long nowNanos, Ticket ticket, int limit) {
+  private Redemption.Refusal claim(long nowNanos, Ticket ticket, int limit) {
     Entry before = entries.get(ticket.number());
     if (before != null) {
       return new Redemption.AlreadyUsed(before.use());
--- /dev/null
+++ b/core/src/test/java/org/gentianslip/core/outcome/AttemptJournalTest.java
@@ -0,0 +1,121 @@
+package org.gentianslip.core.outcome;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.Tuple;
+import net.jqwik.api.constraints.IntRange;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+class AttemptJournalTest {
+
+  private final AttemptJournal journal = new AttemptJournal();
+
+  private static Outcome notRun(NotRunReason reason) {
+    return new Outcome.NotRun(reason);
+  }
+
+  private static Outcome unknown(UnknownReason reason) {
+    return new Outcome.Unknown(reason);
+  }
+
+  @Nested
+  class BeforeTheWrite {
+
+    @Test
+    void hasNotRun() {
+      assertThat(journal.close(), is(notRun(NotRunReason.NOT_WRITTEN)));
+    }
+
+    @Test
+    void refusesTheWriteOnceClosed() {
+      journal.close();
+      assertThat(journal.beginWrite(0, 9), is(false));
+    }
+
+    @Test
+    void refusesTheWriteAfterTheExpiry() {
+      assertThat(journal.beginWrite(9, 9), is(false));
+      assertThat(journal.close(), is(notRun(NotRunReason.EXPIRED_BEFORE_WRITE)));
+    }
+
+    @Test
+    void refusesTheWriteForThreadThatBelievesAnOlderTime() {
+      journal.beginWrite(9, 9);
+      assertThat(journal.beginWrite(0, 9), is(false));
+    }
+  }
+
+  @Nested
+  class AfterTheWriteBegan {
+
+    private void begin() {
+      assertThat(journal.beginWrite(0, 9), is(true));
+    }
+
+    @Test
+    void isUnknownWithoutAnAnswer() {
+      begin();
+      assertThat(journal.close(), is(unknown(UnknownReason.NO_ANSWER)));
+    }
+
+    @Test
+    void staysUnknownWhenLaterWriteIsTooLate() {
+      begin();
+      journal.beginWrite(9, 9);
+      assertThat(journal.close(), is(unknown(UnknownReason.NO_ANSWER)));
+    }
+
+    @Test
+    void hasNotRunWithTheDocumentedRefusal() {
+      begin();
+      journal.headersRead(503, true);
+      assertThat(journal.close(), is(notRun(NotRunReason.REFUSED_BEFORE_START)));
+    }
+
+    @Test
+    void isUnknownWithRefusalThatIsNotDocumented() {
+      begin();
+      journal.headersRead(503, false);
+      journal.answerRead();
+      assertThat(journal.close(), is(unknown(UnknownReason.BACKEND_ERROR)));
+    }
+
+    @Test
+    void isUnknownWithTruncatedAnswer() {
+      begin();
+      journal.headersRead(200, false);
+      assertThat(journal.close(), is(unknown(UnknownReason.INCOMPLETE_ANSWER)));
+    }
+
+    @Test
+    void isCompletedWithWholeAnswer() {
+      begin();
+      journal.headersRead(200, false);
+      journal.answerRead();
+      assertThat(journal.close(), is(new Outcome.Completed(200)));
+    }
+
+    @Test
+    void keepsItsOutcomeWhateverComesLater() {
+      begin();
+      journal.close();
+      journal.headersRead(200, false);
+      journal.answerRead();
+      assertThat(journal.close(), is(unknown(UnknownReason.NO_ANSWER)));
+    }
+  }
+
+  /** A marker on any other status proves nothing, since only 503 is documented. */
+  @Property(seed = "20261204")
+  void onlyTheDocumentedStatusProvesRefusal(
+      @ForAll @IntRange(min = 200, max = 599) int status, @ForAll boolean whole) {
+    AttemptFacts facts = new AttemptFacts(true, false, status, true, whole);
+    assertThat(
+        Tuple.of(status, OutcomeRule.decide(facts) instanceof Outcome.NotRun),
+        is(Tuple.of(status, status == 503)));
+  }
+}
--- /dev/null
+++ b/core/src/test/java/org/gentianslip/core/testing/Seeds.java
@@ -0,0 +1,15 @@
+package org.gentianslip.core.testing;
+
+import net.jqwik.api.Arbitraries;
+import net.jqwik.api.Arbitrary;
+import net.jqwik.api.ArbitrarySupplier;
+
+/** Supplies the seeds of a property, or the one of {@code -Dgentian.seed}. */
+public final class Seeds implements ArbitrarySupplier<Long> {
+
+  @Override
+  public Arbitrary<Long> get() {
+    Long seed = Long.getLong("gentian.seed");
+    return seed == null ? Arbitraries.longs().greaterOrEqual(0) : Arbitraries.just(seed);
+  }
+}
