Send an open-loop load through entry instances and check every answer

Cause: the fleet needs callers whose arrivals do not wait for answers, and a check that each answer is whole and the caller's own.

Ruled out: a closed loop of workers, which hides a slow fleet; OkHttp's defaults, which send a request again after 408, after 503 with Retry-After: 0 and after a failed connection.

Change: gentian-load run with Poisson arrivals, the mixes of both fleets, tickets for calls that run at most once, refusals followed to the entries they name, HdrHistogram latencies by rank from the time a call was due, text and JSON.

Conclusion: load is whole against scripted entries; not yet run against a fleet.

--- a/load/src/main/java/org/gentianslip/load/LoadMain.java
+++ b/load/src/main/java/org/gentianslip/load/LoadMain.java
@@ -1,14 +1,19 @@
 package org.gentianslip.load;
 
+import java.util.Objects;
 import picocli.CommandLine;
 
-/** Runs {@code gentian-load}. Stateless; the command line is read by one thread. */
+/** Runs {@code gentian-load}. Stateless. */
 @CommandLine.Command(
     name = "gentian-load",
     mixinStandardHelpOptions = true,
-    versionProvider = LoadMain.Version.class)
+    versionProvider = LoadMain.Version.class,
+    description = "Sends an open-loop load through entry instances and checks every answer.",
+    subcommands = {RunCommand.class})
 public final class LoadMain implements Runnable {
 
+  @CommandLine.Spec private CommandLine.Model.CommandSpec spec;
+
   /**
    * Starts the process.
    *
@@ -19,16 +24,17 @@
   }
 
   @Override
-  public void run() {}
+  public void run() {
+    throw new CommandLine.ParameterException(spec.commandLine(), "a command is missing");
+  }
 
   /** Reads the version from the manifest. Stateless. */
   static final class Version implements CommandLine.IVersionProvider {
     @Override
     public String[] getVersion() {
+      Package ours = LoadMain.class.getPackage();
       return new String[] {
-        "gentian-load "
-            + java.util.Objects.toString(
-                LoadMain.class.getPackage().getImplementationVersion(), "dev")
+        "gentian-load " + Objects.toString(ours.getImplementationVersion(), "dev")
       };
     }
   }
--- /dev/null
+++ b/load/src/main/java/org/gentianslip/load/call/EntryRequests.java
@@ -0,0 +1,18 @@
+package org.gentianslip.load.call;
+
+import okhttp3.Request;
+import org.gentianslip.load.work.CallSpec;
+
+/** Starts requests to entry instances. Stateless and safe for use by several threads. */
+final class EntryRequests {
+
+  private EntryRequests() {}
+
+  static Request.Builder to(String address, String path, CallSpec spec) {
+    return new Request.Builder()
+        .url("http://" + address + path)
+        .header("Authorization", "Bearer " + spec.share().key())
+        .header("X-Kind", spec.share().kind().value())
+        .header("X-Request-Id", spec.id().value());
+  }
+}
--- /dev/null
+++ b/load/src/main/java/org/gentianslip/load/call/FailureReader.java
@@ -0,0 +1,51 @@
+package org.gentianslip.load.call;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
+import okhttp3.Response;
+
+/**
+ * Reads the answers of entry instances that are not successful.
+ *
+ * <p>Only the header {@code X-Outcome: not-run} proves that a call did not run. Stateless and safe
+ * for use by several threads.
+ */
+final class FailureReader {
+
+  private static final ObjectMapper JSON = new ObjectMapper();
+  private static final int STATUS_TICKET_REQUIRED = 428;
+
+  private FailureReader() {}
+
+  static Reply read(Response response) throws IOException {
+    String ticket = response.header("X-Ticket");
+    if (response.code() == STATUS_TICKET_REQUIRED && ticket != null) {
+      response.body().bytes();
+      return new Reply.TicketNeeded(ticket);
+    }
+    JsonNode error = parse(response.body().bytes()).path("error");
+    String code = error.path("code").asText("status_" + response.code());
+    String detail = error.path("message").asText("status " + response.code());
+    if ("not-run".equals(response.header("X-Outcome"))) {
+      return new Reply.NotRun(code, detail, EntryAddress.listOf(error.path("entries"), "address"));
+    }
+    return new Reply.Unknown(code, detail);
+  }
+
+  static Reply broken(SentMark mark, IOException cause) {
+    String detail = cause.getClass().getSimpleName() + ": " + cause.getMessage();
+    if (mark.isSent()) {
+      return new Reply.Unknown("broken", detail);
+    }
+    return new Reply.NotRun("unreachable", detail, java.util.List.of());
+  }
+
+  private static JsonNode parse(byte[] body) {
+    try {
+      return JSON.readTree(body);
+    } catch (IOException e) {
+      return JSON.createObjectNode();
+    }
+  }
+}
--- a/load/src/main/java/org/gentianslip/load/package-info.java
+++ b/load/src/main/java/org/gentianslip/load/package-info.java
@@ -1,2 +1,2 @@
-/** The open-loop load client. */
+/** The command line of the open-loop load client. */
 package org.gentianslip.load;
--- /dev/null
+++ b/load/src/main/java/org/gentianslip/load/report/Latency.java
@@ -0,0 +1,30 @@
+package org.gentianslip.load.report;
+
+import org.HdrHistogram.AbstractHistogram;
+
+/**
+ * A summary of a latency histogram.
+ *
+ * <p>Immutable and safe for use by several threads.
+ *
+ * @param count the number of values
+ * @param p50Millis the median, in milliseconds
+ * @param p90Millis the 90th percentile, in milliseconds
+ * @param p99Millis the 99th percentile, in milliseconds
+ * @param maxMillis the greatest value, in milliseconds
+ */
+public record Latency(
+    long count, double p50Millis, double p90Millis, double p99Millis, double maxMillis) {
+
+  private static final double MICROS_PER_MILLI = 1_000;
+
+  /** Returns the summary of a histogram of microseconds. */
+  static Latency of(AbstractHistogram micros) {
+    return new Latency(
+        micros.getTotalCount(),
+        micros.getValueAtPercentile(50) / MICROS_PER_MILLI,
+        micros.getValueAtPercentile(90) / MICROS_PER_MILLI,
+        micros.getValueAtPercentile(99) / MICROS_PER_MILLI,
+        micros.getMaxValue() / MICROS_PER_MILLI);
+  }
+}
--- /dev/null
+++ b/load/src/test/java/org/gentianslip/load/run/LoadRunTest.java
@@ -0,0 +1,97 @@
+package org.gentianslip.load.run;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.is;
+
+import java.io.IOException;
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import mockwebserver3.Dispatcher;
+import mockwebserver3.MockResponse;
+import mockwebserver3.MockWebServer;
+import mockwebserver3.RecordedRequest;
+import org.gentianslip.core.id.CustomerId;
+import org.gentianslip.core.id.InstanceId;
+import org.gentianslip.core.id.KindId;
+import org.gentianslip.core.id.RegionId;
+import org.gentianslip.load.call.EntryAddress;
+import org.gentianslip.load.call.EntryFinder;
+import org.gentianslip.load.report.LoadReport;
+import org.gentianslip.load.work.ActionType;
+import org.gentianslip.load.work.Workload;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** Tests {@link LoadRun} against an entry that answers only to many calls at once. */
+class LoadRunTest {
+
+  private static final long SEED = Long.getLong("seed", 11);
+  private static final int CALLS_AT_ONCE = 20;
+
+  private final MockWebServer entry = new MockWebServer();
+  private final CountDownLatch arrived = new CountDownLatch(CALLS_AT_ONCE);
+
+  @BeforeEach
+  void start() throws IOException {
+    entry.setDispatcher(
+        new Dispatcher() {
+          @Override
+          public MockResponse dispatch(RecordedRequest request) throws InterruptedException {
+            arrived.countDown();
+            arrived.await();
+            String id = request.getHeaders().get("X-Request-Id");
+            return new MockResponse.Builder().body("{\"reference\": \"" + id + "\"}").build();
+          }
+        });
+    entry.start();
+  }
+
+  @AfterEach
+  void stop() {
+    entry.close();
+  }
+
+  @Test
+  void sendsCallsWhileEarlierOnesWait() throws InterruptedException {
+    LoadReport report = run(1_000);
+
+    assertThat("seed " + SEED, report.answered(), is(report.sent()));
+  }
+
+  @Test
+  void reportsArrivalsBeyondTheSafetyLimit() throws InterruptedException {
+    LoadReport report = run(CALLS_AT_ONCE - 1);
+
+    assertThat("seed " + SEED, report.heldBack(), greaterThan(0L));
+  }
+
+  private LoadReport run(int limit) throws InterruptedException {
+    EntryAddress address =
+        new EntryAddress(InstanceId.of("e1"), RegionId.of("graz"), "127.0.0.1:" + entry.getPort());
+    CallerGroup group = new CallerGroup(address.region(), new OneEntryFinder(address));
+    LoadPlan plan =
+        new LoadPlan(
+            List.of(group),
+            Workload.named("venture").only(ActionType.SERVICE_READ),
+            100,
+            Duration.ofSeconds(1),
+            SEED,
+            limit,
+            Duration.ofMillis(limit < CALLS_AT_ONCE ? 300 : 30_000));
+    return new LoadRun(plan, System::nanoTime, result -> {}).run();
+  }
+
+  /** Always gives one entry. Immutable and safe for use by several threads. */
+  private record OneEntryFinder(EntryAddress address) implements EntryFinder {
+    @Override
+    public List<EntryAddress> find(CustomerId customer, KindId kind, long nowNanos) {
+      return List.of(address);
+    }
+
+    @Override
+    public void refused(CustomerId customer, KindId kind, List<EntryAddress> offered) {}
+  }
+}
--- /dev/null
+++ b/load/src/test/java/org/gentianslip/load/run/PoissonArrivalsTest.java
@@ -0,0 +1,55 @@
+package org.gentianslip.load.run;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.closeTo;
+import static org.hamcrest.Matchers.containsString;
+
+import org.apache.commons.rng.simple.RandomSource;
+import org.junit.jupiter.api.Assertions;
+import org.junit.jupiter.api.Test;
+
+/** Tests {@link PoissonArrivals}. Used by one thread. */
+class PoissonArrivalsTest {
+
+  private static final long SEED = Long.getLong("seed", 7);
+
+  @Test
+  void keepsTheMeanRate() {
+    PoissonArrivals arrivals = arrivals(50);
+    long last = 0;
+    int count = 10_000;
+    for (int i = 0; i < count; i++) {
+      last = arrivals.nextNanos();
+    }
+
+    assertThat("seed " + SEED, count / (last / 1e9), closeTo(50, 2.5));
+  }
+
+  @Test
+  void variesTheGaps() {
+    PoissonArrivals arrivals = arrivals(1);
+    int count = 10_000;
+    int shorterThanMean = 0;
+    long last = 0;
+    for (int i = 0; i < count; i++) {
+      long next = arrivals.nextNanos();
+      shorterThanMean += next - last < 1e9 ? 1 : 0;
+      last = next;
+    }
+
+    double expected = 1 - Math.exp(-1);
+    assertThat("seed " + SEED, (double) shorterThanMean / count, closeTo(expected, 0.02));
+  }
+
+  @Test
+  void quotesBadRate() {
+    IllegalArgumentException e =
+        Assertions.assertThrows(IllegalArgumentException.class, () -> arrivals(-3));
+
+    assertThat(e.getMessage(), containsString("-3"));
+  }
+
+  private static PoissonArrivals arrivals(double rate) {
+    return new PoissonArrivals(RandomSource.XO_RO_SHI_RO_128_PP.create(SEED), rate);
+  }
+}
