Name service calls by the digest of their body

Cause: the service stand-in names an executed call by its body's digest, not by its query. Change: every service call has a body of its own; the answer is checked by the digest. Conclusion: not yet run against a stand-in.

--- a/load/src/main/java/org/gentianslip/load/call/EntryCaller.java
+++ b/load/src/main/java/org/gentianslip/load/call/EntryCaller.java
@@ -99,6 +99,6 @@
     if (spec.share().action().isModel()) {
       return text.equals(ExpectedAnswer.of(spec.prompt(), spec.share().maxTokens()));
     }
-    return text.contains("\"" + spec.prompt() + "\"");
+    return text.contains("\"" + ExpectedAnswer.serviceDigest(spec.serviceBody()) + "\"");
   }
 }
--- a/load/src/main/java/org/gentianslip/load/call/ServiceExchange.java
+++ b/load/src/main/java/org/gentianslip/load/call/ServiceExchange.java
@@ -1,8 +1,6 @@
 package org.gentianslip.load.call;
 
-import com.fasterxml.jackson.databind.ObjectMapper;
 import java.io.IOException;
-import java.util.Map;
 import java.util.function.LongSupplier;
 import okhttp3.MediaType;
 import okhttp3.OkHttpClient;
@@ -15,11 +13,10 @@
 /**
  * Calls a service through one entry instance, once.
  *
- * <p>The call's reference stands in its query. Safe for use by several threads.
+ * <p>Every call has a body that names it. Safe for use by several threads.
  */
 final class ServiceExchange {
 
-  private static final ObjectMapper JSON = new ObjectMapper();
   private static final MediaType JSON_TYPE = MediaType.get("application/json");
 
   private final OkHttpClient reads;
@@ -37,8 +34,7 @@
     SentMark mark = new SentMark();
     boolean write = spec.share().action() == ActionType.SERVICE_WRITE;
     OkHttpClient client = write ? writes : reads;
-    try (Response response =
-        client.newCall(request(address, spec, ticket, write, mark)).execute()) {
+    try (Response response = client.newCall(request(address, spec, ticket, mark)).execute()) {
       if (!response.isSuccessful()) {
         return FailureReader.read(response);
       }
@@ -50,23 +46,12 @@
     }
   }
 
-  private static Request request(
-      String address, CallSpec spec, String ticket, boolean write, SentMark mark) {
-    String path = "/services/" + spec.share().target() + "?reference=" + spec.prompt();
+  private static Request request(String address, CallSpec spec, String ticket, SentMark mark) {
+    String path = "/services/" + spec.share().target();
     Request.Builder request = EntryRequests.to(address, path, spec).tag(SentMark.class, mark);
     if (ticket != null) {
       request.header("X-Ticket", ticket);
     }
-    return write
-        ? request.post(RequestBody.create(body(spec), JSON_TYPE)).build()
-        : request.build();
-  }
-
-  private static byte[] body(CallSpec spec) {
-    try {
-      return JSON.writeValueAsBytes(Map.of("reference", spec.prompt()));
-    } catch (IOException e) {
-      throw new IllegalStateException("a request's body cannot be written", e);
-    }
+    return request.post(RequestBody.create(spec.serviceBody(), JSON_TYPE)).build();
   }
 }
--- a/load/src/main/java/org/gentianslip/load/work/CallSpec.java
+++ b/load/src/main/java/org/gentianslip/load/work/CallSpec.java
@@ -1,5 +1,6 @@
 package org.gentianslip.load.work;
 
+import java.nio.charset.StandardCharsets;
 import org.gentianslip.core.id.RequestId;
 
 /**
@@ -11,4 +12,10 @@
  * @param share the part of the mix that the call belongs to
  * @param prompt the model's prompt, or the reference that names a service call
  */
-public record CallSpec(RequestId id, WorkShare share, String prompt) {}
+public record CallSpec(RequestId id, WorkShare share, String prompt) {
+
+  /** Returns the body of a service call, which no other call has. */
+  public byte[] serviceBody() {
+    return ("{\"reference\":\"" + prompt + "\"}").getBytes(StandardCharsets.UTF_8);
+  }
+}
--- a/load/src/main/java/org/gentianslip/load/work/ExpectedAnswer.java
+++ b/load/src/main/java/org/gentianslip/load/work/ExpectedAnswer.java
@@ -6,7 +6,7 @@
 import java.util.HexFormat;
 
 /**
- * Computes the answer that a stand-in of a model engine gives to a prompt.
+ * Computes the answers that the stand-ins of backend servers give.
  *
  * <p>Answers to different prompts differ in every token. Stateless and safe for use by several
  * threads.
@@ -14,17 +14,18 @@
 public final class ExpectedAnswer {
 
   private static final int DIGEST_HEX_DIGITS = 8;
+  private static final int SERVICE_DIGEST_HEX_DIGITS = 16;
 
   private ExpectedAnswer() {}
 
   /**
-   * Returns the whole answer.
+   * Returns the whole answer of a model.
    *
    * @param prompt the prompt; for a chat, the messages' contents joined by line feeds
    * @param tokens the number of tokens in the answer
    */
   public static String of(String prompt, int tokens) {
-    String digest = digest(prompt);
+    String digest = digest(prompt.getBytes(StandardCharsets.UTF_8), DIGEST_HEX_DIGITS);
     StringBuilder text = new StringBuilder(tokens * (DIGEST_HEX_DIGITS + 4));
     for (int i = 0; i < tokens; i++) {
       text.append(i == 0 ? "" : " ").append(digest).append('-').append(i);
@@ -32,11 +33,15 @@
     return text.toString();
   }
 
-  private static String digest(String prompt) {
+  /** Returns the digest by which a service names the body of the call that it executed. */
+  public static String serviceDigest(byte[] body) {
+    return digest(body, SERVICE_DIGEST_HEX_DIGITS);
+  }
+
+  private static String digest(byte[] content, int hexDigits) {
     try {
-      byte[] hash =
-          MessageDigest.getInstance("SHA-256").digest(prompt.getBytes(StandardCharsets.UTF_8));
-      return HexFormat.of().formatHex(hash).substring(0, DIGEST_HEX_DIGITS);
+      byte[] hash = MessageDigest.getInstance("SHA-256").digest(content);
+      return HexFormat.of().formatHex(hash).substring(0, hexDigits);
     } catch (NoSuchAlgorithmException e) {
       throw new IllegalStateException("this Java has no SHA-256", e);
     }
--- a/load/src/test/java/org/gentianslip/load/call/EntryCallerTest.java
+++ b/load/src/test/java/org/gentianslip/load/call/EntryCallerTest.java
@@ -215,7 +215,8 @@
   }
 
   private static MockResponse serviceAnswer() {
-    return new MockResponse.Builder().body("{\"reference\": \"r-1\"}").build();
+    String digest = ExpectedAnswer.serviceDigest(spec(ActionType.SERVICE_READ).serviceBody());
+    return new MockResponse.Builder().body("{\"bodyDigest\": \"" + digest + "\"}").build();
   }
 
   private static MockResponse stream(String body) {
--- a/load/src/test/java/org/gentianslip/load/run/LoadRunTest.java
+++ b/load/src/test/java/org/gentianslip/load/run/LoadRunTest.java
@@ -20,6 +20,7 @@
 import org.gentianslip.load.call.EntryFinder;
 import org.gentianslip.load.report.LoadReport;
 import org.gentianslip.load.work.ActionType;
+import org.gentianslip.load.work.ExpectedAnswer;
 import org.gentianslip.load.work.Workload;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -42,8 +43,8 @@
           public MockResponse dispatch(RecordedRequest request) throws InterruptedException {
             arrived.countDown();
             arrived.await();
-            String id = request.getHeaders().get("X-Request-Id");
-            return new MockResponse.Builder().body("{\"reference\": \"" + id + "\"}").build();
+            String digest = ExpectedAnswer.serviceDigest(request.getBody().toByteArray());
+            return new MockResponse.Builder().body("{\"bodyDigest\": \"" + digest + "\"}").build();
           }
         });
     entry.start();
