Close an instance even if one of its parts fails, and refuse a port in use

A drained instance stayed alive because an error in one part's close skipped the rest, and the next instance then shared its port silently (the server sets SO_REUSEPORT), so every second connection went to the old one and got no answer. Ruled out: a fault in the routes (the answers were right on the other half). Change: close() reaches its end in any case; a start on a port that another process listens on fails with a sentence; routes that answer later are marked as non-blocking, else the server answered with the route's own name.

--- a/entry/src/main/java/org/gentianslip/entry/EntryMain.java
+++ b/entry/src/main/java/org/gentianslip/entry/EntryMain.java
@@ -1,6 +1,7 @@
 package org.gentianslip.entry;
 
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.Objects;
@@ -47,7 +48,13 @@
       System.err.println(config + ": not readable: " + e.getMessage());
       return CommandLine.ExitCode.SOFTWARE;
     }
-    var process = EntryProcess.start(place);
+    EntryProcess process;
+    try {
+      process = EntryProcess.start(place);
+    } catch (UncheckedIOException e) {
+      System.err.println("entry: " + e.getMessage());
+      return CommandLine.ExitCode.SOFTWARE;
+    }
     Signal.handle(new Signal("TERM"), s -> new Thread(process::drainAndClose, "drain").start());
     System.out.println("entry: ready for callers on " + place.host() + ":" + place.callerPort());
     process.awaitClosed();
--- a/entry/src/main/java/org/gentianslip/entry/http/HttpServer.java
+++ b/entry/src/main/java/org/gentianslip/entry/http/HttpServer.java
@@ -5,15 +5,19 @@
 import io.jooby.ServerOptions;
 import io.jooby.StatusCode;
 import io.jooby.netty.NettyServer;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
 import java.util.Map;
 import java.util.function.Consumer;
 
 /**
  * Serves one port.
  *
- * <p>Handlers run on worker threads and must not block; a handler that answers later detaches its
- * context. Faults of any kind are answered with an {@link ErrorReply}. Safe for use by several
- * threads once started.
+ * <p>Handlers run on worker threads and must not block; the route of a handler that answers later
+ * is marked as non-blocking. Faults of any kind are answered with an {@link ErrorReply}. Safe for
+ * use by several threads once started.
  */
 public final class HttpServer implements AutoCloseable {
 
@@ -30,8 +34,10 @@
    * @param port the port to listen on
    * @param maxBodyBytes the greatest size of a body, in bytes
    * @param routes adds the routes
+   * @throws UncheckedIOException if another process listens on the port
    */
   public static HttpServer start(String host, int port, int maxBodyBytes, Consumer<Jooby> routes) {
+    requireFree(host, port);
     var options = new ServerOptions();
     options.setPort(port);
     options.setHost(host);
@@ -49,6 +55,15 @@
     return new HttpServer(netty.start(app));
   }
 
+  /** Finds a port that is taken, since the server would share it with the other process. */
+  private static void requireFree(String host, int port) {
+    try (var socket = new ServerSocket()) {
+      socket.bind(new InetSocketAddress(host, port));
+    } catch (IOException e) {
+      throw new UncheckedIOException("Port " + port + " of " + host + " is not free", e);
+    }
+  }
+
   private static void answerFault(io.jooby.Context ctx, Throwable cause, StatusCode status) {
     ErrorReply reply = toReply(ctx, status);
     ctx.setResponseCode(reply.code().status());
--- a/entry/src/main/java/org/gentianslip/entry/http/JoobySink.java
+++ b/entry/src/main/java/org/gentianslip/entry/http/JoobySink.java
@@ -13,8 +13,8 @@
 /**
  * Sends an answer through Jooby.
  *
- * <p>The context must be detached from its handler. At most one write is on its way at a time, so a
- * slow receiver slows the backend server and fills no memory here. Used by one thread at a time.
+ * <p>The route must be marked as non-blocking. At most one write is on its way at a time, so a slow
+ * receiver slows the backend server and fills no memory here. Used by one thread at a time.
  */
 public final class JoobySink implements ResponseSink {
 
@@ -24,7 +24,7 @@
   private final String requestId;
   private Sender sender;
 
-  /** Creates a sink for a detached context. */
+  /** Creates a sink for a context. */
   public JoobySink(Context ctx, String requestId) {
     this.ctx = ctx;
     this.requestId = requestId;
--- a/entry/src/main/java/org/gentianslip/entry/process/EntryProcess.java
+++ b/entry/src/main/java/org/gentianslip/entry/process/EntryProcess.java
@@ -205,14 +205,21 @@
   @Override
   public void close() {
     timer.shutdownNow();
-    for (int i = started.size() - 1; i >= 0; i--) {
-      try {
-        started.get(i).close();
-      } catch (Exception e) {
-        LOGGER.atWarning().withCause(e).log("entry: A part did not close.");
+    try {
+      for (int i = started.size() - 1; i >= 0; i--) {
+        closeSafely(started.get(i));
       }
+    } finally {
+      drain.closed();
+    }
+  }
+
+  private static void closeSafely(AutoCloseable part) {
+    try {
+      part.close();
+    } catch (Exception e) {
+      LOGGER.atWarning().withCause(e).log("entry: A part did not close.");
     }
-    drain.closed();
   }
 
   private static Thread daemon(Runnable task, String name) {
--- a/entry/src/main/java/org/gentianslip/entry/process/RequestPorts.java
+++ b/entry/src/main/java/org/gentianslip/entry/process/RequestPorts.java
@@ -70,13 +70,11 @@
    */
   void addTo(Jooby app, String prefix, Door door) {
     for (String path : new String[] {"/v1/chat/completions", "/v1/completions"}) {
-      app.post(prefix + path, ctx -> ctx.detach(c -> take(c, door, path)));
+      app.post(prefix + path, ctx -> take(ctx, door, path)).setNonBlocking(true);
     }
     for (String method : new String[] {"GET", "HEAD", "POST", "PUT", "PATCH", "DELETE"}) {
-      app.route(
-          method,
-          prefix + "/services/{service}/*",
-          ctx -> ctx.detach(c -> takeCall(c, prefix, door)));
+      app.route(method, prefix + "/services/{service}/*", ctx -> takeCall(ctx, prefix, door))
+          .setNonBlocking(true);
     }
   }
 
