Stand in for the links between regions

Cause: latency, rates, cuts and silent connections between regions have to be brought about. Ruled out: scheduling each chunk on its own, since timers with nearly equal deadlines may fire out of order; each direction keeps its chunks in a queue and delivers the head when it is due. Holding bytes in place of dropping them for a partition, as TCP sends them again when it heals; for connections that something has lost track of, bytes are dropped for good.

--- a/standin/src/main/java/org/gentianslip/standin/StandinMain.java
+++ b/standin/src/main/java/org/gentianslip/standin/StandinMain.java
@@ -2,6 +2,7 @@
 
 import org.gentianslip.standin.command.ConfigCommand;
 import org.gentianslip.standin.command.EngineCommand;
+import org.gentianslip.standin.command.RelayCommand;
 import org.gentianslip.standin.command.ServiceCommand;
 import org.gentianslip.standin.command.StandinVersion;
 import picocli.CommandLine;
@@ -12,7 +13,12 @@
     description = "Stand-ins for the platform and the backend servers.",
     mixinStandardHelpOptions = true,
     versionProvider = StandinVersion.class,
-    subcommands = {ConfigCommand.class, EngineCommand.class, ServiceCommand.class})
+    subcommands = {
+      ConfigCommand.class,
+      EngineCommand.class,
+      ServiceCommand.class,
+      RelayCommand.class
+    })
 public final class StandinMain {
 
   private StandinMain() {}
--- a/standin/src/main/java/org/gentianslip/standin/command/EngineCommand.java
+++ b/standin/src/main/java/org/gentianslip/standin/command/EngineCommand.java
@@ -41,7 +41,7 @@
 
   @Option(
       names = "--prefill-tokens-per-second",
-      defaultValue = "20000",
+      defaultValue = "50000",
       description = "Speed of reading uncached prompt tokens (${DEFAULT-VALUE}).")
   private double prefillTokensPerSecond;
 
--- a/standin/src/main/java/org/gentianslip/standin/engine/EngineOptions.java
+++ b/standin/src/main/java/org/gentianslip/standin/engine/EngineOptions.java
@@ -68,7 +68,7 @@
     private List<String> models = List.of("model");
     private int slots = 8;
     private int queueLength = 32;
-    private double prefillTokensPerSecond = 20_000;
+    private double prefillTokensPerSecond = 50_000;
     private double tokenMillis = 5;
     private int cacheTokens = 65_536;
     private long loadLagMillis = 200;
