Add gentianctl and the reference of all settings

Cause: operators check, show and compare settings before they publish them, and ask running instances for their state.

Ruled out: a diff by files (an operator asks what changes in force, also where a branch only inherits it); picocli's own report of wrong use, which printed the list of all settings after each slip.

Change: settings check, show, diff and reference; status, explain and drain over the operators' port; tables of at most 100 columns; docs/SETTINGS.md from the declarations with a test that it is current. An unknown parent no longer names the branch itself as the nearest one.

Conclusion: against running entries the commands are still to be tried.

--- /dev/null
+++ b/ctl/src/main/java/org/gentianslip/ctl/FindingPrinter.java
@@ -0,0 +1,53 @@
+package org.gentianslip.ctl;
+
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.List;
+import org.gentianslip.settings.Finding;
+
+/**
+ * Prints what is wrong with files of settings.
+ *
+ * <p>Stateless and safe for use by several threads.
+ */
+final class FindingPrinter {
+
+  private FindingPrinter() {}
+
+  /**
+   * Prints why files are not valid.
+   *
+   * @return the exit code
+   */
+  static int fail(Output output, FileResult result, boolean json) {
+    if (result instanceof FileResult.Unreadable unreadable) {
+      output.error(unreadable.message());
+      return ExitStatus.WRONG_USE;
+    }
+    if (result instanceof FileResult.Invalid invalid) {
+      print(output, invalid.findings(), json);
+      return ExitStatus.FAILED;
+    }
+    throw new IllegalArgumentException("The files are valid");
+  }
+
+  /** Prints findings, each in one line or all as one JSON object. */
+  static void print(Output output, List<Finding> findings, boolean json) {
+    if (!json) {
+      findings.forEach(f -> output.line(f.toString()));
+      return;
+    }
+    ObjectNode body = JsonNodeFactory.instance.objectNode();
+    body.put("valid", findings.isEmpty());
+    ArrayNode array = body.putArray("findings");
+    for (Finding finding : findings) {
+      array
+          .addObject()
+          .put("source", finding.source())
+          .put("pointer", finding.pointer())
+          .put("message", finding.message());
+    }
+    output.json(body);
+  }
+}
--- /dev/null
+++ b/ctl/src/main/java/org/gentianslip/ctl/OperatorClient.java
@@ -0,0 +1,101 @@
+package org.gentianslip.ctl;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
+import java.time.Duration;
+import okhttp3.HttpUrl;
+import okhttp3.OkHttpClient;
+import okhttp3.Request;
+import okhttp3.RequestBody;
+import okhttp3.Response;
+
+/**
+ * Calls the operators' port of instances.
+ *
+ * <p>No call is repeated. Safe for use by several threads.
+ */
+final class OperatorClient {
+
+  private static final ObjectMapper MAPPER = new ObjectMapper();
+  private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(2);
+  private static final Duration CALL_TIMEOUT = Duration.ofSeconds(5);
+  private static final int NOT_FOUND = 404;
+  private static final int FORBIDDEN = 403;
+  private static final int MAX_MESSAGE = 200;
+
+  private final OkHttpClient client =
+      new OkHttpClient.Builder()
+          .connectTimeout(CONNECT_TIMEOUT)
+          .callTimeout(CALL_TIMEOUT)
+          .retryOnConnectionFailure(false)
+          .followRedirects(false)
+          .build();
+  private final String key;
+
+  /**
+   * Creates a client.
+   *
+   * @param key the operators' key
+   */
+  OperatorClient(String key) {
+    this.key = key;
+  }
+
+  /** Asks an instance. */
+  OperatorAnswer get(OperatorAddress address, String... path) {
+    return call(address, request(address, path).build());
+  }
+
+  /** Gives an order to an instance. */
+  OperatorAnswer post(OperatorAddress address, String... path) {
+    return call(address, request(address, path).post(RequestBody.EMPTY).build());
+  }
+
+  private Request.Builder request(OperatorAddress address, String... path) {
+    HttpUrl.Builder url =
+        new HttpUrl.Builder().scheme("http").host(address.host()).port(address.port());
+    for (String segment : path) {
+      url.addPathSegment(segment);
+    }
+    return new Request.Builder().url(url.build()).header("X-Operator-Key", key);
+  }
+
+  private OperatorAnswer call(OperatorAddress address, Request request) {
+    try (Response response = client.newCall(request).execute()) {
+      String text = response.body().string();
+      if (response.isSuccessful()) {
+        return new OperatorAnswer.Success(MAPPER.readTree(text));
+      }
+      return failure(address, response.code(), text);
+    } catch (JsonProcessingException e) {
+      return new OperatorAnswer.Refused("The instance at " + address + " did not answer in JSON.");
+    } catch (IOException e) {
+      return new OperatorAnswer.Unreachable(
+          "The instance at " + address + " cannot be reached: " + e.getMessage() + ".");
+    }
+  }
+
+  private static OperatorAnswer failure(OperatorAddress address, int status, String text) {
+    String message = message(text);
+    if (status == NOT_FOUND) {
+      return new OperatorAnswer.NotFound(message);
+    }
+    String hint = status == FORBIDDEN ? " Give the key by --operator-key." : "";
+    return new OperatorAnswer.Refused(
+        "The instance at " + address + " answered " + status + ": " + message + hint);
+  }
+
+  private static String message(String text) {
+    try {
+      JsonNode message = MAPPER.readTree(text).path("error").path("message");
+      if (message.isTextual()) {
+        return message.textValue();
+      }
+    } catch (JsonProcessingException e) {
+      // The text itself is the best message.
+    }
+    return text.length() <= MAX_MESSAGE ? text : text.substring(0, MAX_MESSAGE) + "...";
+  }
+}
--- /dev/null
+++ b/ctl/src/main/java/org/gentianslip/ctl/SettingsCommand.java
@@ -0,0 +1,21 @@
+package org.gentianslip.ctl;
+
+import picocli.CommandLine.Command;
+
+/**
+ * Groups the commands on files of settings.
+ *
+ * <p>Used by one thread.
+ */
+@Command(
+    name = "settings",
+    description = "Checks, shows and compares files of settings.",
+    mixinStandardHelpOptions = true,
+    footerHeading = "%nSettings:%n",
+    subcommands = {
+      CheckCommand.class,
+      ShowCommand.class,
+      DiffCommand.class,
+      ReferenceCommand.class
+    })
+final class SettingsCommand {}
--- /dev/null
+++ b/ctl/src/test/java/org/gentianslip/ctl/OperatorCommandTest.java
@@ -0,0 +1,247 @@
+package org.gentianslip.ctl;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.allOf;
+import static org.hamcrest.Matchers.containsString;
+import static org.hamcrest.Matchers.everyItem;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
+import static org.hamcrest.Matchers.matchesPattern;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.util.Optional;
+import mockwebserver3.MockResponse;
+import mockwebserver3.MockWebServer;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+class OperatorCommandTest {
+
+  private static final String NORTH =
+      """
+      {"instance": "pk-north-1", "region": "pk-north", "ready": true, "leaving": false,
+       "settingsRevision": 7, "listVersion": 3, "inFlight": 2, "queued": 1,
+       "rejectedRevision": {"revision": 9, "findings": ["part:/models: A sentence"]},
+       "instances": [
+         {"id": "pk-north-1", "region": "pk-north", "listed": "live", "heard": false},
+         {"id": "pk-south-1", "region": "pk-south", "listed": "live", "heard": true,
+          "settingsRevision": 8},
+         {"id": "pk-south-2", "region": "pk-south", "listed": "leaving", "heard": false}],
+       "engines": [
+         {"id": "engine-1", "slots": 8, "inFlight": 2, "running": 5, "waiting": 1,
+          "usable": true, "leaving": false},
+         {"id": "engine-2", "slots": 8, "inFlight": 0, "running": 0, "waiting": 0,
+          "usable": false, "leaving": true}]}
+      """;
+  private static final String STEPS =
+      """
+      {"request": "r-1", "instance": "pk-north-1", "steps": [
+        {"atMillis": 0, "step": "admitted", "target": "", "reason": "urgent"},
+        {"atMillis": 1, "step": "refused", "target": "engine-1", "reason": "full"}]}
+      """;
+
+  private final MockWebServer server = new MockWebServer();
+
+  @BeforeEach
+  void start() throws IOException {
+    server.start(InetAddress.getByName("127.0.0.1"), 0);
+  }
+
+  @AfterEach
+  void stop() {
+    server.close();
+  }
+
+  private String address() {
+    return "127.0.0.1:" + server.getPort();
+  }
+
+  private void answer(int status, String body) {
+    server.enqueue(new MockResponse.Builder().code(status).body(body).build());
+  }
+
+  private static String closedAddress() throws IOException {
+    try (var socket = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
+      return "127.0.0.1:" + socket.getLocalPort();
+    }
+  }
+
+  private static Optional<String> line(CommandRun run, String start) {
+    return run.out().lines().filter(l -> l.startsWith(start)).findFirst();
+  }
+
+  @Nested
+  class Status {
+
+    @Test
+    void showsHowFarTheRevisionIsBehind() {
+      answer(200, NORTH);
+      CommandRun run = CommandRun.of("status", "--operator", address());
+      assertThat(
+          line(run, "pk-north-1").orElse(""),
+          matchesPattern("pk-north-1 +pk-north +ready +7 +2 +3 +2 +1"));
+    }
+
+    @Test
+    void showsListedInstancesThatNobodyHears() {
+      answer(200, NORTH);
+      CommandRun run = CommandRun.of("status", "--operator", address());
+      assertThat(
+          line(run, "pk-south-2").orElse(""),
+          matchesPattern("pk-south-2 +pk-south +leaving +- +nobody"));
+    }
+
+    @Test
+    void sumsUpEnginesOverInstances() {
+      answer(200, NORTH);
+      answer(200, NORTH.replace("\"instance\": \"pk-north-1\"", "\"instance\": \"pk-north-2\""));
+      CommandRun run = CommandRun.of("status", "--operator", address(), "--operator", address());
+      assertThat(
+          line(run, "engine-1").orElse(""),
+          matchesPattern("engine-1 +pk-north +8 +4 +5 +1 +2 of 2 +live"));
+    }
+
+    @Test
+    void showsEnginesThatLeave() {
+      answer(200, NORTH);
+      CommandRun run = CommandRun.of("status", "--operator", address());
+      assertThat(line(run, "engine-2").orElse(""), matchesPattern("engine-2.*leaving"));
+    }
+
+    @Test
+    void showsFindingsOfTheRejectedRevision() {
+      answer(200, NORTH);
+      CommandRun run = CommandRun.of("status", "--operator", address());
+      assertThat(
+          run.out(),
+          allOf(containsString("Revision 9 was rejected"), containsString("part:/models")));
+    }
+
+    @Test
+    void fitsOneHundredColumns() {
+      answer(200, NORTH);
+      CommandRun run = CommandRun.of("status", "--operator", address());
+      assertThat(run.out().lines().map(String::length).toList(), everyItem(lessThanOrEqualTo(100)));
+    }
+
+    @Test
+    void presentsTheKey() throws InterruptedException {
+      answer(200, NORTH);
+      CommandRun.of("status", "--operator", address(), "--operator-key", "k");
+      assertThat(server.takeRequest().getHeaders().get("X-Operator-Key"), is("k"));
+    }
+
+    @Test
+    void showsTheOthersIfOneCannotBeReached() throws IOException {
+      answer(200, NORTH);
+      CommandRun run =
+          CommandRun.of("status", "--operator", closedAddress(), "--operator", address());
+      assertThat(line(run, "pk-north-1").isPresent(), is(true));
+    }
+
+    @Test
+    void namesTheInstanceThatCannotBeReached() throws IOException {
+      String closed = closedAddress();
+      CommandRun run = CommandRun.of("status", "--operator", closed);
+      assertThat(run.err(), containsString("The instance at " + closed + " cannot be reached"));
+    }
+
+    @Test
+    void failsIfAnInstanceCannotBeReached() throws IOException {
+      assertThat(CommandRun.of("status", "--operator", closedAddress()).exitCode(), is(1));
+    }
+
+    @Test
+    void repeatsTheInstancesRefusal() {
+      answer(403, "{\"error\": {\"code\": \"forbidden\", \"message\": \"The key is wrong.\"}}");
+      CommandRun run = CommandRun.of("status", "--operator", address());
+      assertThat(run.err(), containsString("answered 403: The key is wrong. Give the key"));
+    }
+
+    @Test
+    void failsOnAnswersThatAreNotJson() {
+      answer(200, "<html>");
+      assertThat(CommandRun.of("status", "--operator", address()).exitCode(), is(1));
+    }
+
+    @Test
+    void printsJson() throws IOException {
+      answer(200, NORTH);
+      CommandRun run = CommandRun.of("status", "--json", "--operator", address());
+      assertThat(
+          new ObjectMapper().readTree(run.out()).at("/instances/0"),
+          is(new ObjectMapper().readTree(NORTH)));
+    }
+
+    @Test
+    void refusesHostNames() {
+      assertThat(CommandRun.of("status", "--operator", "localhost:1").exitCode(), is(2));
+    }
+  }
+
+  @Nested
+  class Explain {
+
+    @Test
+    void showsTheStepsOfTheInstanceThatKnows() {
+      answer(404, "{\"error\": {\"message\": \"Nothing is known.\"}}");
+      answer(200, STEPS);
+      CommandRun run =
+          CommandRun.of("explain", "r-1", "--operator", address(), "--operator", address());
+      assertThat(run.out(), matchesPattern("(?s).*pk-north-1 +1 +refused +engine-1 +full.*"));
+    }
+
+    @Test
+    void failsIfNobodyKnows() {
+      answer(404, "{\"error\": {\"message\": \"Nothing is known.\"}}");
+      CommandRun run = CommandRun.of("explain", "r-1", "--operator", address());
+      assertThat(run, is(new CommandRun(1, "", "No instance knows the request \"r-1\".\n")));
+    }
+
+    @Test
+    void saysSoIfSomeCouldNotBeAsked() throws IOException {
+      CommandRun run = CommandRun.of("explain", "r-1", "--operator", closedAddress());
+      assertThat(run.err(), containsString("No instance that could be asked knows"));
+    }
+  }
+
+  @Nested
+  class Drain {
+
+    @Test
+    void ordersOnlyTheInstanceOfTheName() throws Exception {
+      answer(200, NORTH.replace("\"instance\": \"pk-north-1\"", "\"instance\": \"other\""));
+      answer(200, NORTH);
+      answer(202, "{\"draining\": true}");
+      CommandRun.of("drain", "pk-north-1", "--operator", address(), "--operator", address());
+      server.takeRequest();
+      server.takeRequest();
+      assertThat(server.takeRequest().getRequestLine(), is("POST /drain HTTP/1.1"));
+    }
+
+    @Test
+    void succeedsOnceTheInstanceIsLeaving() {
+      answer(200, NORTH);
+      answer(202, "{\"draining\": true}");
+      assertThat(CommandRun.of("drain", "pk-north-1", "--operator", address()).exitCode(), is(0));
+    }
+
+    @Test
+    void ordersNobodyIfTheNameIsUnknown() {
+      answer(200, NORTH);
+      CommandRun.of("drain", "pk-north-9", "--operator", address());
+      assertThat(server.getRequestCount(), is(1));
+    }
+
+    @Test
+    void failsIfTheNameIsUnknown() {
+      answer(200, NORTH);
+      assertThat(CommandRun.of("drain", "pk-north-9", "--operator", address()).exitCode(), is(1));
+    }
+  }
+}
--- /dev/null
+++ b/settings/src/main/java/org/gentianslip/settings/SettingsReference.java
@@ -0,0 +1,81 @@
+package org.gentianslip.settings;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.stream.Collectors;
+
+/**
+ * Describes every setting from its declaration, for the documentation and for help.
+ *
+ * <p>Stateless and safe for use by several threads.
+ */
+public final class SettingsReference {
+
+  private static final int MAX_COLUMNS = 98;
+
+  private static final String HEAD =
+      """
+      # Settings
+
+      This page is generated from the declarations in `SettingCatalog` by
+      `gentianctl settings reference`; do not edit it.
+
+      A branch sets a value in its member `values`. Where no branch sets one, the default holds.
+      """;
+
+  private SettingsReference() {}
+
+  /** Returns the page {@code docs/SETTINGS.md}. */
+  public static String markdown() {
+    return SettingCatalog.all().stream()
+        .map(SettingsReference::section)
+        .collect(Collectors.joining("\n", HEAD + "\n", ""));
+  }
+
+  private static String section(Setting<?> setting) {
+    var lines = new ArrayList<String>();
+    lines.add("## " + setting.name());
+    lines.add("");
+    lines.addAll(wrap(setting.description()));
+    lines.add("");
+    lines.add("- Allowed: " + setting.allowed());
+    if (!setting.unit().isEmpty()) {
+      lines.add("- Unit: " + setting.unit());
+    }
+    lines.add("- Default: " + defaultText(setting));
+    lines.add("");
+    return String.join("\n", lines);
+  }
+
+  /** Returns lines that describe every setting, each of at most 100 columns. */
+  public static List<String> helpLines() {
+    var lines = new ArrayList<String>();
+    for (Setting<?> setting : SettingCatalog.all()) {
+      lines.add(setting.name() + " (default " + defaultText(setting) + ")");
+      for (String line : wrap(setting.description() + " Allowed: " + setting.allowed() + ".")) {
+        lines.add("  " + line);
+      }
+    }
+    return lines;
+  }
+
+  private static <T> String defaultText(Setting<T> setting) {
+    return setting == SettingCatalog.ALLOWED_REGIONS
+        ? "all regions"
+        : setting.write(setting.defaultValue()).toString();
+  }
+
+  private static List<String> wrap(String text) {
+    var lines = new ArrayList<String>();
+    var line = new StringBuilder();
+    for (String word : text.split(" ")) {
+      if (!line.isEmpty() && line.length() + 1 + word.length() > MAX_COLUMNS) {
+        lines.add(line.toString());
+        line.setLength(0);
+      }
+      line.append(line.isEmpty() ? "" : " ").append(word);
+    }
+    lines.add(line.toString());
+    return lines;
+  }
+}
--- a/settings/src/main/java/org/gentianslip/settings/TreeBuilder.java
+++ b/settings/src/main/java/org/gentianslip/settings/TreeBuilder.java
@@ -115,8 +115,7 @@
     if (!byId.containsKey(parent)) {
       if (complete) {
         findings.add(
-            branch.place().at("parent"),
-            ObjectFields.unknown("parent", parent, List.copyOf(byId.keySet())));
+            branch.place().at("parent"), ObjectFields.unknown("parent", parent, idsBut(branch)));
       }
       return Optional.empty();
     }
@@ -141,6 +140,10 @@
             above.get().scope().with(branch.level(), branch.name())));
   }
 
+  private List<String> idsBut(BranchDeclaration branch) {
+    return byId.keySet().stream().filter(id -> !id.equals(branch.id())).toList();
+  }
+
   private boolean isUnambiguous(BranchDeclaration branch) {
     var key = new SiblingKey(branch.parent(), branch.level(), branch.name());
     BranchDeclaration other = siblings.putIfAbsent(key, branch);
--- a/settings/src/test/java/org/gentianslip/settings/SettingsParserTest.java
+++ b/settings/src/test/java/org/gentianslip/settings/SettingsParserTest.java
@@ -259,8 +259,8 @@
     }
 
     @Test
-    void findsMissingParent() {
-      SettingsDocument document = withBranches(firm(""), branch("a", "acmi", "kind", "a", ""));
+    void findsMissingParentAndNamesAnotherBranchThanItself() {
+      SettingsDocument document = withBranches(firm(""), branch("acmy", "acmi", "kind", "a", ""));
       assertThat(
           Documents.findings(document),
           contains(
