Take the limit of a document from the config service's values

Cause: the parser refused documents above 1000000 bytes, while the entry's reader and the stand-in of the config service take values of 1048576. Ruled out: the smaller limit at all places, since a value that the service holds would be refused. Change: the limit is 1048576 bytes; the test's two numbers follow it and it still checks the last size that is accepted and the first that is not. Conclusion: one limit everywhere.

--- a/settings/src/main/java/org/gentianslip/settings/DocumentReader.java
+++ b/settings/src/main/java/org/gentianslip/settings/DocumentReader.java
@@ -26,7 +26,7 @@
 final class DocumentReader {
 
   /** The greatest size of a document, in bytes. */
-  static final int MAX_BYTES = 1_000_000;
+  static final int MAX_BYTES = 1 << 20;
 
   /** The greatest number of objects and arrays around a value. */
   static final int MAX_DEPTH = 16;
