Plan and start fleets of processes, and run the demo on them

Ruled out: stand-ins inside the demo's own process, which would hide faults between processes; wide-area delay inside the entries, which would then know of the demo. Change: FleetLayout plans ports, Fleet writes each process's settings, publishes the lists as seen from each region with the relay's ports, starts, freezes, kills, replaces and drains; DemoMain sends the mix and compares the services' executions with what callers were told.

--- /dev/null
+++ b/demo/src/main/java/org/gentianslip/demo/fleet/ChildProcess.java
@@ -0,0 +1,122 @@
+package org.gentianslip.demo.fleet;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * A process that a fleet started.
+ *
+ * <p>Only this process is ever signalled, by its id. Safe for use by several threads.
+ */
+public final class ChildProcess {
+
+  private static final long SIGNAL_SECONDS = 5;
+  private static final int LOG_TAIL_CHARACTERS = 2_000;
+
+  private final String name;
+  private final Process process;
+  private final Path log;
+
+  private ChildProcess(String name, Process process, Path log) {
+    this.name = name;
+    this.process = process;
+    this.log = log;
+  }
+
+  /**
+   * Starts a process whose output goes to a file.
+   *
+   * @throws IOException if it cannot be started
+   */
+  static ChildProcess start(String name, List<String> command, Path log) throws IOException {
+    Process process =
+        new ProcessBuilder(command)
+            .redirectErrorStream(true)
+            .redirectOutput(ProcessBuilder.Redirect.appendTo(log.toFile()))
+            .start();
+    process.getOutputStream().close();
+    return new ChildProcess(name, process, log);
+  }
+
+  /** Returns the process's name in the fleet. */
+  public String name() {
+    return name;
+  }
+
+  /** Tells whether the process has not ended. */
+  public boolean isAlive() {
+    return process.isAlive();
+  }
+
+  /** Stops the process from running until {@link #resume}. */
+  public void freeze() {
+    signal("STOP");
+  }
+
+  /** Lets a frozen process run on. */
+  public void resume() {
+    signal("CONT");
+  }
+
+  /** Asks the process to end. */
+  public void terminate() {
+    process.destroy();
+  }
+
+  /** Ends the process at once and waits for its end. */
+  public void kill() {
+    process.destroyForcibly();
+    awaitEnd(SIGNAL_SECONDS);
+  }
+
+  /**
+   * Waits for the process's end.
+   *
+   * @return whether it ended in time
+   */
+  public boolean awaitEnd(long seconds) {
+    try {
+      return process.waitFor(seconds, TimeUnit.SECONDS);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      return false;
+    }
+  }
+
+  /** Returns the exit code of a process that has ended. */
+  public int exitCode() {
+    return process.exitValue();
+  }
+
+  /** Returns all of the process's output so far. */
+  public String output() {
+    try {
+      return Files.readString(log, StandardCharsets.UTF_8);
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+  }
+
+  /** Returns the end of the process's output. */
+  String outputTail() {
+    String text = output();
+    return text.substring(Math.max(0, text.length() - LOG_TAIL_CHARACTERS));
+  }
+
+  private void signal(String signal) {
+    try {
+      new ProcessBuilder("kill", "-" + signal, Long.toString(process.pid()))
+          .start()
+          .waitFor(SIGNAL_SECONDS, TimeUnit.SECONDS);
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+}
--- /dev/null
+++ b/demo/src/main/java/org/gentianslip/demo/fleet/HttpControl.java
@@ -0,0 +1,67 @@
+package org.gentianslip.demo.fleet;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
+import java.time.Duration;
+import okhttp3.Headers;
+import okhttp3.MediaType;
+import okhttp3.OkHttpClient;
+import okhttp3.Request;
+import okhttp3.RequestBody;
+import okhttp3.Response;
+import org.gentianslip.load.call.HttpClients;
+
+/** Reads from and gives orders to processes over HTTP. Safe for use by several threads. */
+final class HttpControl {
+
+  private static final MediaType JSON_TYPE = MediaType.get("application/json");
+  private static final ObjectMapper JSON = new ObjectMapper();
+  private static final Duration TIMEOUT = Duration.ofSeconds(5);
+
+  private final OkHttpClient client = HttpClients.fresh(TIMEOUT);
+
+  /** Returns the status of a GET, or -1 if there is no answer. */
+  int status(String address, String path) {
+    try (Response response = client.newCall(get(address, path, Headers.EMPTY)).execute()) {
+      return response.code();
+    } catch (IOException e) {
+      return -1;
+    }
+  }
+
+  String text(String address, String path, Headers headers) throws IOException {
+    try (Response response = client.newCall(get(address, path, headers)).execute()) {
+      return requireSuccess(response, path);
+    }
+  }
+
+  JsonNode json(String address, String path, Headers headers) throws IOException {
+    return JSON.readTree(text(address, path, headers));
+  }
+
+  String send(String method, String address, String path, Headers headers, JsonNode body)
+      throws IOException {
+    Request request =
+        new Request.Builder()
+            .url("http://" + address + path)
+            .headers(headers)
+            .method(method, RequestBody.create(JSON.writeValueAsBytes(body), JSON_TYPE))
+            .build();
+    try (Response response = client.newCall(request).execute()) {
+      return requireSuccess(response, path);
+    }
+  }
+
+  private static Request get(String address, String path, Headers headers) {
+    return new Request.Builder().url("http://" + address + path).headers(headers).build();
+  }
+
+  private static String requireSuccess(Response response, String path) throws IOException {
+    String body = response.body().string();
+    if (!response.isSuccessful()) {
+      throw new IOException(path + " answered " + response.code() + ": " + body);
+    }
+    return body;
+  }
+}
--- /dev/null
+++ b/demo/src/main/java/org/gentianslip/demo/fleet/ProcessStarter.java
@@ -0,0 +1,141 @@
+package org.gentianslip.demo.fleet;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * Writes the settings of processes and starts them.
+ *
+ * <p>Safe for use by several threads.
+ */
+final class ProcessStarter {
+
+  static final String CONFIG = "config";
+  static final String RELAY = "relay";
+
+  private static final ObjectMapper JSON = new ObjectMapper();
+  private static final String PEER_KEY = "demo-peer-key";
+  private static final List<String> STANDIN_OPTIONS =
+      List.of("-Xmx96m", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1");
+
+  private final FleetLayout layout;
+  private final Distribution distribution;
+  private final Path directory;
+
+  ProcessStarter(FleetLayout layout, Distribution distribution, Path directory) {
+    this.layout = layout;
+    this.distribution = distribution;
+    this.directory = directory;
+  }
+
+  Path settings() {
+    return distribution.example(layout.plan().name());
+  }
+
+  ChildProcess config() throws IOException {
+    return standin(CONFIG, "config", "--port", Integer.toString(layout.configPort()));
+  }
+
+  ChildProcess relay() throws IOException {
+    ObjectNode root = JSON.createObjectNode();
+    ArrayNode routes = root.putArray("routes");
+    for (PeerRoute route : layout.routes()) {
+      routes
+          .addObject()
+          .put("listen", route.listenPort())
+          .put("to", FleetLayout.LOOPBACK + ":" + route.targetPort())
+          .put("oneWayMillis", layout.plan().oneWayMillis())
+          .put("megabitsPerSecond", layout.plan().megabitsPerSecond())
+          .put("link", route.from() + "/" + route.to());
+    }
+    Path file = write("relay.json", root);
+    return standin(
+        RELAY,
+        "relay",
+        "--port",
+        Integer.toString(layout.relayPort()),
+        "--config",
+        file.toString());
+  }
+
+  ChildProcess backend(BackendNode backend) throws IOException {
+    return backend.model() ? engine(backend) : service(backend);
+  }
+
+  ChildProcess entry(EntryNode entry) throws IOException {
+    ObjectNode place = JSON.createObjectNode();
+    place
+        .put("instance", entry.id().value())
+        .put("region", entry.region().value())
+        .put("dataCentre", Publication.dataCentre(entry.region()))
+        .put("host", FleetLayout.LOOPBACK)
+        .put("callerPort", entry.callerPort())
+        .put("peerPort", entry.peerPort())
+        .put("operatorPort", entry.operatorPort())
+        .put("configService", FleetLayout.LOOPBACK + ":" + layout.configPort())
+        .put("peerKey", PEER_KEY)
+        .put("operatorKey", Fleet.OPERATOR_KEY);
+    Path file = write(entry.id() + ".json", place);
+    List<String> options = List.of("-Xmx" + layout.plan().entryHeap(), "-XX:+UseSerialGC");
+    List<String> command = distribution.command("entry", "gentian-entry", options);
+    command.add("--place");
+    command.add(file.toString());
+    return start(entry.id().value(), command);
+  }
+
+  private ChildProcess engine(BackendNode backend) throws IOException {
+    EnginePlan engine = layout.plan().engine();
+    return standin(
+        backend.id(),
+        "engine",
+        "--port",
+        Integer.toString(backend.port()),
+        "--id",
+        backend.id(),
+        "--region",
+        backend.region().value(),
+        "--models",
+        String.join(",", layout.plan().models()),
+        "--slots",
+        Integer.toString(engine.slots()),
+        "--queue",
+        Integer.toString(engine.queue()),
+        "--token-millis",
+        Double.toString(engine.tokenMillis()));
+  }
+
+  private ChildProcess service(BackendNode backend) throws IOException {
+    return standin(
+        backend.id(),
+        "service",
+        "--port",
+        Integer.toString(backend.port()),
+        "--id",
+        backend.id(),
+        "--service",
+        layout.plan().service());
+  }
+
+  private ChildProcess standin(String name, String... arguments) throws IOException {
+    List<String> command =
+        new ArrayList<>(distribution.command("standin", "gentian-standin", STANDIN_OPTIONS));
+    command.addAll(List.of(arguments));
+    return start(name, command);
+  }
+
+  private ChildProcess start(String name, List<String> command) throws IOException {
+    return ChildProcess.start(name, command, directory.resolve(name + ".log"));
+  }
+
+  private Path write(String name, ObjectNode content) throws IOException {
+    Path file = directory.resolve(name);
+    Files.write(file, JSON.writeValueAsBytes(content));
+    return file;
+  }
+}
--- a/demo/src/main/java/org/gentianslip/demo/package-info.java
+++ b/demo/src/main/java/org/gentianslip/demo/package-info.java
@@ -1,2 +1,2 @@
-/** Starts the two example fleets on loopback. */
+/** Shows a whole fleet at work and checks what it did. */
 package org.gentianslip.demo;
--- a/load/src/main/java/org/gentianslip/load/RunCommand.java
+++ b/load/src/main/java/org/gentianslip/load/RunCommand.java
@@ -161,7 +161,7 @@
                 target.entries.stream()
                     .map(address -> new EntryAddress(InstanceId.of(address), region, address))
                     .toList());
-    return new CallerGroup(region, new AskingEntryFinder(client, contacts));
+    return new CallerGroup(region, new AskingEntryFinder(client, contacts), 1);
   }
 
   private void printProgress(Recorder recorder) {
--- a/load/src/main/java/org/gentianslip/load/report/ReportWriter.java
+++ b/load/src/main/java/org/gentianslip/load/report/ReportWriter.java
@@ -28,20 +28,7 @@
   /** Returns the report as lines of at most 100 characters, faults excepted. */
   public static String text(LoadReport report) {
     List<String> lines = new ArrayList<>();
-    lines.add(
-        String.format(
-            "%-7s %-12s %7s %8s %7s %7s %6s %9s %9s %7s",
-            "rank",
-            "region",
-            "sent",
-            "answered",
-            "not run",
-            "unknown",
-            "wrong",
-            "p50 first",
-            "p99 first",
-            "away"));
-    report.rows().forEach(row -> lines.add(counts(row)));
+    lines.add(table(report));
     lines.add("");
     lines.add(
         String.format(
@@ -62,6 +49,26 @@
     return String.join("\n", lines);
   }
 
+  /** Returns the counts, times to the first token and shares sent away by rank and region. */
+  public static String table(LoadReport report) {
+    List<String> lines = new ArrayList<>();
+    lines.add(
+        String.format(
+            "%-7s %-12s %7s %8s %7s %7s %6s %9s %9s %7s",
+            "rank",
+            "region",
+            "sent",
+            "answered",
+            "not run",
+            "unknown",
+            "wrong",
+            "p50 first",
+            "p99 first",
+            "away"));
+    report.rows().forEach(row -> lines.add(counts(row)));
+    return String.join("\n", lines);
+  }
+
   /** Returns the counts of all calls in one line. */
   public static String totals(LoadReport report) {
     return report.sent()
--- a/load/src/main/java/org/gentianslip/load/run/LoadPlan.java
+++ b/load/src/main/java/org/gentianslip/load/run/LoadPlan.java
@@ -9,7 +9,7 @@
  *
  * <p>Immutable and safe for use by several threads.
  *
- * @param groups the callers, each group with the same share of the arrivals
+ * @param groups the callers, which share the arrivals by their weights
  * @param workload the mix of calls
  * @param ratePerSecond the mean number of arrivals a second over all groups
  * @param length how long calls arrive
--- a/load/src/main/java/org/gentianslip/load/run/LoadRun.java
+++ b/load/src/main/java/org/gentianslip/load/run/LoadRun.java
@@ -90,11 +90,22 @@
         due < endNanos;
         due = startNanos + arrivals.nextNanos()) {
       sleepUntil(due);
-      CallerGroup group = plan.groups().get(random.nextInt(plan.groups().size()));
-      start(pool, caller, writer.next(), group, due);
+      start(pool, caller, writer.next(), drawGroup(random), due);
     }
   }
 
+  private CallerGroup drawGroup(UniformRandomProvider random) {
+    double total = plan.groups().stream().mapToDouble(CallerGroup::weight).sum();
+    double at = random.nextDouble() * total;
+    for (CallerGroup group : plan.groups()) {
+      at -= group.weight();
+      if (at < 0) {
+        return group;
+      }
+    }
+    return plan.groups().get(plan.groups().size() - 1);
+  }
+
   private void start(
       ExecutorService pool, EntryCaller caller, CallSpec spec, CallerGroup group, long dueNanos) {
     if (!slots.tryAcquire()) {
--- a/load/src/test/java/org/gentianslip/load/run/LoadRunTest.java
+++ b/load/src/test/java/org/gentianslip/load/run/LoadRunTest.java
@@ -72,7 +72,7 @@
   private LoadReport run(int limit) throws InterruptedException {
     EntryAddress address =
         new EntryAddress(InstanceId.of("e1"), RegionId.of("graz"), "127.0.0.1:" + entry.getPort());
-    CallerGroup group = new CallerGroup(address.region(), new OneEntryFinder(address));
+    CallerGroup group = new CallerGroup(address.region(), new OneEntryFinder(address), 1);
     LoadPlan plan =
         new LoadPlan(
             List.of(group),
