--- a/burn/src/main/java/org/gentianslip/burn/package-info.java
+++ b/burn/src/main/java/org/gentianslip/burn/package-info.java
@@ -1,2 +1,2 @@
-/** The service-level burn report. */
+/** The command line of the report on service-level burn. */
 package org.gentianslip.burn;
--- a/demo/src/main/java/org/gentianslip/demo/fleet/ProcessStarter.java
+++ b/demo/src/main/java/org/gentianslip/demo/fleet/ProcessStarter.java
@@ -84,7 +84,7 @@
     Path file = write(entry.id() + ".json", place);
     List<String> options = List.of("-Xmx" + layout.plan().entryHeap(), "-XX:+UseSerialGC");
     List<String> command = distribution.command("entry", "gentian-entry", options);
-    command.add("--place");
+    command.add("--config");
     command.add(file.toString());
     return start(entry.id().value(), command);
   }
