--- a/burn/src/main/java/org/gentianslip/burn/BurnMain.java
+++ b/burn/src/main/java/org/gentianslip/burn/BurnMain.java
@@ -148,8 +148,7 @@
     }
   }
 
-  private static BurnReport report(
-      Settings settings, History history, List<String> unreachable) {
+  private static BurnReport report(Settings settings, History history, List<String> unreachable) {
     List<Objective> objectives = ObjectiveReader.read(settings);
     Map<String, List<RatePoint>> rates = new HashMap<>();
     objectives.forEach(objective -> rates.put(objective.name(), history.rates(objective)));
--- /dev/null
+++ b/burn/src/main/java/org/gentianslip/burn/objective/package-info.java
@@ -0,0 +1,2 @@
+/** Service-level objectives, as the settings give them. */
+package org.gentianslip.burn.objective;
--- /dev/null
+++ b/burn/src/main/java/org/gentianslip/burn/report/TextReport.java
@@ -0,0 +1,72 @@
+package org.gentianslip.burn.report;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import org.gentianslip.burn.window.ObjectiveBurn;
+import org.gentianslip.burn.window.WindowBurn;
+
+/**
+ * Writes a report as a table of at most 100 columns for up to three windows.
+ *
+ * <p>Stateless and safe for use by several threads.
+ */
+public final class TextReport {
+
+  private static final double PERCENT = 100;
+
+  private TextReport() {}
+
+  /** Returns the report's lines. */
+  public static String text(BurnReport report) {
+    List<String> lines = new ArrayList<>();
+    lines.add(report.summary());
+    lines.add("");
+    lines.add(header(report));
+    report.burns().forEach(burn -> lines.add(row(burn)));
+    lines.add("");
+    lines.add("settings revision " + report.revision());
+    report
+        .unreachable()
+        .forEach(instance -> lines.add("The metrics of " + instance + " cannot be read."));
+    return String.join("\n", lines);
+  }
+
+  /** Returns a window's length as in {@code 5m}. */
+  static String length(Duration window) {
+    long seconds = window.toSeconds();
+    if (seconds % 3_600 == 0) {
+      return seconds / 3_600 + "h";
+    }
+    return seconds % 60 == 0 ? seconds / 60 + "m" : seconds + "s";
+  }
+
+  private static String header(BurnReport report) {
+    StringBuilder line = new StringBuilder();
+    line.append(String.format("%-5s%-40s%9s", "state", " objective", "target"));
+    if (!report.burns().isEmpty()) {
+      for (WindowBurn window : report.burns().get(0).windows()) {
+        line.append(String.format("%9s", "x" + length(window.window())));
+      }
+    }
+    return line.append(String.format("%9s", "left")).append("  requests").toString();
+  }
+
+  private static String row(ObjectiveBurn burn) {
+    StringBuilder line = new StringBuilder();
+    line.append(
+        String.format(
+            Locale.ROOT,
+            "%-5s %-39s%8.2f%%",
+            burn.state(),
+            burn.objective().name(),
+            PERCENT * burn.objective().share()));
+    for (WindowBurn window : burn.windows()) {
+      line.append(String.format(Locale.ROOT, "%9.2f", window.rate()));
+    }
+    double total = burn.windows().get(burn.windows().size() - 1).total();
+    line.append(String.format(Locale.ROOT, "%8.1f%%", PERCENT * burn.budgetLeft()));
+    return line.append(String.format(Locale.ROOT, "%10.0f", total)).toString();
+  }
+}
--- /dev/null
+++ b/burn/src/main/java/org/gentianslip/burn/source/package-info.java
@@ -0,0 +1,2 @@
+/** Where settings and metrics are read from. */
+package org.gentianslip.burn.source;
--- /dev/null
+++ b/burn/src/main/java/org/gentianslip/burn/window/package-info.java
@@ -0,0 +1,2 @@
+/** Burn rates over windows of time. */
+package org.gentianslip.burn.window;
