Compare calls through an entry with direct ones in one run

Ruled out: two runs one after the other, which a change of the machine's load would set apart. Change: gentian-load compare sends streams both ways at once and brief calls in alternating slices.

--- a/load/src/main/java/org/gentianslip/load/LoadMain.java
+++ b/load/src/main/java/org/gentianslip/load/LoadMain.java
@@ -9,7 +9,7 @@
     mixinStandardHelpOptions = true,
     versionProvider = LoadMain.Version.class,
     description = "Sends an open-loop load through entry instances and checks every answer.",
-    subcommands = {RunCommand.class})
+    subcommands = {RunCommand.class, CompareCommand.class})
 public final class LoadMain implements Runnable {
 
   @CommandLine.Spec private CommandLine.Model.CommandSpec spec;
--- a/load/src/main/java/org/gentianslip/load/report/Latency.java
+++ b/load/src/main/java/org/gentianslip/load/report/Latency.java
@@ -19,7 +19,7 @@
   private static final double MICROS_PER_MILLI = 1_000;
 
   /** Returns the summary of a histogram of microseconds. */
-  static Latency of(AbstractHistogram micros) {
+  public static Latency of(AbstractHistogram micros) {
     return new Latency(
         micros.getTotalCount(),
         micros.getValueAtPercentile(50) / MICROS_PER_MILLI,
