Decide which settings revision is fetched, adopted and served with

Cause: an accepted revision must be in force everywhere within seconds and never revert, with the config service down, stale or restored. Ruled out: the service's own number as the order (it goes back on a restore); keeping the first seen of two contents under one revision (instances would differ for good); readiness from the service alone (a stale service reverts). Two faults of the new tests were found by their first run and mended before they landed: a state whose fetch was still under way may be the latest, and a span in which callers bring old times counts longer by their age.

--- /dev/null
+++ b/core/src/main/java/org/gentianslip/core/revision/RevisionAdoption.java
@@ -0,0 +1,121 @@
+package org.gentianslip.core.revision;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Objects;
+
+/**
+ * Decides which state of the settings is fetched and put in force.
+ *
+ * <p>Invariants: the accepted state only grows in the order of {@link ManifestRef}, and a rejected
+ * state is never fetched or adopted again while it is remembered. Immutable; an event gives a new
+ * value. Safe for use by several threads.
+ *
+ * @param accepted the state in force, or {@link ManifestRef#NONE}
+ * @param fetching the state being fetched, or {@link ManifestRef#NONE}
+ * @param fetchBegunNanos when that fetch began, in nanoseconds of the monotonic clock
+ * @param rejected the states found invalid, the latest {@value #REJECTED_KEPT} of them, sorted
+ */
+public record RevisionAdoption(
+    ManifestRef accepted, ManifestRef fetching, long fetchBegunNanos, List<ManifestRef> rejected) {
+
+  /** The rejected states that are remembered. */
+  public static final int REJECTED_KEPT = 16;
+
+  /** How long a fetch may take before another one may begin, in nanoseconds. */
+  public static final long FETCH_TIMEOUT_NANOS = 1_000_000_000L;
+
+  /** Checks the parts. */
+  public RevisionAdoption {
+    Objects.requireNonNull(accepted);
+    Objects.requireNonNull(fetching);
+    rejected = List.copyOf(rejected);
+  }
+
+  /** Returns the state machine of an instance that has just started. */
+  public static RevisionAdoption initial() {
+    return new RevisionAdoption(ManifestRef.NONE, ManifestRef.NONE, 0, List.of());
+  }
+
+  /** Returns whether the state, or a later one, is in force, or the state was found invalid. */
+  public boolean isSettled(ManifestRef ref) {
+    return !ref.isAfter(accepted) || rejected.contains(ref);
+  }
+
+  /**
+   * Takes an event.
+   *
+   * @param nowNanos the present time, in nanoseconds of the monotonic clock
+   * @param event the event
+   */
+  public RevisionStep on(long nowNanos, RevisionEvent event) {
+    boolean conflict = accepted.isAfter(ManifestRef.NONE) && event.ref().conflictsWith(accepted);
+    if (event instanceof RevisionEvent.ServiceShows shown) {
+      return offer(
+          nowNanos, shown.ref(), new RevisionDecision.FetchFromService(shown.ref()), conflict);
+    }
+    if (event instanceof RevisionEvent.PeerAnnounces told) {
+      RevisionDecision pull = new RevisionDecision.PullFromPeer(told.peer(), told.ref());
+      return offer(nowNanos, told.ref(), pull, conflict);
+    }
+    if (event instanceof RevisionEvent.Validated valid) {
+      return adopt(valid.ref(), conflict);
+    }
+    if (event instanceof RevisionEvent.Rejected invalid) {
+      return reject(invalid.ref(), conflict);
+    }
+    return ignore(withoutFetch(event.ref()), RevisionDecision.Reason.FETCH_FAILED, conflict);
+  }
+
+  private RevisionStep offer(
+      long nowNanos, ManifestRef ref, RevisionDecision fetch, boolean conflict) {
+    if (ref.equals(accepted)) {
+      return ignore(this, RevisionDecision.Reason.IN_FORCE, conflict);
+    }
+    if (!ref.isAfter(accepted)) {
+      return ignore(this, RevisionDecision.Reason.OLDER, conflict);
+    }
+    if (rejected.contains(ref)) {
+      return ignore(this, RevisionDecision.Reason.REJECTED, conflict);
+    }
+    if (!ref.isAfter(fetching) && nowNanos - fetchBegunNanos < FETCH_TIMEOUT_NANOS) {
+      return ignore(this, RevisionDecision.Reason.BEING_FETCHED, conflict);
+    }
+    RevisionAdoption next = new RevisionAdoption(accepted, ref, nowNanos, rejected);
+    return new RevisionStep(next, fetch, conflict);
+  }
+
+  private RevisionStep adopt(ManifestRef ref, boolean conflict) {
+    RevisionAdoption idle = withoutFetch(ref);
+    if (!ref.isAfter(accepted)) {
+      return ignore(idle, RevisionDecision.Reason.OLDER, conflict);
+    }
+    RevisionAdoption next =
+        new RevisionAdoption(ref, idle.fetching, idle.fetchBegunNanos, rejected);
+    return new RevisionStep(next, new RevisionDecision.Adopt(ref), conflict);
+  }
+
+  private RevisionStep reject(ManifestRef ref, boolean conflict) {
+    RevisionAdoption idle = withoutFetch(ref);
+    List<ManifestRef> all = new ArrayList<>(rejected);
+    if (!all.contains(ref)) {
+      all.add(ref);
+    }
+    all.sort(null);
+    List<ManifestRef> kept = all.subList(Math.max(0, all.size() - REJECTED_KEPT), all.size());
+    RevisionAdoption next =
+        new RevisionAdoption(accepted, idle.fetching, idle.fetchBegunNanos, kept);
+    return ignore(next, RevisionDecision.Reason.REJECTED, conflict);
+  }
+
+  private RevisionAdoption withoutFetch(ManifestRef ref) {
+    return ref.equals(fetching)
+        ? new RevisionAdoption(accepted, ManifestRef.NONE, fetchBegunNanos, rejected)
+        : this;
+  }
+
+  private static RevisionStep ignore(
+      RevisionAdoption next, RevisionDecision.Reason reason, boolean conflict) {
+    return new RevisionStep(next, new RevisionDecision.Ignore(reason), conflict);
+  }
+}
--- /dev/null
+++ b/core/src/test/java/org/gentianslip/core/revision/ReadLoadTest.java
@@ -0,0 +1,84 @@
+package org.gentianslip.core.revision;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+import java.util.Random;
+import java.util.stream.IntStream;
+import net.jqwik.api.ForAll;
+import org.gentianslip.core.id.InstanceId;
+import org.gentianslip.core.testing.SeededProperty;
+import org.gentianslip.core.testing.Seeds;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+class ReadLoadTest {
+
+  private static final long SECOND = 1_000_000_000L;
+
+  private static List<InstanceId> region(int size) {
+    return IntStream.range(0, size).mapToObj(i -> InstanceId.of("r" + i)).toList();
+  }
+
+  private static long watchers(WatcherSelection selection, Collection<InstanceId> live, int fleet) {
+    return live.stream().filter(i -> selection.watches(i, live, fleet)).count();
+  }
+
+  @Nested
+  class OfWatchers {
+
+    private final WatcherSelection selection = new WatcherSelection(64, 3);
+
+    @Test
+    void isAllInSmallFleet() {
+      assertThat(watchers(selection, region(8), 24), is(8L));
+    }
+
+    @Test
+    void isFewOfEachRegionInLargeFleet() {
+      assertThat(watchers(selection, region(73), 1100), is(3L));
+    }
+
+    @Test
+    void keepsTheOthersWhenOneWatcherIsGone() {
+      List<InstanceId> live = new ArrayList<>(region(73));
+      List<InstanceId> before =
+          live.stream().filter(i -> selection.watches(i, live, 1100)).toList();
+      live.remove(before.get(0));
+      assertThat(selection.watches(before.get(1), live, 1100), is(true));
+      assertThat(watchers(selection, live, 1100), is(3L));
+    }
+
+    @Test
+    void includesWhoeverBelievesToBeAlone() {
+      assertThat(selection.watches(InstanceId.of("r1"), List.of(), 1100), is(true));
+    }
+  }
+
+  @SeededProperty
+  void budgetIsKeptInAnySpanLongerByTheAgeOfTheTimes(@ForAll(supplier = Seeds.class) long seed) {
+    Random random = new Random(seed);
+    int greatestAge = random.nextInt(5);
+    int burst = 1 + random.nextInt(5);
+    long now = random.nextLong() / 4;
+    ReadBudget budget = ReadBudget.of(2, burst, now);
+    List<Long> taken = new ArrayList<>();
+    for (int i = 0; i < 200; i++) {
+      now += (long) (random.nextDouble() * SECOND / 2);
+      long believed = now - random.nextInt(greatestAge + 1) * SECOND;
+      if (budget.tryTake(believed)) {
+        taken.add(now);
+      }
+    }
+    for (int i = 0; i < taken.size(); i++) {
+      for (int j = i; j < taken.size(); j++) {
+        long span = taken.get(j) - taken.get(i) + greatestAge * SECOND;
+        assertThat((double) (j - i + 1), lessThanOrEqualTo(burst + 2.0 * span / SECOND + 1e-6));
+      }
+    }
+  }
+}
--- a/core/src/test/java/org/gentianslip/core/ticket/CallWorld.java
+++ b/core/src/test/java/org/gentianslip/core/ticket/CallWorld.java
@@ -36,7 +36,7 @@
   final Set<String> toldNotRun = new HashSet<>();
 
   private final Random random;
-  private final List<Process> current = new ArrayList<>();
+  private final List<Life> current = new ArrayList<>();
   private final List<Copy> inFlight = new ArrayList<>();
   private final List<Attempt> attempts = new ArrayList<>();
   private final Set<Attempt> ended = new HashSet<>();
@@ -46,9 +46,9 @@
 
   record Copy(int call, String ticket, int to, boolean passed) {}
 
-  private record Process(int place, long clockOffset, TicketMint mint, TicketLedger ledger) {}
+  private record Life(int place, long clockOffset, TicketMint mint, TicketLedger ledger) {}
 
-  private record Attempt(Process at, Copy copy, Ticket ticket, AttemptJournal journal) {}
+  private record Attempt(Life at, Copy copy, Ticket ticket, AttemptJournal journal) {}
 
   CallWorld(long seed, int instances) {
     random = new Random(seed);
@@ -69,23 +69,22 @@
     }
   }
 
-  private Process start(int place) {
+  private Life start(int place) {
     byte[] key = new byte[32];
     random.nextBytes(key);
     long offset = random.nextInt(1000) * SECOND;
     TicketMint mint =
         new TicketMint(InstanceId.of("i" + place), Incarnation.of(random.nextLong()), key);
-    return new Process(
-        place, offset, mint, new TicketLedger(mint, 4, 2 * SECOND, nowNanos + offset));
+    return new Life(place, offset, mint, new TicketLedger(mint, 4, 2 * SECOND, nowNanos + offset));
   }
 
   private String mintSomewhere() {
-    Process p = pick(current);
+    Life p = pick(current);
     return p.mint().mint(nowNanos + p.clockOffset(), SECOND, BINDING).toString();
   }
 
   /** Returns the time that a process believes; it may have read it before a pause. */
-  private long nowOf(Process p) {
+  private long nowOf(Life p) {
     long late = random.nextInt(3) == 0 ? random.nextInt(6) * SECOND : 0;
     return nowNanos + p.clockOffset() - late;
   }
@@ -105,7 +104,7 @@
     if (random.nextInt(4) != 0) {
       inFlight.remove(copy);
     }
-    Process p = current.get(copy.to());
+    Life p = current.get(copy.to());
     Ticket ticket = Ticket.parse(copy.ticket()).orElseThrow();
     Redemption answer =
         random.nextInt(10) == 0
@@ -196,7 +195,7 @@
   }
 
   private void disturb() {
-    Process p = pick(current);
+    Life p = pick(current);
     if (random.nextInt(10) == 0) {
       current.set(p.place(), start(p.place()));
     } else {
