--- /dev/null
+++ b/core/src/main/java/org/gentianslip/core/membership/Member.java
@@ -0,0 +1,77 @@
+package org.gentianslip.core.membership;
+
+import java.util.Objects;
+import java.util.Optional;
+import org.gentianslip.core.id.Incarnation;
+
+/**
+ * Holds what is believed of one instance. Immutable and safe for use by several threads.
+ *
+ * @param info the instance
+ * @param listing what the last published list says of it
+ * @param life its present life, if it was ever heard of
+ * @param evidenceNanos when it last gave a sign of life, to anyone, or was first listed, in
+ *     nanoseconds of the monotonic clock
+ * @param reachable whether the last exchange that the holder began with it succeeded, or none was
+ *     tried
+ */
+public record Member(
+    InstanceInfo info,
+    Listing listing,
+    Optional<Life> life,
+    long evidenceNanos,
+    boolean reachable) {
+
+  /** Checks the parts. */
+  public Member {
+    Objects.requireNonNull(info);
+    Objects.requireNonNull(listing);
+    Objects.requireNonNull(life);
+  }
+
+  static Member unheard(long nowNanos, InstanceInfo info, Listing listing) {
+    return new Member(info, listing, Optional.empty(), nowNanos, true);
+  }
+
+  /** Returns whether the present life is known to be the given one. */
+  public boolean isIn(Incarnation incarnation) {
+    return life.isPresent() && life.get().incarnation().equals(incarnation);
+  }
+
+  /** Returns whether the instance shuts down, by its own word or by the list's. */
+  public boolean isLeaving() {
+    return life.map(Life::leaving).orElse(false) || listing == Listing.LEAVING;
+  }
+
+  /** Returns whether someone got no answer from the present life and no later sign is known. */
+  public boolean isDoubted() {
+    return life.map(Life::isDoubted).orElse(!reachable);
+  }
+
+  Member withListing(InstanceInfo newInfo, Listing newListing) {
+    return new Member(newInfo, newListing, life, evidenceNanos, reachable);
+  }
+
+  Member withHeartbeat(long nowNanos, Heartbeat h, boolean answered) {
+    boolean reached = reachable || answered;
+    if (!isIn(h.incarnation())) {
+      Listing kept = listing == Listing.LEAVING ? Listing.LIVE : listing;
+      return new Member(h.info(), kept, Optional.of(Life.of(h)), nowNanos, reached);
+    }
+    long evidence = h.beat() > life.get().beat() ? nowNanos : evidenceNanos;
+    return new Member(h.info(), listing, Optional.of(life.get().with(h)), evidence, reached);
+  }
+
+  Member withHint(long nowNanos, Hint hint) {
+    if (!isIn(hint.incarnation())) {
+      return this;
+    }
+    boolean heard = hint.kind() != Hint.Kind.SILENT && hint.beat() > life.get().beat();
+    long evidence = heard ? nowNanos : evidenceNanos;
+    return new Member(info, listing, Optional.of(life.get().with(hint)), evidence, reachable);
+  }
+
+  Member withoutAnswer() {
+    return new Member(info, listing, life.map(Life::doubted), evidenceNanos, false);
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/gentianslip/core/membership/RegionBackoff.java
@@ -0,0 +1,99 @@
+package org.gentianslip.core.membership;
+
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import org.gentianslip.core.id.RegionId;
+
+/**
+ * Decides which share of requests may be sent to another region after it failed or refused.
+ *
+ * <p>After each failure in a row the region gets nothing for a longer time, drawn from the seed so
+ * that instances do not return together. Then the admitted share grows in steps from one sixteenth
+ * to all; a failure on the way starts the wait again. The request's hash decides which requests
+ * belong to the share. Lock-free reads, safe for use by several threads.
+ */
+public final class RegionBackoff {
+
+  /** The shortest wait after a failure, before jitter, in nanoseconds. */
+  public static final long MIN_WAIT_NANOS = 250_000_000L;
+
+  /** The longest wait after a failure, before jitter, in nanoseconds. */
+  public static final long MAX_WAIT_NANOS = 16_000_000_000L;
+
+  /** How long each step of the growing share lasts, in nanoseconds. */
+  public static final long STEP_NANOS = 1_000_000_000L;
+
+  /** The doublings from the least share to all. */
+  public static final int DOUBLINGS = 4;
+
+  private static final int MAX_EXPONENT = 6;
+
+  private final long seed;
+  private final Map<RegionId, State> states = new ConcurrentHashMap<>();
+
+  private record State(int failures, long openNanos) {}
+
+  /**
+   * Makes the back-off of an instance, open for all regions.
+   *
+   * @param seed a number that differs between instances
+   */
+  public RegionBackoff(long seed) {
+    this.seed = seed;
+  }
+
+  /**
+   * Takes that a region refused a request or did not answer.
+   *
+   * <p>Failures while the region gets nothing anyway change nothing, so requests that were on the
+   * way count once.
+   *
+   * @param nowNanos the present time, in nanoseconds of the monotonic clock
+   * @param region the region
+   */
+  public void failed(long nowNanos, RegionId region) {
+    states.compute(region, (r, s) -> next(nowNanos, r, s));
+  }
+
+  /**
+   * Takes that a region answered; once its whole share is open, failures are forgotten.
+   *
+   * @param nowNanos the present time, in nanoseconds of the monotonic clock
+   * @param region the region
+   */
+  public void succeeded(long nowNanos, RegionId region) {
+    states.computeIfPresent(region, (r, s) -> shareOf(nowNanos, s) >= 1 ? null : s);
+  }
+
+  /**
+   * Returns whether a request may be sent to a region.
+   *
+   * @param nowNanos the present time, in nanoseconds of the monotonic clock
+   * @param region the region
+   * @param requestHash an evenly spread hash of the request
+   */
+  public boolean admits(long nowNanos, RegionId region, long requestHash) {
+    State s = states.get(region);
+    return s == null || RendezvousHash.fraction(requestHash) < shareOf(nowNanos, s);
+  }
+
+  private State next(long nowNanos, RegionId region, State s) {
+    if (s != null && nowNanos - s.openNanos() < 0) {
+      return s;
+    }
+    int failures = s == null ? 1 : s.failures() + 1;
+    long wait = Math.min(MAX_WAIT_NANOS, MIN_WAIT_NANOS << Math.min(MAX_EXPONENT, failures - 1));
+    double jitter =
+        RendezvousHash.fraction(RendezvousHash.hash(seed + "/" + failures, region.value()));
+    return new State(failures, nowNanos + wait / 2 + (long) (wait * jitter));
+  }
+
+  private static double shareOf(long nowNanos, State s) {
+    long open = nowNanos - s.openNanos();
+    if (open < 0) {
+      return 0;
+    }
+    long doublings = Math.min(DOUBLINGS, open / STEP_NANOS);
+    return 1.0 / (1 << (DOUBLINGS - doublings));
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/gentianslip/core/membership/package-info.java
@@ -0,0 +1,2 @@
+/** Beliefs about instances, regions and leaving backend servers, and what callers are told. */
+package org.gentianslip.core.membership;
--- a/core/src/main/java/org/gentianslip/core/revision/WatcherSelection.java
+++ b/core/src/main/java/org/gentianslip/core/revision/WatcherSelection.java
@@ -1,9 +1,8 @@
 package org.gentianslip.core.revision;
 
-import com.dynatrace.hash4j.hashing.Hasher64;
-import com.dynatrace.hash4j.hashing.Hashing;
 import java.util.Collection;
 import org.gentianslip.core.id.InstanceId;
+import org.gentianslip.core.membership.RendezvousHash;
 
 /**
  * Decides which instances watch the config service themselves.
@@ -14,7 +13,7 @@
  */
 public final class WatcherSelection {
 
-  private static final Hasher64 HASHER = Hashing.komihash5_0();
+  private static final String KEY = "watch-settings";
 
   private final int allUpTo;
   private final int perRegion;
@@ -57,6 +56,6 @@
   }
 
   private static long weightOf(InstanceId id) {
-    return HASHER.hashCharsToLong(id.value());
+    return RendezvousHash.hash(KEY, id.value());
   }
 }
