Show rejected revisions once for all instances that agree

Cause: a trial of three entries showed the same findings three times, and a rejected revision would stay shown after a later one came in force. Ruled out: findings of the first instance only, since instances may differ. Change: instances with equal findings share the lines; revisions at or below the one in force are left out.

--- a/ctl/src/main/java/org/gentianslip/ctl/StatusTables.java
+++ b/ctl/src/main/java/org/gentianslip/ctl/StatusTables.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import java.util.ArrayList;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -21,7 +22,7 @@
   static List<String> of(List<JsonNode> answers) {
     var lines = new ArrayList<String>();
     addTable("Instances", instances(answers), lines);
-    addTable("Listed instances that were not asked", others(answers), lines);
+    addTable("Other listed instances", others(answers), lines);
     addTable("Engines", engines(answers), lines);
     addRejections(answers, lines);
     return lines;
@@ -136,20 +137,28 @@
     return table;
   }
 
+  /** Tells which later revisions were rejected; instances with equal findings share the lines. */
   private static void addRejections(List<JsonNode> answers, List<String> lines) {
+    var rejections = new LinkedHashMap<JsonNode, List<String>>();
     for (JsonNode answer : answers) {
       JsonNode rejected = answer.path("rejectedRevision");
-      if (rejected.isMissingNode()) {
-        continue;
+      if (rejected.path("revision").asLong() > answer.path("settingsRevision").asLong()) {
+        rejections
+            .computeIfAbsent(rejected, r -> new ArrayList<>())
+            .add(answer.path("instance").asText());
       }
-      lines.add("");
-      lines.add(
-          "Revision "
-              + rejected.path("revision").asText()
-              + " was rejected by "
-              + answer.path("instance").asText()
-              + ":");
-      rejected.path("findings").forEach(f -> lines.add("  " + f.asText()));
     }
+    rejections.forEach((rejected, instances) -> addRejection(rejected, instances, lines));
+  }
+
+  private static void addRejection(JsonNode rejected, List<String> instances, List<String> lines) {
+    lines.add("");
+    lines.add(
+        "Revision "
+            + rejected.path("revision").asText()
+            + " was rejected by "
+            + String.join(", ", instances)
+            + ":");
+    rejected.path("findings").forEach(f -> lines.add("  " + f.asText()));
   }
 }
--- a/ctl/src/test/java/org/gentianslip/ctl/OperatorCommandTest.java
+++ b/ctl/src/test/java/org/gentianslip/ctl/OperatorCommandTest.java
@@ -7,6 +7,7 @@
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.lessThanOrEqualTo;
 import static org.hamcrest.Matchers.matchesPattern;
+import static org.hamcrest.Matchers.not;
 
 import com.fasterxml.jackson.databind.ObjectMapper;
 import java.io.IOException;
@@ -122,6 +123,21 @@
           allOf(containsString("Revision 9 was rejected"), containsString("part:/models")));
     }
 
+    @Test
+    void showsEqualFindingsOfSeveralInstancesOnce() {
+      answer(200, NORTH);
+      answer(200, NORTH.replace("\"instance\": \"pk-north-1\"", "\"instance\": \"pk-north-2\""));
+      CommandRun run = CommandRun.of("status", "--operator", address(), "--operator", address());
+      assertThat(run.out(), containsString("Revision 9 was rejected by pk-north-1, pk-north-2:"));
+    }
+
+    @Test
+    void hidesRejectedRevisionsBeforeTheOneInForce() {
+      answer(200, NORTH.replace("\"settingsRevision\": 7", "\"settingsRevision\": 10"));
+      CommandRun run = CommandRun.of("status", "--operator", address());
+      assertThat(run.out(), not(containsString("rejected")));
+    }
+
     @Test
     void fitsOneHundredColumns() {
       answer(200, NORTH);
