--- a/entry/src/main/java/org/gentianslip/entry/caller/AdmissionCheck.java
+++ b/entry/src/main/java/org/gentianslip/entry/caller/AdmissionCheck.java
@@ -38,7 +38,7 @@
    */
   public Admission checkCaller(long nowNanos, String authorization, String kindText) {
     Settings settings = state.settings();
-    if (settings == null || state.list().version() == 0) {
+    if (!state.informed()) {
       return refuse(ErrorCode.NOT_READY, "This instance has no settings yet.");
     }
     Optional<Customer> customer = customer(settings, authorization);
@@ -57,7 +57,7 @@
   /** Checks a request that another instance sent for a customer. */
   public Admission checkForwarded(String customerText, String kindText) {
     Settings settings = state.settings();
-    if (settings == null) {
+    if (!state.informed()) {
       return refuse(ErrorCode.NOT_READY, "This instance has no settings yet.");
     }
     Optional<Customer> customer = known(settings, customerText);
--- a/entry/src/main/java/org/gentianslip/entry/caller/EntryDirectory.java
+++ b/entry/src/main/java/org/gentianslip/entry/caller/EntryDirectory.java
@@ -4,16 +4,22 @@
 import java.util.Comparator;
 import java.util.List;
 import org.gentianslip.core.id.RegionId;
+import org.gentianslip.core.membership.EntryCandidate;
+import org.gentianslip.core.membership.EntryList;
+import org.gentianslip.core.membership.InstanceInfo;
+import org.gentianslip.core.membership.InstanceState;
+import org.gentianslip.core.membership.Life;
+import org.gentianslip.core.membership.Member;
+import org.gentianslip.core.membership.MembershipTable;
 import org.gentianslip.entry.http.EntryAddress;
-import org.gentianslip.entry.platform.EntryRecord;
 import org.gentianslip.entry.state.FleetState;
-import org.gentianslip.entry.state.PeerState;
+import org.gentianslip.entry.state.RegionReport;
 
 /**
  * Tells callers which instances to use.
  *
- * <p>It names instances of allowed regions only and leaves out those that are leaving or, in the
- * own region, silent. Safe for use by several threads.
+ * <p>It names live instances of allowed regions only, those of the own region first. Safe for use
+ * by several threads.
  */
 public final class EntryDirectory {
 
@@ -26,38 +32,34 @@
 
   /** Returns the instances for a request, best first. */
   public List<EntryAddress> entriesFor(long nowNanos, RequestSettings settings) {
-    var usable = new ArrayList<EntryRecord>();
-    for (EntryRecord entry : state.list().entries()) {
-      if (settings.allowedRegions().contains(RegionId.of(entry.region()))
-          && usable(nowNanos, entry)) {
-        usable.add(entry);
-      }
-    }
-    String customer = settings.customer().value();
-    usable.sort(
-        Comparator.comparing((EntryRecord e) -> !isOwnRegion(e))
-            .thenComparing(
-                e -> RendezvousHash.weight(customer, e.id()), Comparator.reverseOrder()));
-    return usable.stream()
-        .map(e -> new EntryAddress(e.id(), e.region(), e.callerAddress()))
+    EntryList list =
+        EntryList.choose(
+            settings.customer(), settings.allowedRegions(), regionOrder(), candidates(nowNanos));
+    return list.entries().stream()
+        .map(i -> new EntryAddress(i.id().value(), i.region().value(), i.callerAddress()))
         .toList();
   }
 
-  private boolean isOwnRegion(EntryRecord entry) {
-    return entry.region().equals(state.place().region().value());
+  private List<RegionId> regionOrder() {
+    List<RegionId> order = new ArrayList<>();
+    order.add(state.place().region());
+    state.regions().all().stream()
+        .sorted(Comparator.comparingLong(RegionReport::roundTripNanos))
+        .map(RegionReport::region)
+        .forEach(order::add);
+    return order;
   }
 
-  private boolean usable(long nowNanos, EntryRecord entry) {
-    if (entry.id().equals(state.place().instance().value())) {
-      return !state.leaving();
-    }
-    if (!entry.live()) {
-      return false;
-    }
-    var peer = state.peers().fresh(nowNanos, entry.id());
-    if (peer.isPresent()) {
-      return !peer.map(PeerState::leaving).orElse(false);
+  private List<EntryCandidate> candidates(long nowNanos) {
+    MembershipTable table = state.membership().table();
+    List<EntryCandidate> candidates = new ArrayList<>();
+    for (Member m : table.members()) {
+      double busy = m.life().map(Life::busyShare).orElse(0.0);
+      candidates.add(new EntryCandidate(m.info(), table.stateOf(nowNanos, m.info().id()), busy));
     }
-    return !isOwnRegion(entry);
+    InstanceInfo self = state.membership().self();
+    var own = state.leaving() ? InstanceState.LEAVING : InstanceState.LIVE;
+    candidates.add(new EntryCandidate(self, own, state.busyShare(nowNanos)));
+    return candidates;
   }
 }
--- a/entry/src/main/java/org/gentianslip/entry/model/ModelDispatcher.java
+++ b/entry/src/main/java/org/gentianslip/entry/model/ModelDispatcher.java
@@ -6,7 +6,6 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.ConcurrentLinkedQueue;
-import java.util.concurrent.ThreadLocalRandom;
 import org.gentianslip.core.id.Rank;
 import org.gentianslip.core.id.RegionId;
 import org.gentianslip.core.outcome.NotRunReason;
@@ -119,7 +118,7 @@
 
   private boolean startAtEngine(long nowNanos, ModelExchange exchange, RouteDecision.ToEngine to) {
     EngineState engine = state.engines().get(to.engine());
-    if (engine == null || !engine.begin(engine.view(nowNanos).slots())) {
+    if (engine == null || !engine.begin(state.engines().view(nowNanos, engine).slots())) {
       return false;
     }
     report.step(nowNanos, exchange, "to-engine", to.engine().value(), to.reason().name());
@@ -178,7 +177,7 @@
   private void noteRefusal(long nowNanos, ModelExchange exchange, EngineState engine, String code) {
     report.step(nowNanos, exchange, "engine-refused", engine.id().value(), code);
     if (code.equals("leaving")) {
-      engine.markLeaving();
+      state.engines().markLeaving(engine.id(), nowNanos);
     } else {
       engine.suspect(nowNanos);
     }
@@ -198,7 +197,7 @@
             to.region(),
             result -> regionAnswered(exchange, to.region(), result));
     if (call.isEmpty()) {
-      state.backoff().refused(nowNanos, to.region(), jitter());
+      state.backoff().failed(nowNanos, to.region());
       return false;
     }
     exchange.regionsTried().add(to.region());
@@ -208,13 +207,13 @@
 
   private void regionAnswered(ModelExchange exchange, RegionId region, UpstreamResult result) {
     if (result instanceof UpstreamResult.Answer answer) {
-      state.backoff().accepted(region);
+      state.backoff().succeeded(System.nanoTime(), region);
       AnswerCopy.copy(exchange, answer, region, report)
           .ifPresent(outcome -> again(System.nanoTime(), exchange, outcome));
       return;
     }
     long now = System.nanoTime();
-    state.backoff().refused(now, region, jitter());
+    state.backoff().failed(now, region);
     if (result instanceof UpstreamResult.Refused refused) {
       report.step(now, exchange, "region-refused", region.value(), refused.code());
       again(now, exchange, new Outcome.NotRun(NotRunReason.REFUSED_BEFORE_START));
@@ -224,10 +223,6 @@
     }
   }
 
-  private static double jitter() {
-    return ThreadLocalRandom.current().nextDouble();
-  }
-
   /** Tries a model request again; it may run twice, since only one answer reaches the caller. */
   private void again(long nowNanos, ModelExchange exchange, Outcome outcome) {
     if (!(outcome instanceof Outcome.NotRun)) {
--- a/entry/src/main/java/org/gentianslip/entry/model/ModelExchange.java
+++ b/entry/src/main/java/org/gentianslip/entry/model/ModelExchange.java
@@ -5,6 +5,7 @@
 import java.util.TreeSet;
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.gentianslip.core.id.RegionId;
+import org.gentianslip.core.membership.RendezvousHash;
 import org.gentianslip.core.routing.RouteRequest;
 import org.gentianslip.entry.caller.RequestSettings;
 import org.gentianslip.entry.http.ResponseSink;
@@ -50,6 +51,11 @@
     return route;
   }
 
+  /** Returns an evenly spread hash of the request. */
+  long requestHash() {
+    return RendezvousHash.hash(route.id().value(), "request");
+  }
+
   RequestSettings settings() {
     return settings;
   }
--- a/entry/src/main/java/org/gentianslip/entry/model/PeerForwarding.java
+++ b/entry/src/main/java/org/gentianslip/entry/model/PeerForwarding.java
@@ -1,12 +1,13 @@
 package org.gentianslip.entry.model;
 
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.Consumer;
 import okhttp3.Call;
 import org.gentianslip.core.id.RegionId;
-import org.gentianslip.entry.caller.RendezvousHash;
+import org.gentianslip.core.membership.RendezvousHash;
 import org.gentianslip.entry.http.HeaderNames;
 import org.gentianslip.entry.platform.EntryRecord;
 import org.gentianslip.entry.relay.UpstreamClient;
@@ -32,7 +33,8 @@
   @Override
   public Optional<Call> forward(
       long nowNanos, ModelExchange exchange, RegionId region, Consumer<UpstreamResult> receiver) {
-    if (!exchange.route().allowedRegions().contains(region)) {
+    boolean allowed = exchange.route().allowedRegions().contains(region);
+    if (!allowed || !state.backoff().admits(nowNanos, region, exchange.requestHash())) {
       return Optional.empty();
     }
     Optional<EntryRecord> target = target(nowNanos, exchange, region);
@@ -64,17 +66,7 @@
 
   private Optional<EntryRecord> target(long nowNanos, ModelExchange exchange, RegionId region) {
     String key = Long.toHexString(exchange.route().prefixDigest());
-    EntryRecord best = null;
-    long bestWeight = 0;
-    for (EntryRecord entry : state.entriesOf(region.value())) {
-      boolean leaving =
-          state.peers().fresh(nowNanos, entry.id()).map(p -> p.leaving()).orElse(false);
-      long weight = RendezvousHash.weight(key, entry.id());
-      if (!leaving && (best == null || weight > bestWeight)) {
-        best = entry;
-        bestWeight = weight;
-      }
-    }
-    return Optional.ofNullable(best);
+    return state.entriesOf(nowNanos, region).stream()
+        .max(Comparator.comparingLong(e -> RendezvousHash.hash(key, e.id())));
   }
 }
--- a/entry/src/main/java/org/gentianslip/entry/operator/StatusPage.java
+++ b/entry/src/main/java/org/gentianslip/entry/operator/StatusPage.java
@@ -2,15 +2,19 @@
 
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
-import java.util.concurrent.TimeUnit;
+import java.util.Locale;
 import java.util.function.IntSupplier;
+import org.gentianslip.core.id.InstanceId;
+import org.gentianslip.core.membership.Life;
+import org.gentianslip.core.membership.Member;
+import org.gentianslip.core.membership.MembershipTable;
 import org.gentianslip.core.routing.EngineView;
 import org.gentianslip.entry.http.Json;
 import org.gentianslip.entry.platform.EntryRecord;
 import org.gentianslip.entry.platform.SettingsIntake;
 import org.gentianslip.entry.process.InFlight;
+import org.gentianslip.entry.state.EngineState;
 import org.gentianslip.entry.state.FleetState;
-import org.gentianslip.entry.state.PeerState;
 import org.gentianslip.settings.Finding;
 
 /** Shows what an instance knows. Safe for use by several threads. */
@@ -61,25 +65,29 @@
   }
 
   private void addInstances(long nowNanos, ArrayNode instances) {
+    MembershipTable table = state.membership().table();
     for (EntryRecord entry : state.list().entries()) {
+      var id = InstanceId.of(entry.id());
       var node = instances.addObject();
       node.put("id", entry.id()).put("region", entry.region()).put("listed", entry.state());
-      var peer = state.peers().fresh(nowNanos, entry.id());
-      node.put("heard", peer.isPresent());
-      peer.ifPresent(p -> addPeer(nowNanos, node, p));
+      if (id.equals(state.place().instance())) {
+        node.put("state", state.leaving() ? "leaving" : "live");
+        continue;
+      }
+      node.put("state", table.stateOf(nowNanos, id).name().toLowerCase(Locale.ROOT));
+      table.member(id).flatMap(Member::life).ifPresent(life -> addLife(node, life));
     }
   }
 
-  private static void addPeer(long nowNanos, ObjectNode node, PeerState peer) {
-    node.put("incarnation", peer.incarnation());
-    node.put("leaving", peer.leaving());
-    node.put("settingsRevision", peer.settingsRevision());
-    node.put("freeSlots", peer.freeSlots());
-    node.put("ageMillis", TimeUnit.NANOSECONDS.toMillis(nowNanos - peer.heardNanos()));
+  private static void addLife(ObjectNode node, Life life) {
+    node.put("incarnation", life.incarnation().toString());
+    node.put("leaving", life.leaving());
+    node.put("busyShare", life.busyShare());
   }
 
   private void addEngines(long nowNanos, ArrayNode engines) {
-    for (EngineView engine : state.engines().views(nowNanos)) {
+    for (EngineState known : state.engines().all()) {
+      EngineView engine = state.engines().view(nowNanos, known);
       var node = engines.addObject();
       node.put("id", engine.id().value());
       node.put("slots", engine.slots());
@@ -87,7 +95,7 @@
       node.put("running", engine.reportedRunning());
       node.put("waiting", engine.reportedWaiting());
       node.put("usable", engine.usable());
-      node.put("leaving", state.engines().leaving().contains(engine.id()));
+      node.put("leaving", state.engines().leaving(nowNanos, known));
     }
   }
 }
--- a/entry/src/main/java/org/gentianslip/entry/peer/HelloExchange.java
+++ b/entry/src/main/java/org/gentianslip/entry/peer/HelloExchange.java
@@ -1,9 +1,15 @@
 package org.gentianslip.entry.peer;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
+import com.google.common.flogger.FluentLogger;
 import java.io.IOException;
 import java.time.Duration;
+import java.util.Collection;
+import java.util.List;
 import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
 import okhttp3.Call;
 import okhttp3.Callback;
 import okhttp3.MediaType;
@@ -11,60 +17,82 @@
 import okhttp3.Request;
 import okhttp3.RequestBody;
 import okhttp3.Response;
-import org.gentianslip.core.id.EngineId;
+import org.gentianslip.core.id.InstanceId;
+import org.gentianslip.core.membership.ContactPlan;
+import org.gentianslip.core.membership.InstanceInfo;
+import org.gentianslip.core.membership.Member;
 import org.gentianslip.entry.http.HeaderNames;
 import org.gentianslip.entry.http.Json;
 import org.gentianslip.entry.metrics.EntryMetrics;
-import org.gentianslip.entry.platform.EntryRecord;
-import org.gentianslip.entry.state.EngineState;
+import org.gentianslip.entry.platform.SettingsIntake;
 import org.gentianslip.entry.state.FleetState;
-import org.gentianslip.entry.state.PeerState;
 
 /**
  * Exchanges hellos with other instances.
  *
- * <p>Everything heard is a hint. Safe for use by several threads.
+ * <p>An exchange that gets no answer closes its connection, so that the next one uses a new one.
+ * Safe for use by several threads.
  */
-public final class HelloExchange {
+public final class HelloExchange implements PeerCensus {
 
+  private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
   private static final MediaType JSON = MediaType.get("application/json");
   private static final Duration TIMEOUT = Duration.ofSeconds(1);
   private static final long MAX_HELLO_BYTES = 64 * 1024;
+  private static final int ALL_UP_TO = 16;
+  private static final int PER_TICK = 4;
+  private static final int PER_REGION_PAIR = 2;
 
   private final FleetState state;
   private final OkHttpClient client;
   private final EntryMetrics metrics;
+  private final HelloWriter writer;
+  private final HelloReader reader;
+  private final ContactPlan plan;
+  private final AtomicLong tick = new AtomicLong();
+  private final Set<InstanceId> answered = ConcurrentHashMap.newKeySet();
+  private final Set<InstanceId> failed = ConcurrentHashMap.newKeySet();
 
   /** Creates the exchange. */
-  public HelloExchange(FleetState state, OkHttpClient client, EntryMetrics metrics) {
+  public HelloExchange(
+      FleetState state, SettingsIntake intake, OkHttpClient client, EntryMetrics metrics) {
     this.state = state;
     this.client = client.newBuilder().callTimeout(TIMEOUT).build();
     this.metrics = metrics;
+    this.writer = new HelloWriter(state, intake);
+    this.reader = new HelloReader(state, intake, this::announce);
+    this.plan =
+        new ContactPlan(
+            state.place().instance(), state.place().region(), ALL_UP_TO, PER_TICK, PER_REGION_PAIR);
   }
 
-  /** Returns what this instance tells. */
-  public Hello own(long nowNanos) {
-    var place = state.place();
-    var settings = state.settings();
-    return new Hello(
-        place.instance().value(),
-        place.region().value(),
-        state.incarnation().toString(),
-        state.leaving(),
-        settings == null ? 0 : settings.revision().value(),
-        state.engines().freeSlots(nowNanos),
-        state.engines().leaving().stream().map(EngineId::value).sorted().toList());
+  /** Sends the hellos that are due at a tick. */
+  public void round(long nowNanos) {
+    sendTo(nowNanos, plan.contactsAt(tick.getAndIncrement(), known()));
   }
 
-  /** Sends a hello to every instance of the own region and to a few of each other region. */
-  public void round(long nowNanos) {
-    byte[] hello = Json.bytes(own(nowNanos));
-    for (EntryRecord peer : HelloTargets.choose(state.list(), state.place())) {
-      send(peer, hello);
+  /** Sends hellos to the own region at once, to pass on news. */
+  public void announce() {
+    List<InstanceId> own =
+        known().stream()
+            .filter(i -> i.region().equals(state.place().region()))
+            .map(InstanceInfo::id)
+            .toList();
+    sendTo(System.nanoTime(), own);
+  }
+
+  private List<InstanceInfo> known() {
+    return state.membership().table().members().stream().map(Member::info).toList();
+  }
+
+  private void sendTo(long nowNanos, Collection<InstanceId> contacts) {
+    byte[] hello = Json.bytes(writer.write(nowNanos));
+    for (InstanceId id : contacts) {
+      state.membership().table().member(id).ifPresent(m -> send(m.info(), hello));
     }
   }
 
-  private void send(EntryRecord peer, byte[] hello) {
+  private void send(InstanceInfo peer, byte[] hello) {
     var request =
         new Request.Builder()
             .url("http://" + peer.peerAddress() + "/peer/v1/hello")
@@ -78,66 +106,76 @@
             new Callback() {
               @Override
               public void onFailure(Call call, IOException e) {
-                metrics.controlMessage("hello-failed", hello.length, 0);
+                noAnswer(peer.id(), hello.length);
               }
 
               @Override
-              public void onResponse(Call call, Response response) throws IOException {
+              public void onResponse(Call call, Response response) {
                 try (response) {
-                  if (response.isSuccessful()) {
-                    answered(sent, hello.length, response.peekBody(MAX_HELLO_BYTES).bytes());
-                  }
+                  takeAnswer(peer.id(), sent, hello.length, response);
+                } catch (IOException | IllegalArgumentException e) {
+                  noAnswer(peer.id(), hello.length);
                 }
               }
             });
   }
 
-  private void answered(long sentNanos, int sentBytes, byte[] body) throws IOException {
-    metrics.controlMessage("hello", sentBytes, body.length);
+  private void noAnswer(InstanceId peer, int sentBytes) {
+    metrics.controlMessage("hello-failed", sentBytes, 0);
+    failed.add(peer);
+    state.membership().update(t -> t.withoutAnswer(peer));
+  }
+
+  private void takeAnswer(InstanceId peer, long sentNanos, int sentBytes, Response response)
+      throws IOException {
+    if (!response.isSuccessful()) {
+      throw new IOException("The peer answered " + response.code());
+    }
+    byte[] body = response.peekBody(MAX_HELLO_BYTES).bytes();
     long now = System.nanoTime();
-    heard(now, now - sentNanos, Json.parse(body, Hello.class));
+    Hello hello = Json.parse(body, Hello.class);
+    if (!hello.id().equals(peer.value())) {
+      LOGGER.atWarning().atMostEvery(10, TimeUnit.SECONDS).log(
+          "peers: %s answers at the address of %s.", hello.id(), peer);
+      throw new IOException("Another instance answered");
+    }
+    metrics.controlMessage("hello", sentBytes, body.length);
+    reader.answered(now, now - sentNanos, hello);
+    answered.add(peer);
   }
 
   /**
    * Takes a peer's hello and answers with the own.
    *
    * @throws JsonProcessingException if the bytes are no hello
+   * @throws IllegalArgumentException if a part has no valid form
    */
-  public byte[] answer(long nowNanos, byte[] body) throws JsonProcessingException {
-    heard(nowNanos, 0, Json.parse(body, Hello.class));
-    byte[] own = Json.bytes(own(nowNanos));
+  byte[] answer(long nowNanos, byte[] body) throws JsonProcessingException {
+    reader.called(nowNanos, Json.parse(body, Hello.class));
+    byte[] own = Json.bytes(writer.write(nowNanos));
     metrics.controlMessage("hello-answered", own.length, body.length);
     return own;
   }
 
-  private void heard(long nowNanos, long roundTripNanos, Hello hello) {
-    var known = state.peers().fresh(nowNanos, hello.id());
-    long roundTrip =
-        roundTripNanos > 0 ? roundTripNanos : known.map(PeerState::roundTripNanos).orElse(0L);
-    state
-        .peers()
-        .heard(
-            new PeerState(
-                hello.id(),
-                hello.region(),
-                hello.incarnation(),
-                hello.leaving(),
-                hello.settingsRevision(),
-                hello.freeSlots(),
-                Set.copyOf(hello.leavingEngines()),
-                nowNanos,
-                roundTrip));
-    if (hello.region().equals(state.place().region().value())) {
-      markLeaving(hello);
-    }
+  @Override
+  public int answered() {
+    return answered.size();
   }
 
-  private void markLeaving(Hello hello) {
-    for (String id : hello.leavingEngines()) {
-      EngineState engine = state.engines().get(EngineId.of(id));
-      if (engine != null) {
-        engine.markLeaving();
+  @Override
+  public int pending() {
+    int pending = 0;
+    for (InstanceInfo info : known()) {
+      boolean asked = info.region().equals(state.place().region());
+      if (asked && !answered.contains(info.id()) && !failed.contains(info.id())) {
+        pending++;
       }
     }
+    return pending;
+  }
+
+  /** Closes idle connections, after a pause of this process. */
+  public void evictConnections() {
+    client.connectionPool().evictAll();
   }
 }
--- /dev/null
+++ b/entry/src/main/java/org/gentianslip/entry/peer/HelloWriter.java
@@ -0,0 +1,79 @@
+package org.gentianslip.entry.peer;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import org.gentianslip.core.revision.ManifestRef;
+import org.gentianslip.entry.platform.SettingsIntake;
+import org.gentianslip.entry.state.FleetState;
+import org.gentianslip.entry.state.RegionReport;
+
+/** Writes what this instance tells its peers. Safe for use by several threads. */
+final class HelloWriter {
+
+  private static final int MAX_HINTS = 8;
+
+  private final FleetState state;
+  private final SettingsIntake intake;
+  private final AtomicLong beat = new AtomicLong();
+
+  HelloWriter(FleetState state, SettingsIntake intake) {
+    this.state = state;
+    this.intake = intake;
+  }
+
+  Hello write(long nowNanos) {
+    var self = state.membership().self();
+    ManifestRef ref = intake.accepted();
+    return new Hello(
+        self.id().value(),
+        self.region().value(),
+        self.dataCentre().value(),
+        self.callerAddress(),
+        self.peerAddress(),
+        state.incarnation().toString(),
+        beat.incrementAndGet(),
+        state.leaving(),
+        state.busyShare(nowNanos),
+        ref.revision().value(),
+        ref.sha256(),
+        regions(nowNanos),
+        leavingEngines(nowNanos),
+        hints());
+  }
+
+  private List<Hello.RegionPart> regions(long nowNanos) {
+    List<Hello.RegionPart> parts = new ArrayList<>();
+    int free = state.leaving() ? 0 : state.engines().freeSlots(nowNanos);
+    parts.add(new Hello.RegionPart(state.place().region().value(), free, 0, 0));
+    for (RegionReport r : state.regions().all()) {
+      parts.add(
+          new Hello.RegionPart(
+              r.region().value(),
+              r.freeSlots(),
+              ageMillis(nowNanos, r.seenNanos()),
+              TimeUnit.NANOSECONDS.toMillis(r.roundTripNanos())));
+    }
+    return parts;
+  }
+
+  private List<Hello.EnginePart> leavingEngines(long nowNanos) {
+    return state.engines().marks(nowNanos).stream()
+        .map(m -> new Hello.EnginePart(m.engine().value(), ageMillis(nowNanos, m.seenNanos())))
+        .toList();
+  }
+
+  private List<Hello.HintPart> hints() {
+    return state.membership().table().hints(MAX_HINTS).stream()
+        .map(
+            h ->
+                new Hello.HintPart(
+                    h.id().value(), h.incarnation().toString(), h.beat(), h.kind().name()))
+        .toList();
+  }
+
+  private static long ageMillis(long nowNanos, long seenNanos) {
+    return Math.max(0, TimeUnit.NANOSECONDS.toMillis(nowNanos - seenNanos));
+  }
+}
--- a/entry/src/main/java/org/gentianslip/entry/platform/LoadPoller.java
+++ b/entry/src/main/java/org/gentianslip/entry/platform/LoadPoller.java
@@ -22,9 +22,16 @@
   private final EngineTable engines;
   private final OkHttpClient client;
   private final EntryMetrics metrics;
+  private final Runnable announce;
 
-  /** Creates a poller. */
-  public LoadPoller(EngineTable engines, OkHttpClient client, EntryMetrics metrics) {
+  /**
+   * Creates a poller.
+   *
+   * @param announce tells the peers at once that an engine is leaving
+   */
+  public LoadPoller(
+      EngineTable engines, OkHttpClient client, EntryMetrics metrics, Runnable announce) {
+    this.announce = announce;
     this.engines = engines;
     this.client = client.newBuilder().callTimeout(TIMEOUT).build();
     this.metrics = metrics;
@@ -63,12 +70,16 @@
   private void report(EngineState engine, byte[] body) throws IOException {
     metrics.controlMessage("load", 0, body.length);
     var node = Json.parse(body);
-    engine.report(
+    long now = System.nanoTime();
+    var load =
         new EngineLoad(
             node.path("slots").asInt(),
             node.path("running").asInt(),
             node.path("waiting").asInt(),
             node.path("leaving").asBoolean(),
-            System.nanoTime()));
+            now);
+    if (engines.report(now, engine, load)) {
+      announce.run();
+    }
   }
 }
--- a/entry/src/main/java/org/gentianslip/entry/platform/SettingsIntake.java
+++ b/entry/src/main/java/org/gentianslip/entry/platform/SettingsIntake.java
@@ -3,25 +3,38 @@
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.google.common.flogger.FluentLogger;
 import java.util.ArrayList;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.concurrent.ConcurrentHashMap;
+import java.util.Optional;
+import java.util.concurrent.Executor;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicReference;
+import org.gentianslip.core.id.InstanceId;
 import org.gentianslip.core.id.Revision;
+import org.gentianslip.core.revision.KnownRevisions;
+import org.gentianslip.core.revision.ManifestRef;
+import org.gentianslip.core.revision.ReadinessRule;
+import org.gentianslip.core.revision.RevisionAdoption;
+import org.gentianslip.core.revision.RevisionDecision;
+import org.gentianslip.core.revision.RevisionEvent;
+import org.gentianslip.core.revision.RevisionStep;
 import org.gentianslip.entry.http.Json;
 import org.gentianslip.entry.http.Sha256;
 import org.gentianslip.entry.metrics.EntryMetrics;
 import org.gentianslip.entry.state.FleetState;
 import org.gentianslip.settings.Finding;
 import org.gentianslip.settings.ParseResult;
+import org.gentianslip.settings.Settings;
 import org.gentianslip.settings.SettingsDocument;
 import org.gentianslip.settings.SettingsParser;
 
 /**
- * Turns manifests into settings in force.
+ * Carries out what {@link RevisionAdoption} decides about the settings.
  *
- * <p>A revision is taken only if all its parts are there, match their hashes and are valid as a
- * whole, and only if it is later than the one in force. Safe for use by several threads.
+ * <p>A revision is taken only if its manifest and all its parts match their hashes and are valid as
+ * a whole, and only upwards. The service and the peers are read on the executor, one at a time, and
+ * never while a lock is held. Safe for use by several threads.
  */
 public final class SettingsIntake {
 
@@ -31,15 +44,44 @@
   private final FleetState state;
   private final PartSource parts;
   private final EntryMetrics metrics;
-  private final Map<String, byte[]> partsInForce = new ConcurrentHashMap<>();
+  private final Executor executor;
+  private final AtomicReference<RevisionAdoption> adoption =
+      new AtomicReference<>(RevisionAdoption.initial());
+  private final AtomicReference<Revisioned> inForce = new AtomicReference<>();
   private final AtomicReference<Rejection> rejected = new AtomicReference<>();
-  private volatile byte[] manifestInForce;
+  private final AtomicReference<ManifestRef> shownByService = new AtomicReference<>();
+  private final AtomicReference<ManifestRef> latestOfPeers =
+      new AtomicReference<>(ManifestRef.NONE);
+  private volatile PeerSource peers = (peer, ref) -> Optional.empty();
+  private volatile Runnable announce = () -> {};
 
-  /** Gives the bytes of a part. */
+  /** Gives the bytes of a part from the config service. */
   public interface PartSource {
 
-    /** Returns the bytes, or null if they cannot be had now. */
-    byte[] part(String key);
+    /** Returns the bytes, or nothing if they cannot be had now. */
+    Optional<byte[]> part(String key);
+  }
+
+  /** Gives an accepted revision from a peer. */
+  public interface PeerSource {
+
+    /** Returns the revision, or nothing if it cannot be had now. */
+    Optional<Revisioned> pull(InstanceId peer, ManifestRef ref);
+  }
+
+  /**
+   * Holds the bytes of one revision.
+   *
+   * @param manifest the bytes of the manifest
+   * @param parts the bytes of the parts by their keys
+   */
+  @SuppressWarnings("ArrayRecordComponent")
+  public record Revisioned(byte[] manifest, Map<String, byte[]> parts) {
+
+    /** Copies the map. */
+    public Revisioned {
+      parts = Map.copyOf(parts);
+    }
   }
 
   /**
@@ -50,82 +92,195 @@
    */
   public record Rejection(long revision, List<Finding> findings) {}
 
-  /** Creates an intake. */
-  public SettingsIntake(FleetState state, PartSource parts, EntryMetrics metrics) {
+  /**
+   * Creates an intake.
+   *
+   * @param executor runs reads of the service and of peers one after the other
+   */
+  public SettingsIntake(
+      FleetState state, PartSource parts, EntryMetrics metrics, Executor executor) {
     this.state = state;
     this.parts = parts;
     this.metrics = metrics;
+    this.executor = executor;
   }
 
   /**
-   * Takes a manifest.
+   * Names the peers as a source.
+   *
+   * @param source reads from a peer
+   * @param announcer tells the peers at once of a revision that was taken
+   */
+  public void connect(PeerSource source, Runnable announcer) {
+    this.peers = source;
+    this.announce = announcer;
+  }
+
+  /**
+   * Takes a manifest that the service shows.
    *
    * @return false if parts are missing for now, so that the manifest is to be offered again
    */
-  public synchronized boolean offer(byte[] bytes) {
-    Manifest manifest;
-    try {
-      manifest = Json.parse(bytes, Manifest.class);
-    } catch (JsonProcessingException | IllegalArgumentException e) {
-      LOGGER.atWarning().log("settings: The manifest is not readable. %s", e.getMessage());
+  public boolean serviceShows(long nowNanos, byte[] bytes) {
+    Optional<Manifest> manifest = readManifest(bytes);
+    if (manifest.isEmpty()) {
       return true;
     }
-    var settings = state.settings();
-    if (settings != null && manifest.revision() <= settings.revision().value()) {
-      return true;
+    ManifestRef ref = refOf(manifest.get(), bytes);
+    shownByService.set(ref);
+    RevisionDecision decision = take(nowNanos, new RevisionEvent.ServiceShows(ref));
+    if (decision instanceof RevisionDecision.Ignore ignore) {
+      return ignore.reason() != RevisionDecision.Reason.BEING_FETCHED;
     }
-    Map<String, byte[]> contents = new java.util.LinkedHashMap<>();
-    for (Manifest.Part part : manifest.parts()) {
-      byte[] content = content(part);
-      if (content == null) {
+    Optional<Map<String, byte[]>> contents = readParts(manifest.get());
+    if (contents.isEmpty()) {
+      take(System.nanoTime(), new RevisionEvent.FetchFailed(ref));
+      return false;
+    }
+    offer(ref, new Revisioned(bytes, contents.get()));
+    return true;
+  }
+
+  /** Takes that a peer has accepted a revision; it is read from the peer if it is needed. */
+  public void peerAnnounces(long nowNanos, InstanceId peer, ManifestRef ref) {
+    latestOfPeers.accumulateAndGet(ref, (a, b) -> b.isAfter(a) ? b : a);
+    RevisionDecision decision = take(nowNanos, new RevisionEvent.PeerAnnounces(peer, ref));
+    if (decision instanceof RevisionDecision.PullFromPeer pull) {
+      executor.execute(() -> pull(pull.peer(), pull.ref()));
+    }
+  }
+
+  private void pull(InstanceId peer, ManifestRef ref) {
+    Optional<Revisioned> pulled = peers.pull(peer, ref).filter(r -> matches(r, ref));
+    if (pulled.isEmpty()) {
+      LOGGER.atInfo().log("settings: Revision %s cannot be read from %s.", ref.revision(), peer);
+      take(System.nanoTime(), new RevisionEvent.FetchFailed(ref));
+      return;
+    }
+    offer(ref, pulled.get());
+  }
+
+  private static boolean matches(Revisioned revisioned, ManifestRef ref) {
+    Optional<Manifest> manifest = readManifest(revisioned.manifest());
+    if (manifest.isEmpty() || !refOf(manifest.get(), revisioned.manifest()).equals(ref)) {
+      return false;
+    }
+    for (Manifest.Part part : manifest.get().parts()) {
+      byte[] content = revisioned.parts().get(part.key());
+      if (content == null || !isIntact(part, content)) {
         return false;
       }
-      contents.put(part.key(), content);
     }
-    adopt(manifest, bytes, contents);
     return true;
   }
 
-  private byte[] content(Manifest.Part part) {
-    byte[] known = partsInForce.get(part.key());
-    byte[] content = known == null ? parts.part(part.key()) : known;
-    if (content == null || !Sha256.hex(content).equals(part.sha256())) {
-      LOGGER.atWarning().log("settings: Part %s is missing or does not match.", part.key());
-      return null;
+  private RevisionDecision take(long nowNanos, RevisionEvent event) {
+    while (true) {
+      RevisionAdoption now = adoption.get();
+      RevisionStep step = now.on(nowNanos, event);
+      if (adoption.compareAndSet(now, step.next())) {
+        if (step.conflict()) {
+          LOGGER.atWarning().atMostEvery(10, TimeUnit.SECONDS).log(
+              "settings: Revision %s was published with two contents.", event.ref().revision());
+        }
+        return step.decision();
+      }
     }
-    return content;
   }
 
-  private void adopt(Manifest manifest, byte[] bytes, Map<String, byte[]> contents) {
-    List<SettingsDocument> documents = new ArrayList<>();
-    contents.forEach((key, content) -> documents.add(new SettingsDocument(key, content)));
-    ParseResult result = SettingsParser.parse(Revision.of(manifest.revision()), documents);
+  private static Optional<Manifest> readManifest(byte[] bytes) {
+    try {
+      return Optional.of(Json.parse(bytes, Manifest.class));
+    } catch (JsonProcessingException | IllegalArgumentException e) {
+      LOGGER.atWarning().atMostEvery(10, TimeUnit.SECONDS).log(
+          "settings: The manifest is not readable. %s", e.getMessage());
+      return Optional.empty();
+    }
+  }
+
+  private static ManifestRef refOf(Manifest manifest, byte[] bytes) {
+    return new ManifestRef(Revision.of(manifest.revision()), Sha256.hex(bytes));
+  }
+
+  private Optional<Map<String, byte[]>> readParts(Manifest manifest) {
+    Map<String, byte[]> contents = new LinkedHashMap<>();
+    for (Manifest.Part part : manifest.parts()) {
+      Optional<byte[]> content =
+          known(part).or(() -> parts.part(part.key())).filter(c -> isIntact(part, c));
+      if (content.isEmpty()) {
+        LOGGER.atWarning().log("settings: Part %s is missing or does not match.", part.key());
+        return Optional.empty();
+      }
+      contents.put(part.key(), content.get());
+    }
+    return Optional.of(contents);
+  }
+
+  private static boolean isIntact(Manifest.Part part, byte[] content) {
+    return Sha256.hex(content).equals(part.sha256());
+  }
+
+  private Optional<byte[]> known(Manifest.Part part) {
+    return Optional.ofNullable(inForce.get()).map(r -> r.parts().get(part.key()));
+  }
+
+  private void offer(ManifestRef ref, Revisioned revisioned) {
+    ParseResult result = SettingsParser.parse(ref.revision(), documents(revisioned));
     if (result instanceof ParseResult.Rejected no) {
-      rejected.set(new Rejection(manifest.revision(), no.findings()));
+      take(System.nanoTime(), new RevisionEvent.Rejected(ref));
+      rejected.set(new Rejection(ref.revision().value(), no.findings()));
       LOGGER.atWarning().log(
           "settings: Revision %s is rejected. %s",
-          manifest.revision(), no.findings().stream().limit(MAX_LOGGED).toList());
+          ref.revision(), no.findings().stream().limit(MAX_LOGGED).toList());
       return;
     }
-    var settings = ((ParseResult.Accepted) result).settings();
-    if (!state.adopt(settings)) {
+    adopt(ref, revisioned, ((ParseResult.Accepted) result).settings());
+  }
+
+  private synchronized void adopt(ManifestRef ref, Revisioned revisioned, Settings settings) {
+    RevisionDecision decision = take(System.nanoTime(), new RevisionEvent.Validated(ref));
+    if (!(decision instanceof RevisionDecision.Adopt)) {
       return;
     }
-    manifestInForce = bytes;
-    partsInForce.clear();
-    partsInForce.putAll(contents);
-    metrics.revision(manifest.revision());
-    LOGGER.atInfo().log("settings: Revision %s is in force.", manifest.revision());
+    state.put(settings);
+    inForce.set(revisioned);
+    metrics.revision(ref.revision().value());
+    LOGGER.atInfo().log("settings: Revision %s is in force.", ref.revision());
+    announce.run();
+  }
+
+  private static List<SettingsDocument> documents(Revisioned revisioned) {
+    List<SettingsDocument> documents = new ArrayList<>();
+    revisioned.parts().entrySet().stream()
+        .sorted(Map.Entry.comparingByKey())
+        .forEach(e -> documents.add(new SettingsDocument(e.getKey(), e.getValue())));
+    return documents;
+  }
+
+  /**
+   * Returns whether the settings in force are the latest that can be known.
+   *
+   * @param peersAnswered the peers that have told their revision
+   * @param peersPending the peers that have neither told it nor failed to answer
+   */
+  public boolean isSettled(int peersAnswered, int peersPending) {
+    return ReadinessRule.isReady(
+        adoption.get(),
+        new KnownRevisions(
+            Optional.ofNullable(shownByService.get()),
+            peersAnswered,
+            peersPending,
+            latestOfPeers.get()));
   }
 
-  /** Returns the manifest in force, or null before the first. */
-  public byte[] manifestInForce() {
-    return manifestInForce;
+  /** Returns the state in force. */
+  public ManifestRef accepted() {
+    return adoption.get().accepted();
   }
 
-  /** Returns a part of the revision in force, or null if it has no such part. */
-  public byte[] partInForce(String key) {
-    return partsInForce.get(key);
+  /** Returns the bytes of the revision in force, if there is one. */
+  public Optional<Revisioned> inForce() {
+    return Optional.ofNullable(inForce.get());
   }
 
   /** Returns the last rejected revision, or null if none was rejected. */
--- a/entry/src/main/java/org/gentianslip/entry/process/Drain.java
+++ b/entry/src/main/java/org/gentianslip/entry/process/Drain.java
@@ -45,6 +45,7 @@
     state.leave();
     LOGGER.atInfo().log("drain: %s requests are in flight.", inFlight.count());
     hellos.round(start);
+    hellos.announce();
     while (!done(System.nanoTime() - start)) {
       pause();
     }
--- a/entry/src/main/java/org/gentianslip/entry/process/EntryProcess.java
+++ b/entry/src/main/java/org/gentianslip/entry/process/EntryProcess.java
@@ -3,11 +3,14 @@
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.google.common.flogger.FluentLogger;
 import java.security.SecureRandom;
+import java.util.Optional;
+import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import okhttp3.OkHttpClient;
 import org.gentianslip.core.id.Incarnation;
+import org.gentianslip.core.membership.PauseDetector;
 import org.gentianslip.core.routing.LeastLoadedPolicy;
 import org.gentianslip.core.ticket.TicketLedger;
 import org.gentianslip.core.ticket.TicketMint;
@@ -24,6 +27,7 @@
 import org.gentianslip.entry.operator.StatusPage;
 import org.gentianslip.entry.peer.HelloExchange;
 import org.gentianslip.entry.peer.PeerPort;
+import org.gentianslip.entry.peer.SettingsPull;
 import org.gentianslip.entry.platform.ConfigReader;
 import org.gentianslip.entry.platform.InstanceList;
 import org.gentianslip.entry.platform.KeyWatcher;
@@ -34,6 +38,7 @@
 import org.gentianslip.entry.service.ServiceReport;
 import org.gentianslip.entry.service.ServiceRequests;
 import org.gentianslip.entry.state.FleetState;
+import org.gentianslip.entry.state.Membership;
 
 /**
  * Runs one instance.
@@ -47,9 +52,10 @@
   private static final int KEY_BYTES = 32;
   private static final int LEDGER_CAPACITY = 100_000;
   private static final long LEDGER_RETENTION_NANOS = TimeUnit.MINUTES.toNanos(2);
+  private static final long MAX_GAP_NANOS = TimeUnit.SECONDS.toNanos(2);
   private static final long TICK_MILLIS = 10;
   private static final long LOAD_MILLIS = 250;
-  private static final long HELLO_MILLIS = 500;
+  private static final long HELLO_MILLIS = Membership.TICK_NANOS / 1_000_000;
   private static final long SWEEP_MILLIS = 1_000;
 
   private final EntryPlace place;
@@ -59,6 +65,9 @@
   private final InFlight inFlight = new InFlight(metrics);
   private final ScheduledExecutorService timer =
       Executors.newScheduledThreadPool(2, r -> daemon(r, "timer"));
+  private final ExecutorService reads =
+      Executors.newSingleThreadExecutor(r -> daemon(r, "settings"));
+  private final PauseDetector pauses = new PauseDetector(MAX_GAP_NANOS, System.nanoTime());
   private final UpstreamClient upstream = new UpstreamClient();
   private final OkHttpClient control = new OkHttpClient();
   private final ConfigReader reader;
@@ -77,13 +86,14 @@
     this.state = new FleetState(place, Incarnation.of(random.nextLong()));
     this.directory = new EntryDirectory(state);
     this.reader = new ConfigReader(control, place.configService());
-    this.intake = new SettingsIntake(state, this::readPart, metrics);
+    this.intake = new SettingsIntake(state, this::readPart, metrics, reads);
     byte[] key = new byte[KEY_BYTES];
     random.nextBytes(key);
     var mint = new TicketMint(place.instance(), state.incarnation(), key);
     this.ledger =
         new TicketLedger(mint, LEDGER_CAPACITY, LEDGER_RETENTION_NANOS, System.nanoTime());
-    this.hellos = new HelloExchange(state, control, metrics);
+    this.hellos = new HelloExchange(state, intake, control, metrics);
+    intake.connect(new SettingsPull(state, control, metrics), hellos::announce);
     this.models =
         new ModelRequests(
             state, directory, new LeastLoadedPolicy(), upstream, metrics, decisions, inFlight);
@@ -104,13 +114,13 @@
     return process;
   }
 
-  private byte[] readPart(String key) {
+  private Optional<byte[]> readPart(String key) {
     ReadResult result = reader.read(key);
-    return result instanceof ReadResult.Found found ? found.value() : null;
+    return result instanceof ReadResult.Found found ? Optional.of(found.value()) : Optional.empty();
   }
 
   private void watch() {
-    watch("settings/manifest", (revision, value) -> intake.offer(value));
+    watch("settings/manifest", (revision, value) -> intake.serviceShows(System.nanoTime(), value));
     watch("instances/" + place.region(), (revision, value) -> takeList(value));
   }
 
@@ -122,7 +132,7 @@
 
   private boolean takeList(byte[] value) {
     try {
-      state.update(Json.parse(value, InstanceList.class));
+      state.update(System.nanoTime(), Json.parse(value, InstanceList.class));
     } catch (JsonProcessingException | IllegalArgumentException e) {
       LOGGER.atWarning().log("list: The list is not readable. %s", e.getMessage());
     }
@@ -130,13 +140,26 @@
   }
 
   private void schedule() {
-    var poller = new LoadPoller(state.engines(), control, metrics);
-    every(TICK_MILLIS, () -> models.tick(System.nanoTime()));
+    var poller = new LoadPoller(state.engines(), control, metrics, hellos::announce);
+    every(TICK_MILLIS, () -> tick(System.nanoTime()));
     every(LOAD_MILLIS, poller::round);
     every(HELLO_MILLIS, () -> hellos.round(System.nanoTime()));
     every(SWEEP_MILLIS, () -> ledger.sweep(System.nanoTime()));
   }
 
+  private void tick(long nowNanos) {
+    if (pauses.tick(nowNanos)) {
+      LOGGER.atWarning().log("entry: The process stood still; all beliefs are dropped.");
+      state.forgetAfterPause(nowNanos);
+      upstream.evictConnections();
+      hellos.evictConnections();
+    }
+    if (!state.informed() && intake.isSettled(hellos.answered(), hellos.pending())) {
+      state.settle();
+    }
+    models.tick(nowNanos);
+  }
+
   private void every(long millis, Runnable task) {
     timer.scheduleWithFixedDelay(() -> runSafely(task), millis, millis, TimeUnit.MILLISECONDS);
   }
@@ -158,7 +181,7 @@
     serve(
         place.peerPort(),
         app -> {
-          new PeerPort(hellos, peerKey::matches).addTo(app);
+          new PeerPort(hellos, intake, peerKey::matches).addTo(app);
           ports.addTo(app, "/peer/v1/forward", new PeerDoor(check, peerKey));
         });
     var status = new StatusPage(state, intake, inFlight, models::waitingCount);
@@ -205,6 +228,7 @@
   @Override
   public void close() {
     timer.shutdownNow();
+    reads.shutdownNow();
     try {
       for (int i = started.size() - 1; i >= 0; i--) {
         closeSafely(started.get(i));
--- a/entry/src/main/java/org/gentianslip/entry/relay/UpstreamClient.java
+++ b/entry/src/main/java/org/gentianslip/entry/relay/UpstreamClient.java
@@ -61,6 +61,11 @@
     return send(fresh, request, timeouts, receiver);
   }
 
+  /** Closes idle connections, after a pause of this process. */
+  public void evictConnections() {
+    pooled.connectionPool().evictAll();
+  }
+
   private static Call send(
       OkHttpClient client,
       UpstreamRequest request,
--- a/entry/src/main/java/org/gentianslip/entry/service/RepeatableCalls.java
+++ b/entry/src/main/java/org/gentianslip/entry/service/RepeatableCalls.java
@@ -3,13 +3,13 @@
 import java.io.IOException;
 import java.util.Comparator;
 import java.util.List;
+import org.gentianslip.core.membership.RendezvousHash;
 import org.gentianslip.core.outcome.AttemptJournal;
 import org.gentianslip.core.outcome.NotRunReason;
 import org.gentianslip.core.outcome.Outcome;
 import org.gentianslip.core.outcome.RetryBudget;
 import org.gentianslip.core.outcome.RetryDecision;
 import org.gentianslip.core.outcome.RetryRule;
-import org.gentianslip.entry.caller.RendezvousHash;
 import org.gentianslip.entry.http.ErrorCode;
 import org.gentianslip.entry.http.ErrorReply;
 import org.gentianslip.entry.platform.BackendRecord;
@@ -50,7 +50,7 @@
     ServiceCall call = exchange.call();
     List<BackendRecord> backends =
         state.serviceBackends(call.service().id().value()).stream()
-            .sorted(Comparator.comparingLong(b -> RendezvousHash.weight(call.id().value(), b.id())))
+            .sorted(Comparator.comparingLong(b -> RendezvousHash.hash(call.id().value(), b.id())))
             .toList();
     if (backends.isEmpty()) {
       exchange.fail(
--- a/entry/src/main/java/org/gentianslip/entry/service/TicketedCalls.java
+++ b/entry/src/main/java/org/gentianslip/entry/service/TicketedCalls.java
@@ -4,9 +4,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import org.gentianslip.core.id.Incarnation;
 import org.gentianslip.core.id.InstanceId;
 import org.gentianslip.core.id.RegionId;
+import org.gentianslip.core.membership.RendezvousHash;
 import org.gentianslip.core.outcome.NotRunReason;
 import org.gentianslip.core.outcome.Outcome;
 import org.gentianslip.core.ticket.ForeignTicketDecision;
@@ -17,7 +17,6 @@
 import org.gentianslip.core.ticket.TicketLedger;
 import org.gentianslip.core.ticket.TicketMint;
 import org.gentianslip.core.ticket.TicketUse;
-import org.gentianslip.entry.caller.RendezvousHash;
 import org.gentianslip.entry.http.ErrorCode;
 import org.gentianslip.entry.http.ErrorReply;
 import org.gentianslip.entry.http.HeaderNames;
@@ -128,7 +127,7 @@
     return backends.stream()
         .max(
             java.util.Comparator.comparingLong(
-                b -> RendezvousHash.weight(call.id().value(), b.id())));
+                b -> RendezvousHash.hash(call.id().value(), b.id())));
   }
 
   private ErrorReply refusal(long nowNanos, ServiceExchange exchange, Redemption redemption) {
@@ -227,8 +226,7 @@
     ServiceCall call = exchange.call();
     Optional<EntryRecord> owner = listed(ticket.owner());
     ForeignTicketDecision decision =
-        ForeignTicketRule.decide(
-            ticket, call.binding(), view(nowNanos, call, owner), call.forwarded());
+        ForeignTicketRule.decide(ticket, call.binding(), view(call, owner), call.forwarded());
     exchange.step(
         nowNanos, "foreign-ticket", ticket.owner().value(), decision.getClass().getSimpleName());
     if (decision instanceof ForeignTicketDecision.PassToOwner) {
@@ -254,13 +252,13 @@
     return state.list().entries().stream().filter(e -> e.id().equals(owner.value())).findFirst();
   }
 
-  private OwnerView view(long nowNanos, ServiceCall call, Optional<EntryRecord> owner) {
+  private OwnerView view(ServiceCall call, Optional<EntryRecord> owner) {
     if (owner.isEmpty()) {
       return OwnerView.NOT_KNOWN;
     }
-    var peer = state.peers().fresh(nowNanos, owner.get().id());
+    InstanceId id = InstanceId.of(owner.get().id());
     boolean allowed = call.settings().allowedRegions().contains(RegionId.of(owner.get().region()));
-    return new OwnerView(true, peer.map(p -> Incarnation.parse(p.incarnation())), true, allowed);
+    return new OwnerView(true, state.incarnationOf(id), true, allowed);
   }
 
   private void passed(ServiceExchange exchange, String region, UpstreamResult result) {
--- a/entry/src/main/java/org/gentianslip/entry/state/EngineState.java
+++ b/entry/src/main/java/org/gentianslip/entry/state/EngineState.java
@@ -24,7 +24,6 @@
   private final Set<ModelId> models;
   private final AtomicInteger inFlight = new AtomicInteger();
   private final AtomicReference<EngineLoad> load = new AtomicReference<>(EngineLoad.NONE);
-  private volatile boolean leaving;
   private volatile long suspectUntilNanos;
   private volatile boolean suspected;
 
@@ -43,7 +42,6 @@
     var next = new EngineState(record);
     next.inFlight.set(inFlight.get());
     next.load.set(load.get());
-    next.leaving = leaving;
     return next;
   }
 
@@ -88,9 +86,11 @@
   /** Takes a load report. */
   public void report(EngineLoad report) {
     load.set(report);
-    if (report.leaving()) {
-      leaving = true;
-    }
+  }
+
+  /** Forgets the last load report, after a pause of this process. */
+  void forgetLoad() {
+    load.set(EngineLoad.NONE);
   }
 
   /** Returns the last load report. */
@@ -98,14 +98,9 @@
     return load.get();
   }
 
-  /** Marks the engine as leaving for good. */
-  public void markLeaving() {
-    leaving = true;
-  }
-
-  /** Returns whether the engine is leaving, by its list entry, its report or its refusal. */
-  public boolean leaving() {
-    return leaving || !listed.live();
+  /** Returns whether the engine is leaving by its list entry or its own report. */
+  boolean saysLeaving() {
+    return !listed.live() || load.get().leaving();
   }
 
   /** Sends no new work to the engine for a while, since it could not be reached. */
@@ -114,13 +109,16 @@
     suspected = true;
   }
 
-  /** Returns whether new work may be sent to the engine. */
-  public boolean usable(long nowNanos) {
-    return !leaving() && !(suspected && nowNanos - suspectUntilNanos < 0);
+  private boolean isSuspected(long nowNanos) {
+    return suspected && nowNanos - suspectUntilNanos < 0;
   }
 
-  /** Returns what the routing policy may know. */
-  public EngineView view(long nowNanos) {
+  /**
+   * Returns what the routing policy may know.
+   *
+   * @param marked whether the engine is known to be leaving from another source
+   */
+  EngineView view(long nowNanos, boolean marked) {
     EngineLoad report = load.get();
     int slots = report.slots() > 0 ? report.slots() : listed.slots();
     return new EngineView(
@@ -131,6 +129,6 @@
         report.running(),
         report.waiting(),
         report.atNanos(),
-        usable(nowNanos));
+        !marked && !saysLeaving() && !isSuspected(nowNanos));
   }
 }
--- a/entry/src/main/java/org/gentianslip/entry/state/EngineTable.java
+++ b/entry/src/main/java/org/gentianslip/entry/state/EngineTable.java
@@ -1,13 +1,15 @@
 package org.gentianslip.entry.state;
 
+import java.util.ArrayList;
+import java.util.Collection;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.atomic.AtomicReference;
-import java.util.stream.Collectors;
 import org.gentianslip.core.id.EngineId;
 import org.gentianslip.core.id.RegionId;
+import org.gentianslip.core.membership.LeavingMark;
+import org.gentianslip.core.membership.LeavingMarks;
 import org.gentianslip.core.routing.EngineView;
 import org.gentianslip.entry.platform.BackendRecord;
 import org.gentianslip.entry.platform.InstanceList;
@@ -23,6 +25,7 @@
   private final RegionId region;
   private final AtomicReference<Map<EngineId, EngineState>> engines =
       new AtomicReference<>(Map.of());
+  private final AtomicReference<LeavingMarks> marks = new AtomicReference<>(LeavingMarks.none());
 
   /** Creates an empty table for a region. */
   public EngineTable(RegionId region) {
@@ -55,14 +58,23 @@
 
   /** Returns what the routing policy may know. */
   public List<EngineView> views(long nowNanos) {
-    return engines.get().values().stream().map(e -> e.view(nowNanos)).toList();
+    LeavingMarks known = marks.get();
+    List<EngineView> views = new ArrayList<>();
+    for (EngineState engine : engines.get().values()) {
+      views.add(engine.view(nowNanos, known.isLeaving(nowNanos, engine.id())));
+    }
+    return views;
+  }
+
+  /** Returns what the routing policy may know of one engine. */
+  public EngineView view(long nowNanos, EngineState engine) {
+    return engine.view(nowNanos, marks.get().isLeaving(nowNanos, engine.id()));
   }
 
   /** Returns the requests that the engines can take on top of what they run. */
   public int freeSlots(long nowNanos) {
     int free = 0;
-    for (EngineState engine : engines.get().values()) {
-      EngineView view = engine.view(nowNanos);
+    for (EngineView view : views(nowNanos)) {
       if (view.usable()) {
         int used = Math.max(view.inFlight(), view.reportedRunning() + view.reportedWaiting());
         free += Math.max(0, view.slots() - used);
@@ -71,11 +83,52 @@
     return free;
   }
 
-  /** Returns the ids of the engines that are leaving. */
-  public Set<EngineId> leaving() {
-    return engines.get().values().stream()
-        .filter(EngineState::leaving)
-        .map(EngineState::id)
-        .collect(Collectors.toUnmodifiableSet());
+  /** Returns whether an engine is known to be leaving. */
+  public boolean leaving(long nowNanos, EngineState engine) {
+    return engine.saysLeaving() || marks.get().isLeaving(nowNanos, engine.id());
+  }
+
+  /**
+   * Takes that an engine was seen to be leaving.
+   *
+   * @param seenNanos when it was seen, in nanoseconds of the monotonic clock
+   * @return whether this is news, to be passed on
+   */
+  public boolean markLeaving(EngineId engine, long seenNanos) {
+    while (true) {
+      LeavingMarks now = marks.get();
+      var next = now.with(engine, seenNanos);
+      if (next.isEmpty()) {
+        return false;
+      }
+      if (marks.compareAndSet(now, next.get())) {
+        return true;
+      }
+    }
+  }
+
+  /**
+   * Takes an engine's load report.
+   *
+   * @return whether it shows that the engine is leaving, and this is news
+   */
+  public boolean report(long nowNanos, EngineState engine, EngineLoad load) {
+    engine.report(load);
+    if (load.leaving()) {
+      return markLeaving(engine.id(), nowNanos);
+    }
+    marks.updateAndGet(m -> m.withLive(nowNanos, engine.id()));
+    return false;
+  }
+
+  /** Returns the marks to pass on. */
+  public Collection<LeavingMark> marks(long nowNanos) {
+    LeavingMarks known = marks.get();
+    return known.marks().stream().filter(m -> known.isLeaving(nowNanos, m.engine())).toList();
+  }
+
+  /** Forgets all load reports, after a pause of this process. */
+  public void forgetLoads() {
+    engines.get().values().forEach(EngineState::forgetLoad);
   }
 }
--- a/entry/src/main/java/org/gentianslip/entry/state/FleetState.java
+++ b/entry/src/main/java/org/gentianslip/entry/state/FleetState.java
@@ -1,10 +1,18 @@
 package org.gentianslip.entry.state;
 
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicReference;
 import org.gentianslip.core.id.Incarnation;
+import org.gentianslip.core.id.InstanceId;
 import org.gentianslip.core.id.RegionId;
+import org.gentianslip.core.membership.InstanceState;
+import org.gentianslip.core.membership.Life;
+import org.gentianslip.core.membership.Member;
+import org.gentianslip.core.membership.MembershipTable;
+import org.gentianslip.core.membership.RegionBackoff;
+import org.gentianslip.core.routing.EngineView;
 import org.gentianslip.core.routing.RegionSummary;
 import org.gentianslip.core.routing.RouteView;
 import org.gentianslip.entry.platform.BackendRecord;
@@ -16,8 +24,8 @@
 /**
  * Holds all that this instance knows.
  *
- * <p>Settings and list are immutable values that are swapped as a whole and only upwards. Safe for
- * use by several threads.
+ * <p>Settings and list are immutable values that are swapped as a whole. Safe for use by several
+ * threads.
  */
 public final class FleetState {
 
@@ -26,8 +34,10 @@
   private final AtomicReference<Settings> settings = new AtomicReference<>();
   private final AtomicReference<InstanceList> list = new AtomicReference<>(InstanceList.NONE);
   private final EngineTable engines;
-  private final PeerTable peers = new PeerTable();
-  private final RegionBackoff backoff = new RegionBackoff();
+  private final Membership membership;
+  private final RegionBook regions = new RegionBook();
+  private final RegionBackoff backoff;
+  private final AtomicBoolean settled = new AtomicBoolean();
   private final AtomicBoolean leaving = new AtomicBoolean();
 
   /** Creates the state of an instance that knows nothing yet. */
@@ -35,6 +45,8 @@
     this.place = place;
     this.incarnation = incarnation;
     this.engines = new EngineTable(place.region());
+    this.membership = new Membership(place);
+    this.backoff = new RegionBackoff(incarnation.value());
   }
 
   /** Returns the place of this instance. */
@@ -52,21 +64,9 @@
     return settings.get();
   }
 
-  /**
-   * Takes settings if they are later than those in force.
-   *
-   * @return whether they were taken
-   */
-  public boolean adopt(Settings next) {
-    while (true) {
-      Settings now = settings.get();
-      if (now != null && !next.revision().isAfter(now.revision())) {
-        return false;
-      }
-      if (settings.compareAndSet(now, next)) {
-        return true;
-      }
-    }
+  /** Puts settings in force; the caller sees to it that they are later than the present ones. */
+  public void put(Settings next) {
+    settings.set(next);
   }
 
   /** Returns the platform's list, as far as it is known. */
@@ -75,12 +75,13 @@
   }
 
   /** Takes a list if it is later than the known one. */
-  public synchronized void update(InstanceList next) {
+  public synchronized void update(long nowNanos, InstanceList next) {
     if (next.version() <= list.get().version()) {
       return;
     }
     list.set(next);
     engines.update(next);
+    membership.takeList(nowNanos, next);
   }
 
   /** Returns the model engines of the own region. */
@@ -88,12 +89,22 @@
     return engines;
   }
 
-  /** Returns the other instances. */
-  public PeerTable peers() {
-    return peers;
+  /** Returns what is believed of the other instances. */
+  public Membership membership() {
+    return membership;
+  }
+
+  /** Returns what is known of the other regions. */
+  public RegionBook regions() {
+    return regions;
+  }
+
+  /** Returns the incarnation that is believed to live at an instance, if any was heard of. */
+  public Optional<Incarnation> incarnationOf(InstanceId id) {
+    return membership.table().member(id).flatMap(Member::life).map(Life::incarnation);
   }
 
-  /** Returns which regions refuse work for now. */
+  /** Returns which regions get a smaller share of requests for now. */
   public RegionBackoff backoff() {
     return backoff;
   }
@@ -108,9 +119,37 @@
     leaving.set(true);
   }
 
-  /** Returns whether this instance has all that it needs to serve. */
+  /** Notes that the settings in force are the latest that can be known; this is never undone. */
+  public void settle() {
+    settled.set(true);
+  }
+
+  /** Returns whether this instance knows its settings and the list well enough to serve. */
+  public boolean informed() {
+    return settled.get() && settings.get() != null && list.get().version() > 0;
+  }
+
+  /** Returns whether this instance takes new work. */
   public boolean ready() {
-    return settings.get() != null && list.get().version() > 0 && !leaving.get();
+    return informed() && !leaving.get();
+  }
+
+  /** Makes all beliefs count as old, after a pause of this process. */
+  public void forgetAfterPause(long nowNanos) {
+    membership.update(t -> t.withPause(nowNanos));
+    regions.clear();
+    engines.forgetLoads();
+  }
+
+  /** Returns the share of the region's engines that this instance keeps busy, from 0 to 1. */
+  public double busyShare(long nowNanos) {
+    int slots = 0;
+    int inFlight = 0;
+    for (EngineView view : engines.views(nowNanos)) {
+      slots += view.usable() ? view.slots() : 0;
+      inFlight += view.inFlight();
+    }
+    return slots == 0 ? 0 : Math.min(1.0, (double) inFlight / slots);
   }
 
   /** Returns the backend servers of a service in the own region that take new calls. */
@@ -123,9 +162,11 @@
   }
 
   /** Returns the listed instances of a region that are live and not known to be leaving. */
-  public List<EntryRecord> entriesOf(String region) {
+  public List<EntryRecord> entriesOf(long nowNanos, RegionId region) {
+    MembershipTable table = membership.table();
     return list.get().entries().stream()
-        .filter(e -> e.region().equals(region) && e.live())
+        .filter(e -> e.region().equals(region.value()) && e.live())
+        .filter(e -> table.stateOf(nowNanos, InstanceId.of(e.id())) == InstanceState.LIVE)
         .toList();
   }
 
@@ -146,21 +187,9 @@
   }
 
   private RegionSummary summary(long nowNanos, RegionId region) {
-    var ids = entriesOf(region.value()).stream().map(EntryRecord::id).toList();
-    PeerState best = null;
-    for (PeerState peer : peers.freshOf(nowNanos, ids)) {
-      if (!peer.leaving() && (best == null || peer.heardNanos() - best.heardNanos() > 0)) {
-        best = peer;
-      }
-    }
-    if (best == null) {
-      return new RegionSummary(region, 0, 0, 0, false);
-    }
-    return new RegionSummary(
-        region,
-        best.freeSlots(),
-        best.heardNanos(),
-        best.roundTripNanos(),
-        !backoff.closed(nowNanos, region));
+    return regions
+        .fresh(nowNanos, region)
+        .map(r -> new RegionSummary(region, r.freeSlots(), r.seenNanos(), r.roundTripNanos(), true))
+        .orElseGet(() -> new RegionSummary(region, 0, 0, 0, false));
   }
 }
--- /dev/null
+++ b/entry/src/main/java/org/gentianslip/entry/state/RegionReport.java
@@ -0,0 +1,15 @@
+package org.gentianslip.entry.state;
+
+import org.gentianslip.core.id.RegionId;
+
+/**
+ * Holds the last report of another region's spare capacity.
+ *
+ * <p>Immutable and safe for use by several threads.
+ *
+ * @param region the region
+ * @param freeSlots the requests that its engines can take on top of what they run
+ * @param seenNanos when the report was made, in nanoseconds of this instance's monotonic clock
+ * @param roundTripNanos the round trip to the region, in nanoseconds, 0 if not known
+ */
+public record RegionReport(RegionId region, int freeSlots, long seenNanos, long roundTripNanos) {}
