Tell values of a whole instance from values of a request

Cause: logLevel, drainTimeoutMillis, maxQueueLength and their like hold for an instance, but could be set for a customer or kind, where nothing could ever read them; and an instance had no way to look them up. A fault in a branch also made the branches below it look orphaned.

Ruled out: the values of the instance's first customer; a level of its own above the firms, which the format does not have.

Change: a setting says whether it holds for a whole instance. Such a value in a branch of a kind or customer is a finding, and so are two firms that set different ones for a region. Settings.instance(region) gives them. A branch with a fault of its own no longer brings findings for those below.

Conclusion: the entry should take log levels, the queue's bound and the drain's timeout from Settings.instance.

--- a/settings/src/main/java/org/gentianslip/settings/BranchNode.java
+++ b/settings/src/main/java/org/gentianslip/settings/BranchNode.java
@@ -1,6 +1,7 @@
 package org.gentianslip.settings;
 
 import java.util.Comparator;
+import java.util.Optional;
 
 /**
  * Holds a branch at its place in the tree.
@@ -28,6 +29,11 @@
     return declaration.level();
   }
 
+  /** Returns the value that the branch itself sets, with its place. */
+  Optional<Located<Object>> value(Setting<?> setting) {
+    return Optional.ofNullable(declaration.values().get(setting));
+  }
+
   /** Returns whether both apply at the same point of the order. */
   boolean ranksWith(BranchNode other) {
     return depth == other.depth && level() == other.level();
--- a/settings/src/main/java/org/gentianslip/settings/ContentReader.java
+++ b/settings/src/main/java/org/gentianslip/settings/ContentReader.java
@@ -159,6 +159,9 @@
     if (id.isPresent() && level.isPresent() && name.isPresent()) {
       content.branches.add(
           new BranchDeclaration(node.place(), id.get(), parent, level.get(), name.get(), values));
+    } else {
+      id.ifPresent(content.faultyBranches::add);
+      name.ifPresent(content.faultyBranches::add);
     }
   }
 
--- a/settings/src/main/java/org/gentianslip/settings/DeclaredSetting.java
+++ b/settings/src/main/java/org/gentianslip/settings/DeclaredSetting.java
@@ -15,22 +15,35 @@
   private final String name;
   private final int index;
   private final ValueType<T> type;
+  private final boolean perInstance;
   private final T defaultValue;
   private final String description;
 
   private DeclaredSetting(
-      String name, int index, ValueType<T> type, T defaultValue, String description) {
+      String name,
+      int index,
+      ValueType<T> type,
+      boolean perInstance,
+      T defaultValue,
+      String description) {
     this.name = name;
     this.index = index;
     this.type = type;
+    this.perInstance = perInstance;
     this.defaultValue = defaultValue;
     this.description = description;
   }
 
-  /** Returns the declaration of a setting. */
-  static <T> DeclaredSetting<T> of(
+  /** Returns the declaration of a value that may differ between requests. */
+  static <T> DeclaredSetting<T> ofRequest(
+      String name, int index, ValueType<T> type, T defaultValue, String description) {
+    return new DeclaredSetting<>(name, index, type, false, defaultValue, description);
+  }
+
+  /** Returns the declaration of a value that holds for a whole instance. */
+  static <T> DeclaredSetting<T> ofInstance(
       String name, int index, ValueType<T> type, T defaultValue, String description) {
-    return new DeclaredSetting<>(name, index, type, defaultValue, description);
+    return new DeclaredSetting<>(name, index, type, true, defaultValue, description);
   }
 
   @Override
@@ -43,6 +56,11 @@
     return index;
   }
 
+  @Override
+  public boolean perInstance() {
+    return perInstance;
+  }
+
   @Override
   public T defaultValue() {
     return defaultValue;
--- /dev/null
+++ b/settings/src/main/java/org/gentianslip/settings/InstanceValues.java
@@ -0,0 +1,24 @@
+package org.gentianslip.settings;
+
+import java.util.Map;
+import org.gentianslip.core.id.RegionId;
+
+/**
+ * Holds the values for whole instances of each region.
+ *
+ * <p>Immutable and safe for use by several threads.
+ *
+ * @param byRegion the values for each region
+ * @param elsewhere the values for regions that are not declared
+ */
+record InstanceValues(Map<RegionId, ResolvedValues> byRegion, ResolvedValues elsewhere) {
+
+  InstanceValues {
+    byRegion = Map.copyOf(byRegion);
+  }
+
+  /** Returns the values for an instance of a region. */
+  ResolvedValues find(RegionId region) {
+    return byRegion.getOrDefault(region, elsewhere);
+  }
+}
--- /dev/null
+++ b/settings/src/main/java/org/gentianslip/settings/InstanceValuesBuilder.java
@@ -0,0 +1,126 @@
+package org.gentianslip.settings;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import org.gentianslip.core.id.RegionId;
+
+/**
+ * Computes the values that hold for whole instances, and finds those that are set where they cannot
+ * hold.
+ *
+ * <p>Used by one thread.
+ */
+final class InstanceValuesBuilder {
+
+  private final List<BranchNode> tree;
+  private final BranchSelector selector;
+  private final Set<RegionId> regions;
+  private final FindingCollector findings;
+
+  InstanceValuesBuilder(
+      List<BranchNode> tree,
+      BranchSelector selector,
+      Set<RegionId> regions,
+      FindingCollector findings) {
+    this.tree = tree;
+    this.selector = selector;
+    this.regions = regions;
+    this.findings = findings;
+  }
+
+  InstanceValues build() {
+    tree.forEach(this::findMisplaced);
+    var byRegion = new HashMap<RegionId, ResolvedValues>();
+    for (RegionId region : regions) {
+      Scope scope = Scope.ALL.with(BranchLevel.REGION, region.value());
+      findContradictions(scope);
+      byRegion.put(region, values(scope));
+    }
+    return new InstanceValues(byRegion, values(Scope.ALL));
+  }
+
+  private void findMisplaced(BranchNode node) {
+    Optional<BranchLevel> level = narrowLevel(node.scope());
+    if (level.isEmpty()) {
+      return;
+    }
+    for (Setting<?> setting : SettingCatalog.all()) {
+      Optional<Located<Object>> value = node.value(setting);
+      if (setting.perInstance() && value.isPresent()) {
+        findings.add(
+            value.get().place(),
+            String.format(
+                "%s holds for a whole instance and must be set in a branch of a firm or region,"
+                    + " but \"%s\" is for a %s",
+                setting.name(), node.id(), level.get().jsonName()));
+      }
+    }
+  }
+
+  private static Optional<BranchLevel> narrowLevel(Scope scope) {
+    return scope.name(BranchLevel.CUSTOMER).isPresent()
+        ? Optional.of(BranchLevel.CUSTOMER)
+        : scope.name(BranchLevel.KIND).map(k -> BranchLevel.KIND);
+  }
+
+  private List<List<BranchNode>> branchesOfFirms(Scope scope) {
+    var firms = new ArrayList<List<BranchNode>>();
+    for (BranchNode node : tree) {
+      if (node.depth() == 0) {
+        String firm = node.scope().name(BranchLevel.FIRM).orElseThrow();
+        firms.add(selector.select(scope.with(BranchLevel.FIRM, firm)));
+      }
+    }
+    return firms;
+  }
+
+  private ResolvedValues values(Scope scope) {
+    List<ResolvedValues> firms =
+        branchesOfFirms(scope).stream().map(b -> ResolvedValues.of(b, regions)).toList();
+    return ResolvedValues.ofInstance(firms, regions);
+  }
+
+  private void findContradictions(Scope scope) {
+    List<List<BranchNode>> firms = branchesOfFirms(scope);
+    for (Setting<?> setting : SettingCatalog.all()) {
+      if (setting.perInstance()) {
+        findContradiction(setting, firms);
+      }
+    }
+  }
+
+  private void findContradiction(Setting<?> setting, List<List<BranchNode>> firms) {
+    BranchNode first = null;
+    for (List<BranchNode> branches : firms) {
+      BranchNode last = lastThatSets(setting, branches);
+      if (last == null) {
+        continue;
+      }
+      if (first == null) {
+        first = last;
+      } else if (!valueOf(first, setting).equals(valueOf(last, setting))) {
+        findings.add(
+            last.value(setting).orElseThrow().place(),
+            String.format(
+                "%s holds for a whole instance, but \"%s\" and \"%s\" set different values for"
+                    + " one region",
+                setting.name(), first.id(), last.id()));
+      }
+    }
+  }
+
+  private static BranchNode lastThatSets(Setting<?> setting, List<BranchNode> branches) {
+    BranchNode last = null;
+    for (BranchNode branch : branches) {
+      last = branch.value(setting).isPresent() ? branch : last;
+    }
+    return last;
+  }
+
+  private static Object valueOf(BranchNode branch, Setting<?> setting) {
+    return branch.value(setting).orElseThrow().value();
+  }
+}
--- a/settings/src/main/java/org/gentianslip/settings/ReferenceChecker.java
+++ b/settings/src/main/java/org/gentianslip/settings/ReferenceChecker.java
@@ -89,6 +89,7 @@
             .filter(b -> b.level() == BranchLevel.FIRM)
             .map(BranchDeclaration::name)
             .collect(Collectors.toCollection(TreeSet::new));
+    firms.addAll(content.faultyBranches);
     for (Located<Customer> customer : content.customers) {
       String firm = customer.value().firm();
       if (!firm.isEmpty()) {
--- a/settings/src/main/java/org/gentianslip/settings/ResolvedValues.java
+++ b/settings/src/main/java/org/gentianslip/settings/ResolvedValues.java
@@ -46,6 +46,25 @@
     return new ResolvedValues(values, origins);
   }
 
+  /**
+   * Takes the values that hold for a whole instance from those of all firms.
+   *
+   * <p>Of two firms that set a value, the first one counts.
+   */
+  static ResolvedValues ofInstance(List<ResolvedValues> firms, Set<RegionId> regions) {
+    ResolvedValues values = of(List.of(), regions);
+    for (Setting<?> setting : SettingCatalog.all()) {
+      int i = setting.index();
+      for (ResolvedValues firm : firms) {
+        if (setting.perInstance() && firm.isSet(setting) && !values.isSet(setting)) {
+          values.values[i] = firm.values[i];
+          values.origins[i] = firm.origins[i];
+        }
+      }
+    }
+    return values;
+  }
+
   private static void apply(
       Setting<?> setting, Object value, BranchNode branch, Object[] values, String[] origins) {
     int i = setting.index();
@@ -64,6 +83,11 @@
     return Collections.unmodifiableSet(common);
   }
 
+  /** Returns whether a branch set the value. */
+  boolean isSet(Setting<?> setting) {
+    return !origins[setting.index()].equals(DEFAULT_ORIGIN);
+  }
+
   @Override
   @SuppressWarnings("unchecked")
   public <T> T get(Setting<T> setting) {
--- a/settings/src/main/java/org/gentianslip/settings/SettingCatalog.java
+++ b/settings/src/main/java/org/gentianslip/settings/SettingCatalog.java
@@ -98,7 +98,7 @@
 
   /** The share of requests that may be retried. */
   public static final Setting<Double> RETRY_BUDGET =
-      declare(
+      declareForInstance(
           "retryBudgetShare",
           ValueType.share(),
           0.1,
@@ -122,7 +122,7 @@
 
   /** The share of a link that requests to another region may use. */
   public static final Setting<Double> LINK_BUDGET =
-      declare(
+      declareForInstance(
           "linkBudgetShare",
           ValueType.share(),
           0.5,
@@ -130,7 +130,7 @@
 
   /** The share of capacity that is kept for work that is not urgent. */
   public static final Setting<Double> OTHER_FLOOR =
-      declare(
+      declareForInstance(
           "otherFloorShare",
           ValueType.share(),
           0.1,
@@ -147,7 +147,7 @@
 
   /** The greatest number of requests that wait at one instance. */
   public static final Setting<Integer> MAX_QUEUE =
-      declare(
+      declareForInstance(
           "maxQueueLength",
           ValueType.wholeNumber("requests", 0, 100_000),
           200,
@@ -171,7 +171,7 @@
 
   /** How long a graceful shutdown waits for requests in flight. */
   public static final Setting<Duration> DRAIN_TIMEOUT =
-      declare(
+      declareForInstance(
           "drainTimeoutMillis",
           ValueType.millis(0, HOUR_MILLIS),
           Duration.ofMillis(60_000),
@@ -203,7 +203,7 @@
 
   /** The least severe level that is logged. */
   public static final Setting<String> LOG_LEVEL =
-      declare(
+      declareForInstance(
           "logLevel",
           ValueType.oneOf("severe", "warning", "info", "fine", "finest"),
           "info",
@@ -211,7 +211,7 @@
 
   /** The greatest number of log lines of one place in the code. */
   public static final Setting<Integer> LOG_RATE =
-      declare(
+      declareForInstance(
           "logRatePerSecond",
           ValueType.wholeNumber("lines per second", 1, 10_000),
           10,
@@ -251,7 +251,15 @@
 
   private static <T> Setting<T> declare(
       String name, ValueType<T> type, T defaultValue, String description) {
-    var setting = DeclaredSetting.of(name, DECLARED.size(), type, defaultValue, description);
+    return add(DeclaredSetting.ofRequest(name, DECLARED.size(), type, defaultValue, description));
+  }
+
+  private static <T> Setting<T> declareForInstance(
+      String name, ValueType<T> type, T defaultValue, String description) {
+    return add(DeclaredSetting.ofInstance(name, DECLARED.size(), type, defaultValue, description));
+  }
+
+  private static <T> Setting<T> add(Setting<T> setting) {
     DECLARED.add(setting);
     return setting;
   }
--- a/settings/src/main/java/org/gentianslip/settings/Settings.java
+++ b/settings/src/main/java/org/gentianslip/settings/Settings.java
@@ -64,6 +64,16 @@
    */
   EffectiveSettings effective(Scope scope);
 
+  /**
+   * Returns the values that hold for a whole instance.
+   *
+   * <p>Settings that may differ between requests have their defaults in it.
+   *
+   * @param region the region of the instance
+   * @see Setting#perInstance()
+   */
+  EffectiveSettings instance(RegionId region);
+
   /** Returns the branches. */
   List<Branch> branches();
 
--- a/settings/src/main/java/org/gentianslip/settings/SettingsContent.java
+++ b/settings/src/main/java/org/gentianslip/settings/SettingsContent.java
@@ -1,7 +1,9 @@
 package org.gentianslip.settings;
 
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 import org.gentianslip.core.id.ModelId;
 
 /**
@@ -17,4 +19,7 @@
   final List<Located<Service>> services = new ArrayList<>();
   final List<Located<Customer>> customers = new ArrayList<>();
   final List<BranchDeclaration> branches = new ArrayList<>();
+
+  /** The ids and names of branches that have a fault of their own and are left out. */
+  final Set<String> faultyBranches = new HashSet<>();
 }
--- a/settings/src/main/java/org/gentianslip/settings/SettingsParser.java
+++ b/settings/src/main/java/org/gentianslip/settings/SettingsParser.java
@@ -42,7 +42,7 @@
     var references = new ReferenceChecker(content, findings);
     references.findDuplicates();
     if (!complete) {
-      TreeBuilder.build(content.branches, false, findings);
+      TreeBuilder.build(content, false, findings);
       return new ParseResult.Rejected(findings.toList());
     }
     if (content.regions.isEmpty()) {
@@ -50,7 +50,7 @@
       findings.add(Place.rootOf(source).at("regions"), "At least one region must be declared");
     }
     references.findUnknown();
-    List<BranchNode> tree = TreeBuilder.build(content.branches, true, findings);
+    List<BranchNode> tree = TreeBuilder.build(content, true, findings);
     references.findForeignCustomers(tree);
     return resolve(revision, content, tree, findings);
   }
@@ -79,10 +79,12 @@
     var checker = new ContradictionChecker(regionIds, content.links, findings);
     var builder = new EffectiveTableBuilder(tree, selector, regionIds, checker);
     Map<CustomerId, EffectiveTable> tables = builder.build(content.customers);
+    var instances = new InstanceValuesBuilder(tree, selector, regionIds, findings).build();
     if (!findings.isEmpty()) {
       return new ParseResult.Rejected(findings.toList());
     }
     return new ParseResult.Accepted(
-        new SettingsTree(revision, content, tree, selector, regionIds, tables, builder.kinds()));
+        new SettingsTree(
+            revision, content, tree, selector, regionIds, tables, builder.kinds(), instances));
   }
 }
--- a/settings/src/main/java/org/gentianslip/settings/SettingsReference.java
+++ b/settings/src/main/java/org/gentianslip/settings/SettingsReference.java
@@ -21,6 +21,8 @@
       `gentianctl settings reference`; do not edit it.
 
       A branch sets a value in its member `values`. Where no branch sets one, the default holds.
+      Values that hold for a whole instance are set in branches of firms and regions, and two firms
+      may not set different ones for one region.
       """;
 
   private SettingsReference() {}
@@ -43,6 +45,9 @@
       lines.add("- Unit: " + setting.unit());
     }
     lines.add("- Default: " + defaultText(setting));
+    if (setting.perInstance()) {
+      lines.add("- Holds for a whole instance: set it in branches of firms and regions only");
+    }
     lines.add("");
     return String.join("\n", lines);
   }
--- a/settings/src/main/java/org/gentianslip/settings/SettingsTree.java
+++ b/settings/src/main/java/org/gentianslip/settings/SettingsTree.java
@@ -31,6 +31,7 @@
   private final Map<String, Customer> customersByKey;
   private final Map<CustomerId, EffectiveTable> tables;
   private final Map<String, Set<KindId>> kinds;
+  private final InstanceValues instances;
   private final List<Branch> branches;
   private final BranchSelector selector;
   private final Set<RegionId> regionIds;
@@ -43,7 +44,8 @@
       BranchSelector selector,
       Set<RegionId> regionIds,
       Map<CustomerId, EffectiveTable> tables,
-      Map<String, Set<KindId>> kinds) {
+      Map<String, Set<KindId>> kinds,
+      InstanceValues instances) {
     this.revision = revision;
     this.regions = values(content.regions);
     this.links = values(content.links);
@@ -52,6 +54,7 @@
     this.customersByKey = new LinkedHashMap<>();
     this.tables = Map.copyOf(tables);
     this.kinds = Map.copyOf(kinds);
+    this.instances = instances;
     this.branches = tree.stream().map(BranchNode::toBranch).toList();
     this.selector = selector;
     this.regionIds = regionIds;
@@ -137,6 +140,11 @@
     return ResolvedValues.of(selector.select(scope), regionIds);
   }
 
+  @Override
+  public EffectiveSettings instance(RegionId region) {
+    return instances.find(region);
+  }
+
   @Override
   public List<Branch> branches() {
     return branches;
--- a/settings/src/main/java/org/gentianslip/settings/TreeBuilder.java
+++ b/settings/src/main/java/org/gentianslip/settings/TreeBuilder.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 
 /**
  * Joins branches to a tree and finds missing parents, cycles and ambiguous branches.
@@ -17,6 +18,7 @@
 final class TreeBuilder {
 
   private final FindingCollector findings;
+  private final Set<String> faulty;
   private final boolean complete;
   private final Map<String, BranchDeclaration> byId = new LinkedHashMap<>();
   private final Map<String, Optional<BranchNode>> nodes = new HashMap<>();
@@ -31,8 +33,9 @@
    */
   private record SiblingKey(Optional<String> parent, BranchLevel level, String name) {}
 
-  private TreeBuilder(FindingCollector findings, boolean complete) {
+  private TreeBuilder(FindingCollector findings, Set<String> faulty, boolean complete) {
     this.findings = findings;
+    this.faulty = faulty;
     this.complete = complete;
   }
 
@@ -42,9 +45,9 @@
    * @param complete whether all documents could be read, so that a missing parent is a fault
    */
   static List<BranchNode> build(
-      List<BranchDeclaration> declarations, boolean complete, FindingCollector findings) {
-    var builder = new TreeBuilder(findings, complete);
-    declarations.forEach(builder::add);
+      SettingsContent content, boolean complete, FindingCollector findings) {
+    var builder = new TreeBuilder(findings, content.faultyBranches, complete);
+    content.branches.forEach(builder::add);
     builder.findCycles();
     var tree = new ArrayList<BranchNode>();
     for (BranchDeclaration branch : builder.byId.values()) {
@@ -113,7 +116,7 @@
 
   private Optional<BranchNode> placeBelow(BranchDeclaration branch, String parent) {
     if (!byId.containsKey(parent)) {
-      if (complete) {
+      if (complete && !faulty.contains(parent)) {
         findings.add(
             branch.place().at("parent"), ObjectFields.unknown("parent", parent, idsBut(branch)));
       }
