--- a/demo/src/main/java/org/gentianslip/demo/fleet/Fleet.java
+++ b/demo/src/main/java/org/gentianslip/demo/fleet/Fleet.java
@@ -259,6 +259,19 @@
     return control.json(entry(entry).operatorAddress(), path, OPERATOR);
   }
 
+  /**
+   * Returns the sum of all series of a metric that an instance offers.
+   *
+   * @throws IOException if the instance does not answer
+   */
+  public double metric(String entry, String name) throws IOException {
+    String text = control.text(entry(entry).operatorAddress(), "/metrics", Headers.EMPTY);
+    return text.lines()
+        .filter(line -> line.startsWith(name + "{") || line.startsWith(name + " "))
+        .mapToDouble(line -> Double.parseDouble(line.substring(line.lastIndexOf(' ') + 1)))
+        .sum();
+  }
+
   /** Tells whether an entry instance says that it serves. */
   public boolean isReady(String entry) {
     return control.status(entry(entry).operatorAddress(), "/ready") == 200;
--- /dev/null
+++ b/demo/src/test/java/org/gentianslip/demo/TestCalls.java
@@ -0,0 +1,43 @@
+package org.gentianslip.demo;
+
+import java.util.concurrent.atomic.AtomicLong;
+import org.gentianslip.core.id.RequestId;
+import org.gentianslip.load.work.ActionType;
+import org.gentianslip.load.work.CallSpec;
+import org.gentianslip.load.work.WorkShare;
+import org.gentianslip.load.work.Workload;
+
+/** Makes calls of distinct content. Safe for use by several threads. */
+final class TestCalls {
+
+  private static final AtomicLong COUNT = new AtomicLong();
+
+  private TestCalls() {}
+
+  /** Returns a streamed chat of a shop of the fleet qadri. */
+  static CallSpec stream(int maxTokens) {
+    return spec(ActionType.CHAT_STREAM, maxTokens);
+  }
+
+  /** Returns a booking of a shop of the fleet qadri. */
+  static CallSpec booking() {
+    return spec(ActionType.SERVICE_WRITE, 0);
+  }
+
+  private static CallSpec spec(ActionType action, int maxTokens) {
+    WorkShare base = Workload.named("qadri").only(action).shares().get(0);
+    WorkShare share =
+        new WorkShare(
+            base.customer(),
+            base.key(),
+            base.kind(),
+            base.rank(),
+            action,
+            base.target(),
+            1,
+            0,
+            maxTokens);
+    String id = "test-" + System.nanoTime() + "-" + COUNT.incrementAndGet();
+    return new CallSpec(RequestId.of(id), share, id);
+  }
+}
