--- /dev/null
+++ b/entry/src/main/java/org/gentianslip/entry/state/FleetState.java
@@ -0,0 +1,195 @@
+package org.gentianslip.entry.state;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicReference;
+import org.gentianslip.core.id.Incarnation;
+import org.gentianslip.core.id.InstanceId;
+import org.gentianslip.core.id.RegionId;
+import org.gentianslip.core.membership.InstanceState;
+import org.gentianslip.core.membership.Life;
+import org.gentianslip.core.membership.Member;
+import org.gentianslip.core.membership.MembershipTable;
+import org.gentianslip.core.membership.RegionBackoff;
+import org.gentianslip.core.routing.EngineView;
+import org.gentianslip.core.routing.RegionSummary;
+import org.gentianslip.core.routing.RouteView;
+import org.gentianslip.entry.platform.BackendRecord;
+import org.gentianslip.entry.platform.EntryRecord;
+import org.gentianslip.entry.platform.InstanceList;
+import org.gentianslip.entry.process.EntryPlace;
+import org.gentianslip.settings.Settings;
+
+/**
+ * Holds all that this instance knows.
+ *
+ * <p>Settings and list are immutable values that are swapped as a whole. Safe for use by several
+ * threads.
+ */
+public final class FleetState {
+
+  private final EntryPlace place;
+  private final Incarnation incarnation;
+  private final AtomicReference<Settings> settings = new AtomicReference<>();
+  private final AtomicReference<InstanceList> list = new AtomicReference<>(InstanceList.NONE);
+  private final EngineTable engines;
+  private final Membership membership;
+  private final RegionBook regions = new RegionBook();
+  private final RegionBackoff backoff;
+  private final AtomicBoolean settled = new AtomicBoolean();
+  private final AtomicBoolean leaving = new AtomicBoolean();
+
+  /** Creates the state of an instance that knows nothing yet. */
+  public FleetState(EntryPlace place, Incarnation incarnation) {
+    this.place = place;
+    this.incarnation = incarnation;
+    this.engines = new EngineTable(place.region());
+    this.membership = new Membership(place);
+    this.backoff = new RegionBackoff(incarnation.value());
+  }
+
+  /** Returns the place of this instance. */
+  public EntryPlace place() {
+    return place;
+  }
+
+  /** Returns the incarnation of this process. */
+  public Incarnation incarnation() {
+    return incarnation;
+  }
+
+  /** Returns the settings in force, or null before the first. */
+  public Settings settings() {
+    return settings.get();
+  }
+
+  /** Puts settings in force; the caller sees to it that they are later than the present ones. */
+  public void put(Settings next) {
+    settings.set(next);
+  }
+
+  /** Returns the platform's list, as far as it is known. */
+  public InstanceList list() {
+    return list.get();
+  }
+
+  /** Takes a list if it is later than the known one. */
+  public synchronized void update(long nowNanos, InstanceList next) {
+    if (next.version() <= list.get().version()) {
+      return;
+    }
+    list.set(next);
+    engines.update(next);
+    membership.takeList(nowNanos, next);
+  }
+
+  /** Returns the model engines of the own region. */
+  public EngineTable engines() {
+    return engines;
+  }
+
+  /** Returns what is believed of the other instances. */
+  public Membership membership() {
+    return membership;
+  }
+
+  /** Returns what is known of the other regions. */
+  public RegionBook regions() {
+    return regions;
+  }
+
+  /** Returns the incarnation that is believed to live at an instance, if any was heard of. */
+  public Optional<Incarnation> incarnationOf(InstanceId id) {
+    return membership.table().member(id).flatMap(Member::life).map(Life::incarnation);
+  }
+
+  /** Returns which regions get a smaller share of requests for now. */
+  public RegionBackoff backoff() {
+    return backoff;
+  }
+
+  /** Returns whether this instance is leaving. */
+  public boolean leaving() {
+    return leaving.get();
+  }
+
+  /** Marks this instance as leaving. */
+  public void leave() {
+    leaving.set(true);
+  }
+
+  /** Notes that the settings in force are the latest that can be known; this is never undone. */
+  public void settle() {
+    settled.set(true);
+  }
+
+  /** Returns whether this instance knows its settings and the list well enough to serve. */
+  public boolean informed() {
+    return settled.get() && settings.get() != null && list.get().version() > 0;
+  }
+
+  /** Returns whether this instance takes new work. */
+  public boolean ready() {
+    return informed() && !leaving.get();
+  }
+
+  /** Makes all beliefs count as old, after a pause of this process. */
+  public void forgetAfterPause(long nowNanos) {
+    membership.update(t -> t.withPause(nowNanos));
+    regions.clear();
+    engines.forgetLoads();
+  }
+
+  /** Returns the share of the region's engines that this instance keeps busy, from 0 to 1. */
+  public double busyShare(long nowNanos) {
+    int slots = 0;
+    int inFlight = 0;
+    for (EngineView view : engines.views(nowNanos)) {
+      slots += view.usable() ? view.slots() : 0;
+      inFlight += view.inFlight();
+    }
+    return slots == 0 ? 0 : Math.min(1.0, (double) inFlight / slots);
+  }
+
+  /** Returns the backend servers of a service in the own region that take new calls. */
+  public List<BackendRecord> serviceBackends(String service) {
+    return list.get().backends().stream()
+        .filter(b -> !b.model() && b.live())
+        .filter(b -> service.equals(b.service()))
+        .filter(b -> b.region().equals(place.region().value()))
+        .toList();
+  }
+
+  /** Returns the listed instances of a region that are live and not known to be leaving. */
+  public List<EntryRecord> entriesOf(long nowNanos, RegionId region) {
+    MembershipTable table = membership.table();
+    return list.get().entries().stream()
+        .filter(e -> e.region().equals(region.value()) && e.live())
+        .filter(e -> table.stateOf(nowNanos, InstanceId.of(e.id())) == InstanceState.LIVE)
+        .toList();
+  }
+
+  /** Returns what the routing policy may know. */
+  public RouteView view(long nowNanos) {
+    return new RouteView(place.region(), engines.views(nowNanos), summaries(nowNanos));
+  }
+
+  private List<RegionSummary> summaries(long nowNanos) {
+    Settings current = settings.get();
+    if (current == null) {
+      return List.of();
+    }
+    return current.regions().stream()
+        .filter(r -> !r.id().equals(place.region()))
+        .map(r -> summary(nowNanos, r.id()))
+        .toList();
+  }
+
+  private RegionSummary summary(long nowNanos, RegionId region) {
+    return regions
+        .fresh(nowNanos, region)
+        .map(r -> new RegionSummary(region, r.freeSlots(), r.seenNanos(), r.roundTripNanos(), true))
+        .orElseGet(() -> new RegionSummary(region, 0, 0, 0, false));
+  }
+}
--- /dev/null
+++ b/settings/src/main/java/org/gentianslip/settings/Scope.java
@@ -0,0 +1,65 @@
+package org.gentianslip.settings;
+
+import java.util.Arrays;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.stream.Collectors;
+
+/**
+ * Describes a set of requests by at most one name for each level.
+ *
+ * <p>A level without a name stands for any. Immutable and safe for use by several threads.
+ */
+public final class Scope {
+
+  /** The scope of all requests. */
+  public static final Scope ALL = new Scope(new String[BranchLevel.values().length]);
+
+  /** The name at the place of each level, or null. */
+  private final String[] names;
+
+  private Scope(String[] names) {
+    this.names = names;
+  }
+
+  /** Returns this scope, narrowed to the given name at the given level. */
+  public Scope with(BranchLevel level, String name) {
+    String[] narrowed = names.clone();
+    narrowed[level.ordinal()] = Objects.requireNonNull(name);
+    return new Scope(narrowed);
+  }
+
+  /** Returns the name at the given level. */
+  public Optional<String> name(BranchLevel level) {
+    return Optional.ofNullable(names[level.ordinal()]);
+  }
+
+  /** Returns whether every request of the other scope is in this one too. */
+  public boolean includes(Scope other) {
+    for (int i = 0; i < names.length; i++) {
+      if (names[i] != null && !names[i].equals(other.names[i])) {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  @Override
+  public boolean equals(Object other) {
+    return other instanceof Scope scope && Arrays.equals(names, scope.names);
+  }
+
+  @Override
+  public int hashCode() {
+    return Arrays.hashCode(names);
+  }
+
+  /** Returns the names, such as {@code "firm qadri, region pk-north"}. */
+  @Override
+  public String toString() {
+    return Arrays.stream(BranchLevel.values())
+        .filter(level -> names[level.ordinal()] != null)
+        .map(level -> level.jsonName() + " " + names[level.ordinal()])
+        .collect(Collectors.joining(", "));
+  }
+}
