Rejoin a healed region: count late failures once, and leave silent regions

Cause: CutRegionTest timed out 30 s after the heal. Requests that were on the way when the link fell silent failed one by one at their deadlines, each as a new failure, so the wait grew to its greatest. And a request that the growing share did not admit was counted as a failure too, which started the wait again. Ruled out: stale membership (hellos were answered at once after the heal) and connections that stayed silent (each timed-out exchange closes its own). Conclusion: a region rejoins in the steps that the back-off means.

--- a/core/src/main/java/org/gentianslip/core/membership/RegionBackoff.java
+++ b/core/src/main/java/org/gentianslip/core/membership/RegionBackoff.java
@@ -45,14 +45,15 @@
   /**
    * Takes that a region refused a request or did not answer.
    *
-   * <p>Failures while the region gets nothing anyway change nothing, so requests that were on the
-   * way count once.
+   * <p>A failure of a request that was sent before the region was last opened again changes
+   * nothing, so requests that were on the way together count once, however late they fail.
    *
    * @param nowNanos the present time, in nanoseconds of the monotonic clock
+   * @param sentNanos when the failed request was sent, in nanoseconds of the monotonic clock
    * @param region the region
    */
-  public void failed(long nowNanos, RegionId region) {
-    states.compute(region, (r, s) -> next(nowNanos, r, s));
+  public void failed(long nowNanos, long sentNanos, RegionId region) {
+    states.compute(region, (r, s) -> next(nowNanos, sentNanos, r, s));
   }
 
   /**
@@ -77,8 +78,8 @@
     return s == null || RendezvousHash.fraction(requestHash) < shareOf(nowNanos, s);
   }
 
-  private State next(long nowNanos, RegionId region, State s) {
-    if (s != null && nowNanos - s.openNanos() < 0) {
+  private State next(long nowNanos, long sentNanos, RegionId region, State s) {
+    if (s != null && sentNanos - s.openNanos() < 0) {
       return s;
     }
     int failures = s == null ? 1 : s.failures() + 1;
--- /dev/null
+++ b/entry/src/main/java/org/gentianslip/entry/model/AwayCalls.java
@@ -0,0 +1,38 @@
+package org.gentianslip.entry.model;
+
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import okhttp3.Call;
+import org.gentianslip.core.id.RegionId;
+import org.gentianslip.core.id.RequestId;
+
+/**
+ * Holds the exchanges with other regions that have not been answered yet.
+ *
+ * <p>Safe for use by several threads.
+ */
+final class AwayCalls {
+
+  private final Map<RegionId, Map<RequestId, Call>> calls = new ConcurrentHashMap<>();
+
+  void add(RegionId region, RequestId id, Call call) {
+    calls.computeIfAbsent(region, r -> new ConcurrentHashMap<>()).put(id, call);
+  }
+
+  void remove(RegionId region, RequestId id) {
+    Map<RequestId, Call> of = calls.get(region);
+    if (of != null) {
+      of.remove(id);
+    }
+  }
+
+  Set<RegionId> regions() {
+    return calls.keySet();
+  }
+
+  /** Cancels all exchanges with a region; each ends as failed on its own thread. */
+  void cancelAll(RegionId region) {
+    calls.getOrDefault(region, Map.of()).values().forEach(Call::cancel);
+  }
+}
--- a/entry/src/main/java/org/gentianslip/entry/model/ModelDispatcher.java
+++ b/entry/src/main/java/org/gentianslip/entry/model/ModelDispatcher.java
@@ -6,12 +6,14 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.ConcurrentLinkedQueue;
+import okhttp3.Call;
 import org.gentianslip.core.id.Rank;
 import org.gentianslip.core.id.RegionId;
 import org.gentianslip.core.outcome.NotRunReason;
 import org.gentianslip.core.outcome.Outcome;
 import org.gentianslip.core.outcome.RetryRule;
 import org.gentianslip.core.routing.RouteDecision;
+import org.gentianslip.core.routing.RouteView;
 import org.gentianslip.core.routing.RoutingPolicy;
 import org.gentianslip.entry.http.ErrorCode;
 import org.gentianslip.entry.http.ErrorReply;
@@ -34,7 +36,6 @@
 
   private static final int URGENT_PRIORITY = 10;
   private static final int MAX_RACES = 4;
-  private static final int MAX_REGIONS = 2;
 
   private final FleetState state;
   private final RoutingPolicy policy;
@@ -42,6 +43,7 @@
   private final UpstreamClient client;
   private final RetryRule retries;
   private final ModelReport report;
+  private final AwayCalls away = new AwayCalls();
   private final ConcurrentLinkedQueue<ModelExchange> waiting = new ConcurrentLinkedQueue<>();
 
   ModelDispatcher(
@@ -76,6 +78,15 @@
     }
   }
 
+  /** Gives up the exchanges with regions that have fallen silent; their requests go on here. */
+  void leaveSilentRegions(long nowNanos) {
+    for (RegionId region : away.regions()) {
+      if (state.regions().fresh(nowNanos, region).isEmpty()) {
+        away.cancelAll(region);
+      }
+    }
+  }
+
   /** Returns the number of waiting requests. */
   int waitingCount() {
     return waiting.size();
@@ -91,7 +102,8 @@
             "The deadline passed before an engine was free.");
         return;
       }
-      RouteDecision decision = policy.decide(nowNanos, exchange.route(), state.view(nowNanos));
+      RouteDecision decision =
+          policy.decide(nowNanos, exchange.route(), viewFor(nowNanos, exchange));
       if (act(nowNanos, exchange, decision)) {
         return;
       }
@@ -183,37 +195,38 @@
     }
   }
 
+  private RouteView viewFor(long nowNanos, ModelExchange exchange) {
+    return state.view(nowNanos, exchange.requestHash(), exchange.closedRegions());
+  }
+
   private boolean startAtRegion(long nowNanos, ModelExchange exchange, RouteDecision.ToRegion to) {
-    boolean isNew = !exchange.regionsTried().contains(to.region());
-    if (isNew && exchange.regionsTried().size() >= MAX_REGIONS || !isNew) {
-      waiting.add(exchange);
-      return true;
-    }
+    exchange.tryRegion(to.region());
     exchange.nextAttempt();
-    Optional<?> call =
+    Optional<Call> call =
         forwarding.forward(
             nowNanos,
             exchange,
             to.region(),
-            result -> regionAnswered(exchange, to.region(), result));
+            result -> regionAnswered(nowNanos, exchange, to.region(), result));
     if (call.isEmpty()) {
-      state.backoff().failed(nowNanos, to.region());
       return false;
     }
-    exchange.regionsTried().add(to.region());
+    away.add(to.region(), exchange.route().id(), call.get());
     report.forwarded(nowNanos, exchange, to);
     return true;
   }
 
-  private void regionAnswered(ModelExchange exchange, RegionId region, UpstreamResult result) {
+  private void regionAnswered(
+      long sentNanos, ModelExchange exchange, RegionId region, UpstreamResult result) {
+    away.remove(region, exchange.route().id());
+    long now = System.nanoTime();
     if (result instanceof UpstreamResult.Answer answer) {
-      state.backoff().succeeded(System.nanoTime(), region);
+      state.backoff().succeeded(now, region);
       AnswerCopy.copy(exchange, answer, region, report)
           .ifPresent(outcome -> again(System.nanoTime(), exchange, outcome));
       return;
     }
-    long now = System.nanoTime();
-    state.backoff().failed(now, region);
+    state.backoff().failed(now, sentNanos, region);
     if (result instanceof UpstreamResult.Refused refused) {
       report.step(now, exchange, "region-refused", region.value(), refused.code());
       again(now, exchange, new Outcome.NotRun(NotRunReason.REFUSED_BEFORE_START));
--- a/entry/src/main/java/org/gentianslip/entry/model/ModelExchange.java
+++ b/entry/src/main/java/org/gentianslip/entry/model/ModelExchange.java
@@ -18,6 +18,8 @@
  */
 final class ModelExchange {
 
+  private static final int MAX_REGIONS = 2;
+
   private final RouteRequest route;
   private final RequestSettings settings;
   private final String path;
@@ -95,8 +97,14 @@
     return attempts;
   }
 
-  Set<RegionId> regionsTried() {
-    return regionsTried;
+  /** Notes that the request is sent to a region; it goes to each region at most once. */
+  void tryRegion(RegionId region) {
+    regionsTried.add(region);
+  }
+
+  /** Returns the regions that the request may not be sent to any more. */
+  Set<RegionId> closedRegions() {
+    return regionsTried.size() < MAX_REGIONS ? regionsTried : route.allowedRegions();
   }
 
   /** Notes that a backend server may have started the request. */
--- a/entry/src/main/java/org/gentianslip/entry/model/ModelRequests.java
+++ b/entry/src/main/java/org/gentianslip/entry/model/ModelRequests.java
@@ -163,6 +163,7 @@
   public void tick(long nowNanos) {
     fromCallers.retryWaiting(nowNanos);
     fromPeers.retryWaiting(nowNanos);
+    fromCallers.leaveSilentRegions(nowNanos);
     metrics.queued(waitingCount());
   }
 
--- a/entry/src/main/java/org/gentianslip/entry/model/PeerForwarding.java
+++ b/entry/src/main/java/org/gentianslip/entry/model/PeerForwarding.java
@@ -33,8 +33,7 @@
   @Override
   public Optional<Call> forward(
       long nowNanos, ModelExchange exchange, RegionId region, Consumer<UpstreamResult> receiver) {
-    boolean allowed = exchange.route().allowedRegions().contains(region);
-    if (!allowed || !state.backoff().admits(nowNanos, region, exchange.requestHash())) {
+    if (!exchange.route().allowedRegions().contains(region)) {
       return Optional.empty();
     }
     Optional<EntryRecord> target = target(nowNanos, exchange, region);
--- a/entry/src/main/java/org/gentianslip/entry/state/FleetState.java
+++ b/entry/src/main/java/org/gentianslip/entry/state/FleetState.java
@@ -1,7 +1,9 @@
 package org.gentianslip.entry.state;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicReference;
 import org.gentianslip.core.id.Incarnation;
@@ -19,6 +21,7 @@
 import org.gentianslip.entry.platform.EntryRecord;
 import org.gentianslip.entry.platform.InstanceList;
 import org.gentianslip.entry.process.EntryPlace;
+import org.gentianslip.settings.Region;
 import org.gentianslip.settings.Settings;
 
 /**
@@ -170,26 +173,37 @@
         .toList();
   }
 
-  /** Returns what the routing policy may know. */
-  public RouteView view(long nowNanos) {
-    return new RouteView(place.region(), engines.views(nowNanos), summaries(nowNanos));
+  /**
+   * Returns what the routing policy may know.
+   *
+   * @param requestHash an evenly spread hash of the request
+   * @param tried the regions that the request was sent to before; they count as unreachable
+   */
+  public RouteView view(long nowNanos, long requestHash, Set<RegionId> tried) {
+    return new RouteView(
+        place.region(), engines.views(nowNanos), summaries(nowNanos, requestHash, tried));
   }
 
-  private List<RegionSummary> summaries(long nowNanos) {
+  private List<RegionSummary> summaries(long nowNanos, long requestHash, Set<RegionId> tried) {
     Settings current = settings.get();
     if (current == null) {
       return List.of();
     }
-    return current.regions().stream()
-        .filter(r -> !r.id().equals(place.region()))
-        .map(r -> summary(nowNanos, r.id()))
-        .toList();
+    List<RegionSummary> summaries = new ArrayList<>();
+    for (Region region : current.regions()) {
+      if (!region.id().equals(place.region())) {
+        boolean open =
+            !tried.contains(region.id()) && backoff.admits(nowNanos, region.id(), requestHash);
+        summaries.add(summary(nowNanos, region.id(), open));
+      }
+    }
+    return summaries;
   }
 
-  private RegionSummary summary(long nowNanos, RegionId region) {
+  private RegionSummary summary(long nowNanos, RegionId region, boolean open) {
     return regions
         .fresh(nowNanos, region)
-        .map(r -> new RegionSummary(region, r.freeSlots(), r.seenNanos(), r.roundTripNanos(), true))
+        .map(r -> new RegionSummary(region, r.freeSlots(), r.seenNanos(), r.roundTripNanos(), open))
         .orElseGet(() -> new RegionSummary(region, 0, 0, 0, false));
   }
 }
