Show the instance that took a request before the one it went to

Cause: explain showed a forwarded request's second instance first, by the order of the addresses. Ruled out: the times of the steps, which each instance counts from its own admission. Change: the instance that had the request longest comes first.

--- a/ctl/src/main/java/org/gentianslip/ctl/ExplainCommand.java
+++ b/ctl/src/main/java/org/gentianslip/ctl/ExplainCommand.java
@@ -4,6 +4,7 @@
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.List;
 import java.util.concurrent.Callable;
 import picocli.CommandLine.Command;
@@ -50,10 +51,20 @@
               + "\".");
       return ExitStatus.FAILED;
     }
+    accounts.sort(Comparator.comparingLong(ExplainCommand::lengthMillis).reversed());
     print(output, accounts);
     return allAsked ? ExitStatus.DONE : ExitStatus.FAILED;
   }
 
+  /** Returns how long an instance had the request; the one that took it first had it longest. */
+  private static long lengthMillis(JsonNode account) {
+    long longest = 0;
+    for (JsonNode step : account.path("steps")) {
+      longest = Math.max(longest, step.path("atMillis").asLong());
+    }
+    return longest;
+  }
+
   private void print(Output output, List<JsonNode> accounts) {
     if (options.json()) {
       ObjectNode body = JsonNodeFactory.instance.objectNode().put("request", requestId);
--- a/ctl/src/test/java/org/gentianslip/ctl/OperatorCommandTest.java
+++ b/ctl/src/test/java/org/gentianslip/ctl/OperatorCommandTest.java
@@ -212,6 +212,16 @@
       assertThat(run.out(), matchesPattern("(?s).*pk-north-1 +1 +refused +engine-1 +full.*"));
     }
 
+    @Test
+    void showsTheInstanceThatHadTheRequestLongestFirst() {
+      answer(200, STEPS);
+      answer(
+          200, STEPS.replace("pk-north-1", "origin").replace("\"atMillis\": 1", "\"atMillis\": 9"));
+      CommandRun run =
+          CommandRun.of("explain", "r-1", "--operator", address(), "--operator", address());
+      assertThat(run.out(), matchesPattern("(?s).*origin.*pk-north-1.*"));
+    }
+
     @Test
     void failsIfNobodyKnows() {
       answer(404, "{\"error\": {\"message\": \"Nothing is known.\"}}");
