Refuse deadlines that a graceful shutdown would not wait for

Ruled out: ignoring the timeout, since an operator sets it on purpose. Change: a finding wherever a deadline in force is above the drain's timeout of the region; the default of the timeout is 600 s. A wider check for ambiguous branches was tried and taken back: no more than two branches can share a depth and level.

--- a/settings/src/main/java/org/gentianslip/settings/ContradictionChecker.java
+++ b/settings/src/main/java/org/gentianslip/settings/ContradictionChecker.java
@@ -15,15 +15,20 @@
  */
 final class ContradictionChecker {
 
+  private final Map<String, BranchNode> branches = new HashMap<>();
   private final Set<RegionId> regions;
   private final Map<Set<RegionId>, Link> links = new HashMap<>();
   private final FindingCollector findings;
   private long longestRoundTripMillis;
 
   ContradictionChecker(
-      Set<RegionId> regions, List<Located<Link>> links, FindingCollector findings) {
+      List<BranchNode> tree,
+      Set<RegionId> regions,
+      List<Located<Link>> links,
+      FindingCollector findings) {
     this.regions = regions;
     this.findings = findings;
+    tree.forEach(branch -> branches.put(branch.id(), branch));
     for (Located<Link> item : links) {
       Link link = item.value();
       this.links.putIfAbsent(Set.of(link.first(), link.second()), link);
@@ -43,24 +48,28 @@
     checkResidency(branches, values);
   }
 
-  /** Finds branches of which none goes before the other and that set the same value. */
+  /**
+   * Finds branches of which none goes before the other and that set the same value.
+   *
+   * <p>No more than two can share a depth and level: a line has each level once.
+   */
   private void findAmbiguous(List<BranchNode> branches) {
     for (int i = 1; i < branches.size(); i++) {
-      BranchNode first = branches.get(i - 1);
-      BranchNode second = branches.get(i);
-      if (!first.ranksWith(second)) {
-        continue;
+      if (branches.get(i - 1).ranksWith(branches.get(i))) {
+        findAmbiguous(branches.get(i - 1), branches.get(i));
       }
-      for (Setting<?> setting : second.declaration().values().keySet()) {
-        if (setting != SettingCatalog.ALLOWED_REGIONS
-            && first.declaration().values().containsKey(setting)) {
-          findings.add(
-              second.declaration().values().get(setting).place(),
-              String.format(
-                  "%s is ambiguous: \"%s\" has the same depth and level, can match the same"
-                      + " request and sets it too",
-                  setting.name(), first.id()));
-        }
+    }
+  }
+
+  private void findAmbiguous(BranchNode first, BranchNode second) {
+    for (Setting<?> setting : second.declaration().values().keySet()) {
+      if (setting != SettingCatalog.ALLOWED_REGIONS && first.value(setting).isPresent()) {
+        findings.add(
+            second.value(setting).orElseThrow().place(),
+            String.format(
+                "%s is ambiguous: \"%s\" has the same depth and level, can match the same"
+                    + " request and sets it too",
+                setting.name(), first.id()));
       }
     }
   }
@@ -134,6 +143,38 @@
     }
   }
 
+  /**
+   * Finds deadlines that a graceful shutdown would not wait for.
+   *
+   * @param instance the values for the instances that take the requests
+   */
+  void checkDrain(List<BranchNode> branches, ResolvedValues values, ResolvedValues instance) {
+    Duration deadline = values.get(SettingCatalog.DEADLINE);
+    Duration drain = instance.get(SettingCatalog.DRAIN_TIMEOUT);
+    if (drain.compareTo(deadline) >= 0) {
+      return;
+    }
+    String drainOrigin = instance.origin(SettingCatalog.DRAIN_TIMEOUT);
+    lastPlace(branches, SettingCatalog.DEADLINE)
+        .or(() -> place(drainOrigin, SettingCatalog.DRAIN_TIMEOUT))
+        .ifPresent(
+            p ->
+                findings.add(
+                    p,
+                    String.format(
+                        "deadlineMillis %d (%s) must be at most drainTimeoutMillis %d (%s)",
+                        deadline.toMillis(),
+                        values.origin(SettingCatalog.DEADLINE),
+                        drain.toMillis(),
+                        drainOrigin)));
+  }
+
+  private Optional<Place> place(String branch, Setting<?> setting) {
+    return Optional.ofNullable(branches.get(branch))
+        .flatMap(b -> b.value(setting))
+        .map(Located::place);
+  }
+
   private static long roundTripMillis(Link link) {
     return 2L * link.oneWayMillis();
   }
--- a/settings/src/main/java/org/gentianslip/settings/EffectiveTableBuilder.java
+++ b/settings/src/main/java/org/gentianslip/settings/EffectiveTableBuilder.java
@@ -20,6 +20,7 @@
 
   private final BranchSelector selector;
   private final Set<RegionId> regions;
+  private final InstanceValues instances;
   private final ContradictionChecker checker;
   private final Map<List<String>, ResolvedValues> values = new HashMap<>();
   private final Map<String, Set<KindId>> kinds = new HashMap<>();
@@ -29,9 +30,11 @@
       List<BranchNode> tree,
       BranchSelector selector,
       Set<RegionId> regions,
+      InstanceValues instances,
       ContradictionChecker checker) {
     this.selector = selector;
     this.regions = regions;
+    this.instances = instances;
     this.checker = checker;
     for (BranchNode node : tree) {
       String firm = node.scope().name(BranchLevel.FIRM).orElseThrow();
@@ -88,7 +91,11 @@
     scope
         .name(BranchLevel.REGION)
         .map(RegionId::of)
-        .ifPresent(r -> checker.checkRoundTrip(r, branches, resolved));
+        .ifPresent(
+            r -> {
+              checker.checkRoundTrip(r, branches, resolved);
+              checker.checkDrain(branches, resolved, instances.find(r));
+            });
     return resolved;
   }
 
--- a/settings/src/main/java/org/gentianslip/settings/SettingCatalog.java
+++ b/settings/src/main/java/org/gentianslip/settings/SettingCatalog.java
@@ -174,8 +174,9 @@
       declareForInstance(
           "drainTimeoutMillis",
           ValueType.millis(0, HOUR_MILLIS),
-          Duration.ofMillis(60_000),
-          "Bounds the wait of a graceful shutdown for the requests in flight.");
+          Duration.ofMillis(600_000),
+          "Bounds the wait of a graceful shutdown for the requests in flight; at least as long as"
+              + " the longest deadline.");
 
   /** The name of the routing policy. */
   public static final Setting<String> POLICY =
--- a/settings/src/main/java/org/gentianslip/settings/SettingsParser.java
+++ b/settings/src/main/java/org/gentianslip/settings/SettingsParser.java
@@ -76,10 +76,10 @@
     content.regions.forEach(r -> regions.add(r.value().id()));
     Set<RegionId> regionIds = Collections.unmodifiableSet(regions);
     var selector = new BranchSelector(tree);
-    var checker = new ContradictionChecker(regionIds, content.links, findings);
-    var builder = new EffectiveTableBuilder(tree, selector, regionIds, checker);
-    Map<CustomerId, EffectiveTable> tables = builder.build(content.customers);
     var instances = new InstanceValuesBuilder(tree, selector, regionIds, findings).build();
+    var checker = new ContradictionChecker(tree, regionIds, content.links, findings);
+    var builder = new EffectiveTableBuilder(tree, selector, regionIds, instances, checker);
+    Map<CustomerId, EffectiveTable> tables = builder.build(content.customers);
     if (!findings.isEmpty()) {
       return new ParseResult.Rejected(findings.toList());
     }
--- a/settings/src/test/java/org/gentianslip/settings/SettingsParserTest.java
+++ b/settings/src/test/java/org/gentianslip/settings/SettingsParserTest.java
@@ -443,6 +443,29 @@
       assertThat(pointers(Documents.findings(document)), contains("/branches/1/values/logLevel"));
     }
 
+    @Test
+    void findsDeadlinesThatShutdownWouldNotWaitFor() {
+      SettingsDocument document =
+          withBranches(
+              firm("\"drainTimeoutMillis\": 40000"),
+              branch("a", "acme", "kind", "a", "\"deadlineMillis\": 40001"));
+      assertThat(
+          Documents.findings(document),
+          contains(
+              new Finding(
+                  Documents.SOURCE,
+                  "/branches/1/values/deadlineMillis",
+                  "deadlineMillis 40001 (a) must be at most drainTimeoutMillis 40000 (acme)")));
+    }
+
+    @Test
+    void findsShutdownsShorterThanTheDefaultDeadline() {
+      SettingsDocument document = withBranches(firm("\"drainTimeoutMillis\": 29999"));
+      assertThat(
+          pointers(Documents.findings(document)),
+          contains("/branches/0/values/drainTimeoutMillis"));
+    }
+
     @Test
     void findsBranchesOfWhichNoneGoesFirst() {
       SettingsDocument document =
