--- a/core/src/main/java/org/gentianslip/core/membership/Member.java
+++ b/core/src/main/java/org/gentianslip/core/membership/Member.java
@@ -12,6 +12,8 @@
  * @param life its present life, if it was ever heard of
  * @param evidenceNanos when it last gave a sign of life, to anyone, or was first listed, in
  *     nanoseconds of the monotonic clock
+ * @param newsNanos when the holder learnt that the instance leaves or is doubted, or came to life,
+ *     the last of them, on the same clock
  * @param reachable whether the last exchange that the holder began with it succeeded, or none was
  *     tried
  */
@@ -20,6 +22,7 @@
     Listing listing,
     Optional<Life> life,
     long evidenceNanos,
+    long newsNanos,
     boolean reachable) {
 
   /** Checks the parts. */
@@ -30,7 +33,7 @@
   }
 
   static Member unheard(long nowNanos, InstanceInfo info, Listing listing) {
-    return new Member(info, listing, Optional.empty(), nowNanos, true);
+    return new Member(info, listing, Optional.empty(), nowNanos, nowNanos, true);
   }
 
   /** Returns whether the present life is known to be the given one. */
@@ -49,17 +52,17 @@
   }
 
   Member withListing(InstanceInfo newInfo, Listing newListing) {
-    return new Member(newInfo, newListing, life, evidenceNanos, reachable);
+    return new Member(newInfo, newListing, life, evidenceNanos, newsNanos, reachable);
   }
 
   Member withHeartbeat(long nowNanos, Heartbeat h, boolean answered) {
     boolean reached = reachable || answered;
     if (!isIn(h.incarnation())) {
       Listing kept = listing == Listing.LEAVING ? Listing.LIVE : listing;
-      return new Member(h.info(), kept, Optional.of(Life.of(h)), nowNanos, reached);
+      return new Member(h.info(), kept, Optional.of(Life.of(h)), nowNanos, nowNanos, reached);
     }
-    long evidence = h.beat() > life.get().beat() ? nowNanos : evidenceNanos;
-    return new Member(h.info(), listing, Optional.of(life.get().with(h)), evidence, reached);
+    boolean heard = h.beat() > life.get().beat();
+    return with(nowNanos, h.info(), life.get().with(h), heard, reached);
   }
 
   Member withHint(long nowNanos, Hint hint) {
@@ -67,11 +70,28 @@
       return this;
     }
     boolean heard = hint.kind() != Hint.Kind.SILENT && hint.beat() > life.get().beat();
-    long evidence = heard ? nowNanos : evidenceNanos;
-    return new Member(info, listing, Optional.of(life.get().with(hint)), evidence, reachable);
+    return with(nowNanos, info, life.get().with(hint), heard, reachable);
   }
 
-  Member withoutAnswer() {
-    return new Member(info, listing, life.map(Life::doubted), evidenceNanos, false);
+  Member withoutAnswer(long nowNanos) {
+    if (life.isEmpty()) {
+      return new Member(info, listing, life, evidenceNanos, newsNanos, false);
+    }
+    return with(nowNanos, info, life.get().doubted(), false, false);
+  }
+
+  /** Returns this belief with a later view of the same life. */
+  private Member with(
+      long nowNanos, InstanceInfo newInfo, Life later, boolean heard, boolean reached) {
+    Life now = life.get();
+    boolean doubted = later.isDoubted() && !now.isDoubted();
+    boolean news = doubted || later.leaving() != now.leaving();
+    return new Member(
+        newInfo,
+        listing,
+        Optional.of(later),
+        heard ? nowNanos : evidenceNanos,
+        news ? nowNanos : newsNanos,
+        reached);
   }
 }
--- a/core/src/main/java/org/gentianslip/core/membership/MembershipTable.java
+++ b/core/src/main/java/org/gentianslip/core/membership/MembershipTable.java
@@ -152,24 +152,28 @@
   }
 
   /**
-   * Takes a peer's hint; one about an unknown instance or another life changes nothing.
+   * Takes a peer's hints; one about an unknown instance or another life changes nothing.
    *
    * @param nowNanos the present time, in nanoseconds of the monotonic clock
-   * @param hint the hint
+   * @param hints the hints
    */
-  public MembershipTable withHint(long nowNanos, Hint hint) {
-    Member known = members.get(hint.id());
-    return known == null ? this : with(known.withHint(nowNanos, hint));
+  public MembershipTable withHints(long nowNanos, Collection<Hint> hints) {
+    Map<InstanceId, Member> next = new HashMap<>(members);
+    for (Hint h : hints) {
+      next.computeIfPresent(h.id(), (id, known) -> known.withHint(nowNanos, h));
+    }
+    return next.equals(members) ? this : new MembershipTable(self, times, next, reading);
   }
 
   /**
    * Takes that an instance did not answer this one, also not on a new connection.
    *
+   * @param nowNanos the present time, in nanoseconds of the monotonic clock
    * @param id the instance
    */
-  public MembershipTable withoutAnswer(InstanceId id) {
+  public MembershipTable withoutAnswer(long nowNanos, InstanceId id) {
     Member known = members.get(id);
-    return known == null ? this : with(known.withoutAnswer());
+    return known == null ? this : with(known.withoutAnswer(nowNanos));
   }
 
   /**
@@ -184,22 +188,26 @@
   }
 
   /**
-   * Returns the hints that this table gives to a peer: lives that leave, then lives in doubt, then
-   * the lives heard of last.
+   * Returns the hints that this table gives to a peer: the latest news of leaving and doubted lives
+   * first, then the lives that were heard of last.
    *
+   * @param nowNanos the present time, in nanoseconds of the monotonic clock
    * @param limit the greatest number of hints
    */
-  public List<Hint> hints(int limit) {
+  public List<Hint> hints(long nowNanos, int limit) {
     return members.values().stream()
         .filter(m -> m.life().isPresent())
-        .sorted(Comparator.comparing((Member m) -> kindOf(m)).thenComparing(newestFirst()))
+        .sorted(Comparator.comparingLong(m -> urgency(nowNanos, m)))
         .limit(limit)
         .map(m -> hintOf(m, m.life().get()))
         .toList();
   }
 
-  private static Comparator<Member> newestFirst() {
-    return (a, b) -> Long.signum(b.evidenceNanos() - a.evidenceNanos());
+  /** Returns the age of what a hint about a member would tell; lives that serve come after news. */
+  private long urgency(long nowNanos, Member m) {
+    long newsAge = nowNanos - m.newsNanos();
+    boolean isNews = kindOf(m) != Hint.Kind.HEARD && newsAge < 2 * times.silentAfterNanos();
+    return isNews ? newsAge : 2 * times.silentAfterNanos() + nowNanos - m.evidenceNanos();
   }
 
   private static Hint.Kind kindOf(Member m) {
