--- a/settings/src/main/java/org/gentianslip/settings/Setting.java
+++ b/settings/src/main/java/org/gentianslip/settings/Setting.java
@@ -18,9 +18,20 @@
   /** Returns the place in {@link SettingCatalog#all()}, from 0. */
   int index();
 
+  /**
+   * Returns whether the value holds for a whole instance, whatever the request.
+   *
+   * <p>Such a value is set in branches of firms and regions only, and it is read from {@link
+   * Settings#instance}.
+   */
+  boolean perInstance();
+
   /** Returns the value that holds where no branch sets one. */
   T defaultValue();
 
+  /** Returns the unit, such as {@code "milliseconds"}; empty if the value has none. */
+  String unit();
+
   /** Returns what is allowed, as a phrase such as {@code "a whole number from 1 to 600000"}. */
   String allowed();
 
@@ -33,4 +44,7 @@
    * @throws IllegalArgumentException if the value is not allowed; the message quotes it
    */
   T read(JsonNode node);
+
+  /** Returns the value as it is written in a document. */
+  JsonNode write(T value);
 }
