--- a/core/src/main/java/org/gentianslip/core/membership/RendezvousHash.java
+++ b/core/src/main/java/org/gentianslip/core/membership/RendezvousHash.java
@@ -12,7 +12,7 @@
 public final class RendezvousHash {
 
   private static final Hasher64 HASHER = Hashing.komihash5_0();
-  private static final double UNIT = 0x1.0p-53;
+  private static final double UNIT = 0x1.0p-52;
 
   private RendezvousHash() {}
 
@@ -23,7 +23,7 @@
 
   /** Returns a number between 0 and 1, both excluded, from a hash. */
   public static double fraction(long hash) {
-    return ((hash >>> 11) + 0.5) * UNIT;
+    return ((hash >>> 12) + 0.5) * UNIT;
   }
 
   /**
