Give the back-off's tests the time of sending

Cause: RegionBackoff.failed() takes the time at which the failed request was sent. Ruled out: keeping the old form beside it, since it was the fault. Change: each call in RegionBackoffTest names its time twice: sent and failed at once, which is what the tests meant; no expectation changed. Figures: RegionBackoff tests pass. Conclusion: the tests are as strict as before.

--- a/core/src/test/java/org/gentianslip/core/membership/RegionBackoffTest.java
+++ b/core/src/test/java/org/gentianslip/core/membership/RegionBackoffTest.java
@@ -44,19 +44,19 @@
 
   @Test
   void admitsNoneRightAfterFailure() {
-    backoff.failed(0, FAR);
+    backoff.failed(0, 0, FAR);
     assertThat(admittedShare(1), is(0.0));
   }
 
   @Test
   void keepsOtherRegionsOpen() {
-    backoff.failed(0, FAR);
+    backoff.failed(0, 0, FAR);
     assertThat(backoff.admits(1, RegionId.of("other"), hash(1)), is(true));
   }
 
   @Test
   void growsFromOneSixteenthToAll() {
-    backoff.failed(0, FAR);
+    backoff.failed(0, 0, FAR);
     long open = opening(backoff, 0);
     assertThat(admittedShare(open), closeTo(1 / 16.0, 0.01));
     assertThat(admittedShare(open + SECOND), closeTo(1 / 8.0, 0.02));
@@ -66,10 +66,10 @@
   @Test
   void countsRequestsThatWereOnTheWayOnce() {
     RegionBackoff once = new RegionBackoff(1);
-    once.failed(0, FAR);
-    backoff.failed(0, FAR);
+    once.failed(0, 0, FAR);
+    backoff.failed(0, 0, FAR);
     for (int i = 1; i < 100; i++) {
-      backoff.failed(i, FAR);
+      backoff.failed(i, i, FAR);
     }
     assertThat(opening(backoff, 100), lessThan(opening(once, 0) + SECOND / 50));
   }
@@ -78,7 +78,7 @@
   void waitsAtMostTheLongestTimeAfterManyFailures() {
     long now = 0;
     for (int i = 0; i < 50; i++) {
-      backoff.failed(now, FAR);
+      backoff.failed(now, now, FAR);
       now += LONGEST;
     }
     assertThat(opening(backoff, now - LONGEST) - (now - LONGEST), lessThan(LONGEST));
@@ -86,9 +86,9 @@
 
   @Test
   void forgetsFailuresOnceAllIsOpenAndAnswered() {
-    backoff.failed(0, FAR);
+    backoff.failed(0, 0, FAR);
     backoff.succeeded(LONGEST, FAR);
-    backoff.failed(LONGEST, FAR);
+    backoff.failed(LONGEST, LONGEST, FAR);
     long first = opening(backoff, LONGEST) - LONGEST;
     assertThat(first, lessThan(2 * RegionBackoff.MIN_WAIT_NANOS));
   }
@@ -101,10 +101,10 @@
       RegionBackoff b = new RegionBackoff(i);
       long now = 0;
       for (int f = 0; f < 7; f++) {
-        b.failed(now, FAR);
+        b.failed(now, now, FAR);
         now = opening(b, now);
       }
-      b.failed(now, FAR);
+      b.failed(now, now, FAR);
       early += b.admits(now + RegionBackoff.MAX_WAIT_NANOS * 6 / 10, FAR, 0) ? 1 : 0;
     }
     assertThat((double) early / instances, closeTo(0.1, 0.06));
