--- a/demo/src/main/java/org/gentianslip/demo/fleet/FleetPlan.java
+++ b/demo/src/main/java/org/gentianslip/demo/fleet/FleetPlan.java
@@ -99,6 +99,12 @@
         entryHeap);
   }
 
+  /** Returns this plan with entry instances of another heap, as in {@code 256m}. */
+  public FleetPlan withEntryHeap(String heap) {
+    return new FleetPlan(
+        name, regions, models, service, engine, oneWayMillis, megabitsPerSecond, basePort, heap);
+  }
+
   private static FleetPlan qadri() {
     return new FleetPlan(
         "qadri",
--- a/demo/src/test/java/org/gentianslip/demo/TestCalls.java
+++ b/demo/src/test/java/org/gentianslip/demo/TestCalls.java
@@ -26,17 +26,7 @@
 
   private static CallSpec spec(ActionType action, int maxTokens) {
     WorkShare base = Workload.named("qadri").only(action).shares().get(0);
-    WorkShare share =
-        new WorkShare(
-            base.customer(),
-            base.key(),
-            base.kind(),
-            base.rank(),
-            action,
-            base.target(),
-            1,
-            0,
-            maxTokens);
+    WorkShare share = base.withAction(action, maxTokens);
     String id = "test-" + System.nanoTime() + "-" + COUNT.incrementAndGet();
     return new CallSpec(RequestId.of(id), share, id);
   }
--- a/load/src/main/java/org/gentianslip/load/CompareCommand.java
+++ b/load/src/main/java/org/gentianslip/load/CompareCommand.java
@@ -3,15 +3,11 @@
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import java.io.PrintWriter;
-import java.time.Duration;
-import java.util.Locale;
 import java.util.concurrent.Callable;
 import org.gentianslip.load.compare.ComparePlan;
 import org.gentianslip.load.compare.CompareReport;
 import org.gentianslip.load.compare.CompareRun;
-import org.gentianslip.load.report.Latency;
-import org.gentianslip.load.work.ActionType;
-import org.gentianslip.load.work.WorkShare;
+import org.gentianslip.load.compare.CompareText;
 import org.gentianslip.load.work.Workload;
 import picocli.CommandLine;
 
@@ -81,71 +77,17 @@
   public Integer call() throws InterruptedException, JsonProcessingException {
     CompareReport report = new CompareRun(plan(), System::nanoTime).run();
     PrintWriter out = spec.commandLine().getOut();
-    out.println(json ? new ObjectMapper().writeValueAsString(report) : text(report));
+    out.println(json ? new ObjectMapper().writeValueAsString(report) : CompareText.of(report));
     out.flush();
     return report.failures() > 0 ? CommandLine.ExitCode.SOFTWARE : CommandLine.ExitCode.OK;
   }
 
   private ComparePlan plan() {
     try {
-      WorkShare base = Workload.named(fleet).only(ActionType.CHAT_STREAM).shares().get(0);
-      return new ComparePlan(
-          direct,
-          through,
-          share(base, ActionType.CHAT_STREAM, maxTokens),
-          share(base, ActionType.CHAT_WHOLE, 1),
-          streams,
-          callers,
-          Duration.ofSeconds(seconds),
-          Duration.ofSeconds(1));
+      return ComparePlan.of(
+          Workload.named(fleet), direct, through, streams, maxTokens, callers, seconds);
     } catch (IllegalArgumentException e) {
       throw new CommandLine.ParameterException(spec.commandLine(), e.getMessage(), e);
     }
   }
-
-  private static WorkShare share(WorkShare base, ActionType action, int maxTokens) {
-    return new WorkShare(
-        base.customer(),
-        base.key(),
-        base.kind(),
-        base.rank(),
-        action,
-        base.target(),
-        1,
-        0,
-        maxTokens);
-  }
-
-  private static String text(CompareReport report) {
-    return String.join(
-        "\n",
-        String.format("%-28s %9s %9s %9s %9s", "milliseconds", "p50", "p90", "p99", "count"),
-        line("first token, direct", report.directFirst()),
-        line("first token, through entry", report.throughFirst()),
-        line("whole stream, direct", report.directWhole()),
-        line("whole stream, through entry", report.throughWhole()),
-        String.format(
-            Locale.ROOT,
-            "The entry adds %.2f ms to the median first token, a ratio of %.3f.",
-            report.addedFirstMillis(),
-            report.firstRatio()),
-        String.format(
-            Locale.ROOT,
-            "Brief calls a second: %.0f direct, %.0f through the entry, a ratio of %.3f.",
-            report.directPerSecond(),
-            report.throughPerSecond(),
-            report.throughPerSecond() / report.directPerSecond()),
-        report.failures() + " calls were not answered whole.");
-  }
-
-  private static String line(String name, Latency latency) {
-    return String.format(
-        Locale.ROOT,
-        "%-28s %9.2f %9.2f %9.2f %9d",
-        name,
-        latency.p50Millis(),
-        latency.p90Millis(),
-        latency.p99Millis(),
-        latency.count());
-  }
 }
--- a/load/src/main/java/org/gentianslip/load/compare/ComparePlan.java
+++ b/load/src/main/java/org/gentianslip/load/compare/ComparePlan.java
@@ -1,7 +1,9 @@
 package org.gentianslip.load.compare;
 
 import java.time.Duration;
+import org.gentianslip.load.work.ActionType;
 import org.gentianslip.load.work.WorkShare;
+import org.gentianslip.load.work.Workload;
 
 /**
  * What a comparison sends.
@@ -27,6 +29,8 @@
     Duration phase,
     Duration slice) {
 
+  private static final Duration SLICE = Duration.ofSeconds(1);
+
   /**
    * Checks the numbers.
    *
@@ -43,4 +47,29 @@
           "times must be above 0, but are %s and %s".formatted(phase, slice));
     }
   }
+
+  /**
+   * Returns the plan of a fleet's first customer that streams.
+   *
+   * @param seconds how long each of the two measurements takes
+   */
+  public static ComparePlan of(
+      Workload workload,
+      String direct,
+      String through,
+      int streams,
+      int maxTokens,
+      int briefCallers,
+      long seconds) {
+    WorkShare base = workload.only(ActionType.CHAT_STREAM).shares().get(0);
+    return new ComparePlan(
+        direct,
+        through,
+        base.withAction(ActionType.CHAT_STREAM, maxTokens),
+        base.withAction(ActionType.CHAT_WHOLE, 1),
+        streams,
+        briefCallers,
+        Duration.ofSeconds(seconds),
+        SLICE);
+  }
 }
--- /dev/null
+++ b/load/src/main/java/org/gentianslip/load/compare/CompareText.java
@@ -0,0 +1,44 @@
+package org.gentianslip.load.compare;
+
+import java.util.Locale;
+import org.gentianslip.load.report.Latency;
+
+/** Writes comparisons as text. Stateless and safe for use by several threads. */
+public final class CompareText {
+
+  private CompareText() {}
+
+  /** Returns the report's lines. */
+  public static String of(CompareReport report) {
+    return String.join(
+        "\n",
+        String.format("%-28s %9s %9s %9s %9s", "milliseconds", "p50", "p90", "p99", "count"),
+        line("first token, direct", report.directFirst()),
+        line("first token, through entry", report.throughFirst()),
+        line("whole stream, direct", report.directWhole()),
+        line("whole stream, through entry", report.throughWhole()),
+        String.format(
+            Locale.ROOT,
+            "The entry adds %.2f ms to the median first token, a ratio of %.3f.",
+            report.addedFirstMillis(),
+            report.firstRatio()),
+        String.format(
+            Locale.ROOT,
+            "Brief calls a second: %.0f direct, %.0f through the entry, a ratio of %.3f.",
+            report.directPerSecond(),
+            report.throughPerSecond(),
+            report.throughPerSecond() / report.directPerSecond()),
+        report.failures() + " calls were not answered whole.");
+  }
+
+  private static String line(String name, Latency latency) {
+    return String.format(
+        Locale.ROOT,
+        "%-28s %9.2f %9.2f %9.2f %9d",
+        name,
+        latency.p50Millis(),
+        latency.p90Millis(),
+        latency.p99Millis(),
+        latency.count());
+  }
+}
--- a/load/src/main/java/org/gentianslip/load/work/WorkShare.java
+++ b/load/src/main/java/org/gentianslip/load/work/WorkShare.java
@@ -47,4 +47,9 @@
       throw new IllegalArgumentException("maxTokens must be at least 1, but is " + maxTokens);
     }
   }
+
+  /** Returns a share of calls of another action and length, without a shared prefix. */
+  public WorkShare withAction(ActionType other, int tokens) {
+    return new WorkShare(customer, key, kind, rank, other, target, 1, 0, tokens);
+  }
 }
