Grant the right to write once, and claim "not run" only where it is proven

Cause, found by reading the entry's path of ticketed calls: - AttemptJournal.beginWrite was true again for a second send, so the gate that should stop the library's own re-sends let them through; - a full ledger that could not withdraw the ticket was answered not run, though a copy of the call may still run under it; - an answer of any status with X-Not-Started counted as not run; only 503 is documented; - the owner of a ticket counted as reachable always, so a call waited out its deadline on a silent owner. The callers of hints and silence follow the changed signatures.

--- a/core/src/main/java/org/gentianslip/core/outcome/AttemptJournal.java
+++ b/core/src/main/java/org/gentianslip/core/outcome/AttemptJournal.java
@@ -7,15 +7,25 @@
  *
  * <p>The journal is also the gate of the write: either {@link #beginWrite} comes first and the
  * outcome counts the request as written, or {@link #close} comes first and no byte may be written
- * any more. So an outcome {@link Outcome.NotRun} stays true whatever the attempt's threads do
- * later. After the close, late facts are dropped. Safe for use by several threads.
+ * any more. The right to write is given once, so a library cannot send a request again unseen. So
+ * an outcome {@link Outcome.NotRun} stays true whatever the attempt's threads do later. After the
+ * close, late facts are dropped. Safe for use by several threads.
  */
 public final class AttemptJournal {
 
   private final AtomicReference<State> state =
       new AtomicReference<>(new State(AttemptFacts.NONE, false));
 
-  private record State(AttemptFacts facts, boolean closed) {}
+  private record State(AttemptFacts facts, boolean closed) {
+
+    boolean isOpen() {
+      return !closed && !facts.writeBegun() && !facts.expired();
+    }
+
+    State begun(boolean late) {
+      return new State(late ? facts.withExpired() : facts.withWriteBegun(), closed);
+    }
+  }
 
   private interface Change {
     AttemptFacts apply(AttemptFacts facts);
@@ -26,14 +36,13 @@
    *
    * @param nowNanos the present time, in nanoseconds of the monotonic clock
    * @param notAfterNanos when the right to write ends, on the same clock
-   * @return whether the write may begin; if not, the caller must not write a byte
+   * @return whether the write may begin, which is true at most once; if not, the caller must not
+   *     write a byte
    */
   public boolean beginWrite(long nowNanos, long notAfterNanos) {
-    if (nowNanos - notAfterNanos >= 0) {
-      change(facts -> facts.writeBegun() ? facts : facts.withExpired());
-      return false;
-    }
-    return change(facts -> facts.expired() ? facts : facts.withWriteBegun()).writeBegun();
+    boolean late = nowNanos - notAfterNanos >= 0;
+    State before = state.getAndUpdate(s -> s.isOpen() ? s.begun(late) : s);
+    return before.isOpen() && !late;
   }
 
   /**
@@ -64,9 +73,7 @@
     return OutcomeRule.decide(state.updateAndGet(s -> new State(s.facts(), true)).facts());
   }
 
-  private AttemptFacts change(Change change) {
-    State next =
-        state.updateAndGet(s -> s.closed() ? s : new State(change.apply(s.facts()), false));
-    return next.closed() ? AttemptFacts.NONE : next.facts();
+  private void change(Change change) {
+    state.updateAndGet(s -> s.closed() ? s : new State(change.apply(s.facts()), false));
   }
 }
--- a/core/src/test/java/org/gentianslip/core/outcome/AttemptJournalTest.java
+++ b/core/src/test/java/org/gentianslip/core/outcome/AttemptJournalTest.java
@@ -56,6 +56,12 @@
       assertThat(journal.beginWrite(0, 9), is(true));
     }
 
+    @Test
+    void refusesAnotherWrite() {
+      begin();
+      assertThat(journal.beginWrite(0, 9), is(false));
+    }
+
     @Test
     void isUnknownWithoutAnAnswer() {
       begin();
--- a/entry/src/main/java/org/gentianslip/entry/peer/HelloExchange.java
+++ b/entry/src/main/java/org/gentianslip/entry/peer/HelloExchange.java
@@ -123,7 +123,8 @@
   private void noAnswer(InstanceId peer, int sentBytes) {
     metrics.controlMessage("hello-failed", sentBytes, 0);
     failed.add(peer);
-    state.membership().update(t -> t.withoutAnswer(peer));
+    long nowNanos = System.nanoTime();
+    state.membership().update(t -> t.withoutAnswer(nowNanos, peer));
   }
 
   private void takeAnswer(InstanceId peer, long sentNanos, int sentBytes, Response response)
--- a/entry/src/main/java/org/gentianslip/entry/peer/HelloReader.java
+++ b/entry/src/main/java/org/gentianslip/entry/peer/HelloReader.java
@@ -72,11 +72,7 @@
   }
 
   private static MembershipTable withHints(long nowNanos, MembershipTable table, Hello hello) {
-    MembershipTable next = table;
-    for (Hello.HintPart h : hello.hints()) {
-      next = next.withHint(nowNanos, hint(h));
-    }
-    return next;
+    return table.withHints(nowNanos, hello.hints().stream().map(HelloReader::hint).toList());
   }
 
   private static Hint hint(Hello.HintPart part) {
--- a/entry/src/main/java/org/gentianslip/entry/peer/HelloWriter.java
+++ b/entry/src/main/java/org/gentianslip/entry/peer/HelloWriter.java
@@ -40,7 +40,7 @@
         ref.sha256(),
         regions(nowNanos),
         leavingEngines(nowNanos),
-        hints());
+        hints(nowNanos));
   }
 
   private List<Hello.RegionPart> regions(long nowNanos) {
@@ -64,8 +64,8 @@
         .toList();
   }
 
-  private List<Hello.HintPart> hints() {
-    return state.membership().table().hints(MAX_HINTS).stream()
+  private List<Hello.HintPart> hints(long nowNanos) {
+    return state.membership().table().hints(nowNanos, MAX_HINTS).stream()
         .map(
             h ->
                 new Hello.HintPart(
--- a/entry/src/main/java/org/gentianslip/entry/relay/UpstreamClient.java
+++ b/entry/src/main/java/org/gentianslip/entry/relay/UpstreamClient.java
@@ -101,8 +101,7 @@
       return new UpstreamResult.Answer(response, journal);
     }
     try (response) {
-      journal.close();
-      return new UpstreamResult.Refused(RefusalCode.read(response));
+      return new UpstreamResult.Refused(RefusalCode.read(response), journal.close());
     }
   }
 
--- a/entry/src/main/java/org/gentianslip/entry/relay/UpstreamResult.java
+++ b/entry/src/main/java/org/gentianslip/entry/relay/UpstreamResult.java
@@ -19,8 +19,10 @@
    * The other side refused before the start, by its documented answer.
    *
    * @param code the code of its refusal
+   * @param outcome what the refusal proves; a backend server proves only by status 503 that it did
+   *     not start
    */
-  record Refused(String code) implements UpstreamResult {}
+  record Refused(String code, Outcome outcome) implements UpstreamResult {}
 
   /**
    * The exchange gave no answer.
--- a/entry/src/main/java/org/gentianslip/entry/service/RepeatableCalls.java
+++ b/entry/src/main/java/org/gentianslip/entry/service/RepeatableCalls.java
@@ -5,7 +5,6 @@
 import java.util.List;
 import org.gentianslip.core.membership.RendezvousHash;
 import org.gentianslip.core.outcome.AttemptJournal;
-import org.gentianslip.core.outcome.NotRunReason;
 import org.gentianslip.core.outcome.Outcome;
 import org.gentianslip.core.outcome.RetryBudget;
 import org.gentianslip.core.outcome.RetryDecision;
@@ -70,8 +69,8 @@
   private void answered(ServiceExchange exchange, UpstreamResult result) {
     if (result instanceof UpstreamResult.Answer answer) {
       copy(exchange, answer);
-    } else if (result instanceof UpstreamResult.Refused) {
-      again(exchange, new Outcome.NotRun(NotRunReason.REFUSED_BEFORE_START));
+    } else if (result instanceof UpstreamResult.Refused refused) {
+      again(exchange, refused.outcome());
     } else if (result instanceof UpstreamResult.Failed failed) {
       again(exchange, failed.outcome());
     }
--- a/entry/src/main/java/org/gentianslip/entry/service/TicketedCalls.java
+++ b/entry/src/main/java/org/gentianslip/entry/service/TicketedCalls.java
@@ -7,7 +7,6 @@
 import org.gentianslip.core.id.InstanceId;
 import org.gentianslip.core.id.RegionId;
 import org.gentianslip.core.membership.RendezvousHash;
-import org.gentianslip.core.outcome.NotRunReason;
 import org.gentianslip.core.outcome.Outcome;
 import org.gentianslip.core.ticket.ForeignTicketDecision;
 import org.gentianslip.core.ticket.ForeignTicketRule;
@@ -141,9 +140,10 @@
           : ErrorReply.unknown(ErrorCode.TICKET_INVALID, message);
     }
     if (redemption instanceof Redemption.TableFull full) {
-      var reply =
-          ErrorReply.notRun(ErrorCode.NO_CAPACITY, "This instance remembers too many calls now.");
-      return full.neverUsed() ? withTicket(nowNanos, exchange, reply) : reply;
+      String message = "This instance remembers too many calls now.";
+      return full.neverUsed()
+          ? withTicket(nowNanos, exchange, ErrorReply.notRun(ErrorCode.NO_CAPACITY, message))
+          : ErrorReply.unknown(ErrorCode.NO_CAPACITY, message);
     }
     return invalid("The ticket belongs to another call or is not genuine.");
   }
@@ -180,8 +180,8 @@
   private void executed(ServiceExchange exchange, Ticket ticket, UpstreamResult result) {
     if (result instanceof UpstreamResult.Answer answer) {
       copy(exchange, ticket, answer);
-    } else if (result instanceof UpstreamResult.Refused) {
-      end(exchange, ticket, new Outcome.NotRun(NotRunReason.REFUSED_BEFORE_START));
+    } else if (result instanceof UpstreamResult.Refused refused) {
+      end(exchange, ticket, refused.outcome());
     } else if (result instanceof UpstreamResult.Failed failed) {
       exchange.step(System.nanoTime(), "service-failed", "", failed.message());
       end(exchange, ticket, failed.outcome());
@@ -226,7 +226,8 @@
     ServiceCall call = exchange.call();
     Optional<EntryRecord> owner = listed(ticket.owner());
     ForeignTicketDecision decision =
-        ForeignTicketRule.decide(ticket, call.binding(), view(call, owner), call.forwarded());
+        ForeignTicketRule.decide(
+            ticket, call.binding(), view(nowNanos, call, owner), call.forwarded());
     exchange.step(
         nowNanos, "foreign-ticket", ticket.owner().value(), decision.getClass().getSimpleName());
     if (decision instanceof ForeignTicketDecision.PassToOwner) {
@@ -252,13 +253,14 @@
     return state.list().entries().stream().filter(e -> e.id().equals(owner.value())).findFirst();
   }
 
-  private OwnerView view(ServiceCall call, Optional<EntryRecord> owner) {
+  private OwnerView view(long nowNanos, ServiceCall call, Optional<EntryRecord> owner) {
     if (owner.isEmpty()) {
       return OwnerView.NOT_KNOWN;
     }
     InstanceId id = InstanceId.of(owner.get().id());
     boolean allowed = call.settings().allowedRegions().contains(RegionId.of(owner.get().region()));
-    return new OwnerView(true, state.incarnationOf(id), true, allowed);
+    boolean reachable = state.membership().table().isReachable(nowNanos, id);
+    return new OwnerView(true, state.incarnationOf(id), reachable, allowed);
   }
 
   private void passed(ServiceExchange exchange, String region, UpstreamResult result) {
