Hold back by the urgent rank's demand, and count what the other rank got

Cause: long answers of the other rank hold slots for 11 s, so a reserve of free slots is gone when urgent requests come in a burst; and the floor took freed slots for the other rank though it had just got far more than its floor.

Change: the other rank holds at most what the urgent rank's mean demand and a margin leave; work that the other rank was given counts against its floor; the venture's branch has a margin of 1.5 and a charge of 15 s.

--- a/bench/src/main/java/org/gentianslip/bench/run/Contenders.java
+++ b/bench/src/main/java/org/gentianslip/bench/run/Contenders.java
@@ -2,13 +2,19 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.LongFunction;
+import java.util.stream.Collectors;
+import org.gentianslip.bench.fleet.Fleets;
+import org.gentianslip.bench.fleet.KindSpec;
+import org.gentianslip.core.id.KindId;
 import org.gentianslip.core.queue.QueueLimits;
 import org.gentianslip.core.routing.ExpectedCostPolicy;
 import org.gentianslip.core.routing.LeastLoadedPolicy;
 import org.gentianslip.core.routing.PolicyTuning;
 import org.gentianslip.core.routing.PrefixAffinityPolicy;
 import org.gentianslip.core.routing.RoundRobinPolicy;
+import org.gentianslip.core.routing.RouteRequest;
 import org.gentianslip.core.routing.RoutingPolicy;
 
 /**
@@ -24,11 +30,16 @@
   private static final QueueLimits FIRST_QUEUE = new QueueLimits(512, OTHER_FLOOR, 50_000_000, 0);
   private static final QueueLimits QUEUE = new QueueLimits(512, OTHER_FLOOR, 300_000_000, 1600);
 
+  private static final PolicyTuning VENTURE =
+      PolicyTuning.DEFAULT.withDemandMargin(1.5).withOtherCharge(15_000_000_000L);
+  private static final Set<KindId> VENTURE_KINDS =
+      Fleets.venture().kinds().stream().map(KindSpec::kind).collect(Collectors.toSet());
+
   private Contenders() {}
 
   /** Returns all contenders; the last one is our present policy. */
   public static List<Contender> all() {
-    return List.of(roundRobin(), leastLoaded(), prefixAffinity(), expectedCost());
+    return List.of(roundRobin(), leastLoaded(), prefixAffinity(), expectedCost(), demandReserve());
   }
 
   /** Returns round robin in the own region. */
@@ -51,14 +62,24 @@
         Optional.empty());
   }
 
-  /** Returns spill by expected cost and a reserve for the urgent rank. */
+  /** Returns spill by expected cost and a fixed reserve for the urgent rank. */
   public static Contender expectedCost() {
-    return new Contender(
-        "expected-cost",
-        s -> ExpectedCostPolicy.of(s, r -> PolicyTuning.DEFAULT),
-        Optional.of(QUEUE),
-        true,
-        Optional.empty());
+    PolicyTuning tuning = PolicyTuning.DEFAULT.withDemandMargin(0);
+    return queued("expected-cost", s -> ExpectedCostPolicy.of(s, r -> tuning));
+  }
+
+  /** Returns the same with a reserve by demand, tuned by branch: our present policy. */
+  public static Contender demandReserve() {
+    return queued("demand-reserve", s -> ExpectedCostPolicy.of(s, Contenders::tuning));
+  }
+
+  /** Returns the tuning of the branch of a kind of work. */
+  private static PolicyTuning tuning(RouteRequest request) {
+    return VENTURE_KINDS.contains(request.kind()) ? VENTURE : PolicyTuning.DEFAULT;
+  }
+
+  private static Contender queued(String name, LongFunction<RoutingPolicy> policy) {
+    return new Contender(name, policy, Optional.of(QUEUE), true, Optional.empty());
   }
 
   private static Contender direct(String name, LongFunction<RoutingPolicy> policy) {
--- a/bench/src/main/java/org/gentianslip/bench/run/FakeEntry.java
+++ b/bench/src/main/java/org/gentianslip/bench/run/FakeEntry.java
@@ -305,7 +305,7 @@
           engineDelayNanos,
           () -> {
             slot.onEnd();
-            dispatcher.ifPresent(d -> d.ended(call.request()));
+            dispatcher.ifPresent(d -> d.ended(loop.nowNanos(), call.request()));
             action.run();
             pump();
           });
--- a/core/src/main/java/org/gentianslip/core/queue/Dispatcher.java
+++ b/core/src/main/java/org/gentianslip/core/queue/Dispatcher.java
@@ -34,6 +34,9 @@
   private final RequestQueue queue;
   private final RoutingPolicy policy;
   private final Map<Holder, Integer> inFlight = new HashMap<>();
+  private final DemandMeter urgentDemand = new DemandMeter();
+  private int urgentInFlight;
+  private int otherInFlight;
 
   private Dispatcher(RequestQueue queue, RoutingPolicy policy) {
     this.queue = queue;
@@ -64,8 +67,9 @@
   }
 
   /** Notes that a request that was placed at an engine has ended, in whatever way. */
-  public synchronized void ended(RouteRequest request) {
+  public synchronized void ended(long nowNanos, RouteRequest request) {
     inFlight.computeIfPresent(Holder.of(request), (h, count) -> count > 1 ? count - 1 : null);
+    count(nowNanos, request.rank(), -1);
   }
 
   /**
@@ -91,6 +95,15 @@
     return placeOneOf(nowNanos, Rank.URGENT, view);
   }
 
+  private void count(long nowNanos, Rank rank, int change) {
+    if (rank == Rank.URGENT) {
+      urgentInFlight += change;
+      urgentDemand.note(nowNanos, urgentInFlight + queue.size(Rank.URGENT));
+    } else {
+      otherInFlight += change;
+    }
+  }
+
   private Optional<Placement> placeOneOf(long nowNanos, Rank rank, RouteView view) {
     for (RouteRequest request : queue.candidates(nowNanos, rank, MAX_CANDIDATES)) {
       Optional<Placement> placed = place(nowNanos, request, view);
@@ -106,7 +119,9 @@
         new QueueView(
             queue.backlog(nowNanos, Rank.URGENT),
             queue.backlog(nowNanos, Rank.OTHER),
-            inFlight.getOrDefault(Holder.of(request), 0));
+            inFlight.getOrDefault(Holder.of(request), 0),
+            otherInFlight,
+            urgentDemand.mean(nowNanos));
     RouteDecision decision = policy.decide(nowNanos, request, view.withQueue(current));
     if (decision instanceof RouteDecision.Wait) {
       return Optional.empty();
@@ -114,6 +129,7 @@
     Optional<RouteRequest> taken = queue.takeIfFirst(nowNanos, request);
     if (taken.isPresent() && decision instanceof RouteDecision.ToEngine) {
       inFlight.merge(Holder.of(request), 1, Integer::sum);
+      count(nowNanos, request.rank(), 1);
     }
     return taken.map(r -> new Placement(r, decision));
   }
--- a/core/src/main/java/org/gentianslip/core/queue/RequestQueue.java
+++ b/core/src/main/java/org/gentianslip/core/queue/RequestQueue.java
@@ -17,12 +17,12 @@
 /**
  * Orders the requests of one model that wait in an instance.
  *
- * <p>The urgent rank goes first, but while both ranks wait the other one gets its floor of the
- * served work. Inside a rank, customers are served in proportion to their weights, with a credit
- * for short bursts of a customer below its share, and the requests of a customer by deadline. The
- * queue is bounded: when a rank is full, the customer with the most waiting work for its weight
- * loses its last request. A request that can't meet its deadline is refused when it is offered if
- * that shows, and is returned by {@link #expire} otherwise.
+ * <p>The urgent rank goes first, but while the other one waits it gets its floor of the served
+ * work; what it got shortly before counts. Inside a rank, customers are served in proportion to
+ * their weights, with a credit for short bursts of a customer below its share, and the requests of
+ * a customer by deadline. The queue is bounded: when a rank is full, the customer with the most
+ * waiting work for its weight loses its last request. A request that can't meet its deadline is
+ * refused when it is offered if that shows, and is returned by {@link #expire} otherwise.
  *
  * <p>Every admitted request passes through the queue, also when capacity is free, so that shares
  * are accounted. The use is: {@link #offer}, then {@link #expire}, then {@link #peek} and, if the
@@ -35,7 +35,7 @@
 public final class RequestQueue {
 
   private static final long RETRY_AFTER_MILLIS = 1000;
-  private static final double MAX_CREDIT_REQUESTS = 2;
+  private static final double CREDIT_REQUESTS = 2;
 
   private final QueueLimits limits;
   private final Map<Rank, RankQueue> ranks = new EnumMap<>(Rank.class);
@@ -180,12 +180,7 @@
 
   private RouteRequest charge(Rank rank, WaitingRequest taken) {
     byId.remove(taken.request().id());
-    boolean othersWait = !ranks.get(rank == Rank.OTHER ? Rank.URGENT : Rank.OTHER).isEmpty();
-    if (othersWait) {
-      chargeRank(rank, taken.work());
-    } else {
-      otherCredit = 0;
-    }
+    chargeRank(rank, taken.work());
     return taken.request();
   }
 
@@ -194,13 +189,15 @@
   }
 
   private void chargeRank(Rank rank, double work) {
+    RankQueue other = ranks.get(Rank.OTHER);
     if (rank == Rank.OTHER) {
-      otherCredit = Math.max(0, otherCredit - work);
-      return;
+      otherCredit = Math.max(otherCredit - work, -CREDIT_REQUESTS * work);
+    } else if (other.isEmpty()) {
+      otherCredit = Math.min(otherCredit, 0);
+    } else {
+      double earned = work * limits.otherFloor() / (1 - limits.otherFloor());
+      otherCredit = Math.min(otherCredit + earned, CREDIT_REQUESTS * other.first().work());
     }
-    RankQueue other = ranks.get(Rank.OTHER);
-    double earned = work * limits.otherFloor() / (1 - limits.otherFloor());
-    otherCredit = Math.min(otherCredit + earned, MAX_CREDIT_REQUESTS * other.first().work());
   }
 
   private void add(RankQueue rank, WaitingRequest request) {
--- a/core/src/main/java/org/gentianslip/core/routing/ExpectedCostPolicy.java
+++ b/core/src/main/java/org/gentianslip/core/routing/ExpectedCostPolicy.java
@@ -8,11 +8,11 @@
  * Chooses by prefix affinity in the own region and sends a request away only if that costs less
  * than waiting.
  *
- * <p>The other rank leaves a reserve of slots to the urgent one, unless the queue gives it its turn
- * while urgent requests wait: then its floor is due. A customer of the urgent rank that holds more
- * than its share of the slots leaves a smaller reserve to the other customers. While few urgent
- * requests wait, one that finds no room within the instance's limits takes a slot that was free by
- * the last report.
+ * <p>The other rank leaves a reserve of slots to the urgent one, and never holds more than the
+ * urgent rank's demand and a margin leave, unless the queue gives it its turn while urgent requests
+ * wait: then its floor is due. A customer of the urgent rank that holds more than its share of the
+ * slots leaves a smaller reserve to the other customers. While few urgent requests wait, one that
+ * finds no room within the instance's limits takes a slot that was free by the last report.
  *
  * <p>A request goes to another region only if no engine here has a free slot for it by what is
  * known, the backlog of its rank takes longer to drain than the round trip, the cold prefix and the
@@ -77,11 +77,12 @@
 
   private Optional<RouteDecision.ToEngine> chooseEngine(
       RouteRequest request, RouteView view, PolicyTuning tuning) {
-    double reserve = reserve(request, view, tuning);
-    if (reserve > 0) {
-      return leaves(reserve, request, view)
-          ? choice.choose(request, view, LEAVING_ONE)
-          : Optional.empty();
+    boolean floorIsDue = request.rank() == Rank.OTHER && view.queue().urgent().requests() > 0;
+    if (!floorIsDue && !leavesReserve(request, view, tuning)) {
+      return Optional.empty();
+    }
+    if (request.rank() == Rank.OTHER && !floorIsDue) {
+      return choice.choose(request, view, LEAVING_ONE);
     }
     Optional<RouteDecision.ToEngine> own = choice.choose(request, view, RoomRule.WITHIN_LIMIT);
     boolean mayBorrow =
@@ -92,25 +93,29 @@
     return choice.choose(request, view, RoomRule.REPORTED_FREE);
   }
 
-  /** Returns the share of this instance's limits that the request must leave to others. */
-  private static double reserve(RouteRequest request, RouteView view, PolicyTuning tuning) {
+  /** Returns whether the request leaves the reserves of others untouched. */
+  private static boolean leavesReserve(RouteRequest request, RouteView view, PolicyTuning tuning) {
     QueueView queue = view.queue();
-    if (request.rank() == Rank.OTHER) {
-      return queue.urgent().requests() == 0 ? tuning.urgentReserve() : 0;
+    int limits = limits(request, view);
+    if (request.rank() == Rank.URGENT) {
+      boolean overShare = queue.customerInFlight() > tuning.customerShare() * limits;
+      return !overShare || free(request, view) > tuning.customerReserve() * limits;
     }
-    boolean overShare = queue.customerInFlight() > tuning.customerShare() * limits(request, view);
-    return overShare ? tuning.customerReserve() : 0;
+    double demand = queue.urgentDemand();
+    double reserved = demand + tuning.demandMargin() * Math.sqrt(demand);
+    return queue.otherInFlight() < limits - (tuning.demandMargin() > 0 ? reserved : 0)
+        && free(request, view) > tuning.urgentReserve() * limits;
   }
 
-  /** Returns whether the free part of this instance's limits is more than the reserve. */
-  private static boolean leaves(double reserve, RouteRequest request, RouteView view) {
+  /** Returns the free part of this instance's limits. */
+  private static int free(RouteRequest request, RouteView view) {
     int free = 0;
     for (EngineView engine : view.engines()) {
       if (engine.serves(request.model())) {
         free += Math.max(0, engine.limit() - engine.inFlight());
       }
     }
-    return free > reserve * limits(request, view);
+    return free;
   }
 
   private static int limits(RouteRequest request, RouteView view) {
--- a/core/src/main/java/org/gentianslip/core/routing/PolicyTuning.java
+++ b/core/src/main/java/org/gentianslip/core/routing/PolicyTuning.java
@@ -9,6 +9,8 @@
  *
  * @param urgentReserve the share of an instance's limits that the other rank leaves to the urgent
  *     one, from 0 to below 1
+ * @param demandMargin the margin above the urgent rank's mean demand that the other rank leaves, in
+ *     standard deviations of a Poisson process; 0 leaves only {@code urgentReserve}
  * @param customerReserve the share of an instance's limits that a customer over its share leaves to
  *     the other customers of the urgent rank, from 0 to below 1
  * @param customerShare the share of an instance's limits above which a customer leaves that
@@ -21,6 +23,7 @@
  */
 public record PolicyTuning(
     double urgentReserve,
+    double demandMargin,
     double customerReserve,
     double customerShare,
     long urgentCharge,
@@ -29,7 +32,7 @@
 
   /** The tuning where no branch sets one. */
   public static final PolicyTuning DEFAULT =
-      new PolicyTuning(0.25, 0.15, 0.25, 100_000_000, 4_000_000_000L, 60_000);
+      new PolicyTuning(0.25, 2, 0.15, 0.25, 100_000_000, 4_000_000_000L, 60_000);
 
   /**
    * Checks the numbers.
@@ -40,6 +43,9 @@
     requireShare("urgentReserve", urgentReserve);
     requireShare("customerReserve", customerReserve);
     requireShare("customerShare", customerShare);
+    if (!(demandMargin >= 0)) {
+      throw new IllegalArgumentException("demandMargin must not be negative: " + demandMargin);
+    }
     if (urgentCharge < 0 || otherCharge < 0 || promptTokenTime < 0) {
       throw new IllegalArgumentException(
           "Times must not be negative: "
@@ -51,6 +57,30 @@
     }
   }
 
+  /** Returns the same tuning with another margin above the urgent rank's demand. */
+  public PolicyTuning withDemandMargin(double margin) {
+    return new PolicyTuning(
+        urgentReserve,
+        margin,
+        customerReserve,
+        customerShare,
+        urgentCharge,
+        otherCharge,
+        promptTokenTime);
+  }
+
+  /** Returns the same tuning with another charge of the other rank, in nanoseconds. */
+  public PolicyTuning withOtherCharge(long charge) {
+    return new PolicyTuning(
+        urgentReserve,
+        demandMargin,
+        customerReserve,
+        customerShare,
+        urgentCharge,
+        charge,
+        promptTokenTime);
+  }
+
   /** Returns the wait that is borne rather than send a request of a rank away, in nanoseconds. */
   long charge(Rank rank) {
     return rank == Rank.URGENT ? urgentCharge : otherCharge;
--- a/core/src/main/java/org/gentianslip/core/routing/QueueView.java
+++ b/core/src/main/java/org/gentianslip/core/routing/QueueView.java
@@ -3,7 +3,7 @@
 import org.gentianslip.core.id.Rank;
 
 /**
- * Tells what waits in this instance, and what the customer of the request has running.
+ * Tells what waits in this instance and what runs for it.
  *
  * <p>Immutable and safe for use by several threads.
  *
@@ -11,11 +11,15 @@
  * @param other the backlog of the other rank
  * @param customerInFlight the requests of the rank and the customer of the request that this
  *     instance has sent to engines and that have not ended
+ * @param otherInFlight the requests of the other rank that this instance has sent to engines and
+ *     that have not ended
+ * @param urgentDemand the mean number of urgent requests that waited or ran lately
  */
-public record QueueView(Backlog urgent, Backlog other, int customerInFlight) {
+public record QueueView(
+    Backlog urgent, Backlog other, int customerInFlight, int otherInFlight, double urgentDemand) {
 
   /** No request waits or runs. */
-  public static final QueueView EMPTY = new QueueView(Backlog.EMPTY, Backlog.EMPTY, 0);
+  public static final QueueView EMPTY = new QueueView(Backlog.EMPTY, Backlog.EMPTY, 0, 0, 0);
 
   /**
    * Holds the backlog of a rank. Immutable and safe for use by several threads.
--- a/core/src/test/java/org/gentianslip/core/queue/RequestQueueTest.java
+++ b/core/src/test/java/org/gentianslip/core/queue/RequestQueueTest.java
@@ -127,6 +127,22 @@
     }
   }
 
+  @Nested
+  class AfterTheOtherRankWasServed {
+
+    @Test
+    void givesWaitingUrgentRequestsTheNextTurns() {
+      for (int i = 0; i < 6; i++) {
+        offer("flood", Rank.OTHER, FAR);
+      }
+      served(3);
+      for (int i = 0; i < 5; i++) {
+        offer("quiet", Rank.URGENT, FAR);
+      }
+      assertThat(served(5).contains("flood"), is(false));
+    }
+  }
+
   @Nested
   class WhenFull {
 
--- a/core/src/test/java/org/gentianslip/core/routing/ExpectedCostPolicyTest.java
+++ b/core/src/test/java/org/gentianslip/core/routing/ExpectedCostPolicyTest.java
@@ -44,7 +44,7 @@
 
   private RouteDecision decide(
       Rank rank, EngineView engine, RegionSummary south, int urgent, int other, long drainNanos) {
-    return decide(rank, List.of(engine), south, urgent, other, drainNanos, 0);
+    return decide(rank, List.of(engine), south, urgent, other, drainNanos, 0, 0);
   }
 
   private RouteDecision decide(
@@ -54,10 +54,15 @@
       int urgent,
       int other,
       long drainNanos,
-      int customerInFlight) {
+      int customerInFlight,
+      int otherInFlight) {
     var queue =
         new QueueView(
-            new Backlog(urgent, drainNanos), new Backlog(other, drainNanos), customerInFlight);
+            new Backlog(urgent, drainNanos),
+            new Backlog(other, drainNanos),
+            customerInFlight,
+            otherInFlight,
+            2);
     var view = new RouteView(Requests.HOME, new ArrayList<>(engines), List.of(south), queue);
     return policy.decide(0, Requests.of("r", "shop", rank, Long.MAX_VALUE), view);
   }
@@ -85,9 +90,15 @@
       assertThat(decision, instanceOf(RouteDecision.ToEngine.class));
     }
 
+    @Test
+    void growsWithTheDemandOfTheUrgentRank() {
+      var decision = decide(Rank.OTHER, List.of(engine(4, 4)), none, 0, 1, 0, 0, 4);
+      assertThat(decision, instanceOf(RouteDecision.Wait.class));
+    }
+
     @Test
     void isLeftByAnUrgentCustomerOverItsShare() {
-      var decision = decide(Rank.URGENT, List.of(engine(7, 7)), none, 5, 0, 0, LIMIT / 2);
+      var decision = decide(Rank.URGENT, List.of(engine(7, 7)), none, 5, 0, 0, LIMIT / 2, 0);
       assertThat(decision, instanceOf(RouteDecision.Wait.class));
     }
   }
