--- /dev/null
+++ b/core/src/main/java/org/gentianslip/core/limit/ByteBudget.java
@@ -0,0 +1,49 @@
+package org.gentianslip.core.limit;
+
+import java.util.concurrent.atomic.AtomicLong;
+
+/**
+ * Bounds the bytes that an instance sends over a link, as a bucket that fills evenly.
+ *
+ * <p>The bucket holds at most one second's worth. A taker may overdraw it; then nothing is free
+ * until the debt is paid. Lock-free and safe for use by several threads.
+ */
+public final class ByteBudget {
+
+  private static final long NANOS_PER_SECOND = 1_000_000_000L;
+
+  private final double bytesPerNano;
+  private final AtomicLong paidUntilNanos;
+
+  private ByteBudget(double bytesPerNano, long nowNanos) {
+    this.bytesPerNano = bytesPerNano;
+    this.paidUntilNanos = new AtomicLong(nowNanos - NANOS_PER_SECOND);
+  }
+
+  /**
+   * Returns a full budget.
+   *
+   * @param bytesPerSecond the rate, greater than 0
+   * @param nowNanos the present time, in nanoseconds of the monotonic clock
+   * @throws IllegalArgumentException if the rate is not positive
+   */
+  public static ByteBudget of(double bytesPerSecond, long nowNanos) {
+    if (!(bytesPerSecond > 0)) {
+      throw new IllegalArgumentException("Rate must be positive: " + bytesPerSecond);
+    }
+    return new ByteBudget(bytesPerSecond / NANOS_PER_SECOND, nowNanos);
+  }
+
+  /** Returns the bytes that may be sent now. */
+  public long free(long nowNanos) {
+    long saved = Math.min(NANOS_PER_SECOND, nowNanos - paidUntilNanos.get());
+    return Math.max(0, (long) (saved * bytesPerNano));
+  }
+
+  /** Takes bytes out, also beyond what is free. */
+  public void take(long nowNanos, long bytes) {
+    long cost = (long) Math.ceil(bytes / bytesPerNano);
+    long full = nowNanos - NANOS_PER_SECOND;
+    paidUntilNanos.updateAndGet(paid -> (paid - full > 0 ? paid : full) + cost);
+  }
+}
--- a/core/src/main/java/org/gentianslip/core/routing/PolicyTuning.java
+++ b/core/src/main/java/org/gentianslip/core/routing/PolicyTuning.java
@@ -69,6 +69,18 @@
         promptTokenTime);
   }
 
+  /** Returns the same tuning with another charge of the urgent rank, in nanoseconds. */
+  public PolicyTuning withUrgentCharge(long charge) {
+    return new PolicyTuning(
+        urgentReserve,
+        demandMargin,
+        customerReserve,
+        customerShare,
+        charge,
+        otherCharge,
+        promptTokenTime);
+  }
+
   /** Returns the same tuning with another charge of the other rank, in nanoseconds. */
   public PolicyTuning withOtherCharge(long charge) {
     return new PolicyTuning(
--- a/core/src/main/java/org/gentianslip/core/routing/RouteRequest.java
+++ b/core/src/main/java/org/gentianslip/core/routing/RouteRequest.java
@@ -58,4 +58,21 @@
           "Token counts must not be negative: " + promptTokens + ", " + maxTokens);
     }
   }
+
+  /** Returns the same request with another time by which its first token must be out. */
+  public RouteRequest withDeadline(long nanos) {
+    return new RouteRequest(
+        id,
+        customer,
+        kind,
+        rank,
+        model,
+        prefixDigest,
+        promptTokens,
+        maxTokens,
+        arrivedNanos,
+        nanos,
+        allowedRegions,
+        forwarded);
+  }
 }
--- a/entry/src/main/java/org/gentianslip/entry/caller/RequestSettings.java
+++ b/entry/src/main/java/org/gentianslip/entry/caller/RequestSettings.java
@@ -46,6 +46,18 @@
     return effective.get(SettingCatalog.RANK);
   }
 
+  /** Returns the greatest time between two tokens that counts as in time. */
+  public Duration tokenGapTarget() {
+    return effective.get(SettingCatalog.TOKEN_GAP_TARGET);
+  }
+
+  /** Returns how long a request may wait for its first token before it waits in vain. */
+  public Duration firstTokenLimit() {
+    return effective
+        .get(SettingCatalog.QUEUE_TIMEOUT)
+        .plus(effective.get(SettingCatalog.FIRST_TOKEN_TARGET));
+  }
+
   /** Returns how long the whole request may take. */
   public Duration deadline() {
     return effective.get(SettingCatalog.DEADLINE);
--- a/entry/src/main/java/org/gentianslip/entry/model/AnswerCopy.java
+++ b/entry/src/main/java/org/gentianslip/entry/model/AnswerCopy.java
@@ -31,14 +31,18 @@
    *     not come in whole and of which the caller has seen nothing
    */
   static Optional<Outcome> copy(
-      ModelExchange exchange, UpstreamResult.Answer answer, RegionId region, ModelReport report) {
+      ModelExchange exchange,
+      UpstreamResult.Answer answer,
+      RegionId region,
+      TokenClock clock,
+      ModelReport report) {
     Response response = answer.response();
     String type = response.header("Content-Type", "application/json");
     Map<String, String> headers = new HashMap<>();
     headers.put("Content-Type", type);
     headers.put(HeaderNames.SERVED_REGION, region.value());
     if (type.startsWith(EVENT_STREAM)) {
-      copyStream(exchange, response, headers, report);
+      copyStream(exchange, response, headers, clock, report);
       return Optional.empty();
     }
     byte[] body;
@@ -53,12 +57,15 @@
   }
 
   private static void copyStream(
-      ModelExchange exchange, Response response, Map<String, String> headers, ModelReport report) {
+      ModelExchange exchange,
+      Response response,
+      Map<String, String> headers,
+      TokenClock clock,
+      ModelReport report) {
     if (!exchange.finishOnce()) {
       response.close();
       return;
     }
-    var clock = new TokenClock(exchange, report);
     StreamRelay.End end = StreamRelay.copy(response, headers, exchange.sink(), clock);
     report.streamed(System.nanoTime(), exchange, end);
   }
--- /dev/null
+++ b/entry/src/main/java/org/gentianslip/entry/model/ChosenPolicy.java
@@ -0,0 +1,88 @@
+package org.gentianslip.entry.model;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.gentianslip.core.id.RegionId;
+import org.gentianslip.core.id.RequestId;
+import org.gentianslip.core.routing.ExpectedCostPolicy;
+import org.gentianslip.core.routing.LeastLoadedPolicy;
+import org.gentianslip.core.routing.PolicyTuning;
+import org.gentianslip.core.routing.RegionSummary;
+import org.gentianslip.core.routing.RoundRobinPolicy;
+import org.gentianslip.core.routing.RouteDecision;
+import org.gentianslip.core.routing.RouteRequest;
+import org.gentianslip.core.routing.RouteView;
+import org.gentianslip.core.routing.RoutingPolicy;
+import org.gentianslip.entry.state.FleetState;
+import org.gentianslip.settings.EffectiveSettings;
+import org.gentianslip.settings.SettingCatalog;
+
+/**
+ * Decides by the policy and the tuning that the settings name for a request's branch.
+ *
+ * <p>Regions that the request was sent to before are hidden from the policy. Safe for use by
+ * several threads.
+ */
+final class ChosenPolicy implements RoutingPolicy {
+
+  private static final long NEVER_NANOS = Long.MAX_VALUE / 4;
+
+  private final FleetState state;
+  private final Map<RequestId, ModelExchange> exchanges;
+  private final RoutingPolicy expectedCost;
+  private final RoutingPolicy leastLoaded = new LeastLoadedPolicy();
+  private final RoutingPolicy roundRobin = new RoundRobinPolicy();
+
+  /**
+   * Creates the policy.
+   *
+   * @param exchanges the requests that wait, by their ids
+   * @param seed the seed of the hashes; alike at all instances, so that prefixes meet
+   */
+  ChosenPolicy(FleetState state, Map<RequestId, ModelExchange> exchanges, long seed) {
+    this.state = state;
+    this.exchanges = exchanges;
+    this.expectedCost = ExpectedCostPolicy.of(seed, this::tuning);
+  }
+
+  @Override
+  public RouteDecision decide(long nowNanos, RouteRequest request, RouteView view) {
+    ModelExchange exchange = exchanges.get(request.id());
+    Set<RegionId> closed = exchange == null ? Set.of() : exchange.closedRegions();
+    RouteView open = closed.isEmpty() ? view : without(closed, view);
+    return policy(request).decide(nowNanos, request, open);
+  }
+
+  private RoutingPolicy policy(RouteRequest request) {
+    return switch (valuesOf(request).get(SettingCatalog.POLICY)) {
+      case "least-loaded" -> leastLoaded;
+      case "round-robin" -> roundRobin;
+      default -> expectedCost;
+    };
+  }
+
+  private EffectiveSettings valuesOf(RouteRequest request) {
+    return state.settings().effective(request.customer(), state.place().region(), request.kind());
+  }
+
+  private PolicyTuning tuning(RouteRequest request) {
+    EffectiveSettings values = valuesOf(request);
+    long charge =
+        values.get(SettingCatalog.SPILL)
+            ? values.get(SettingCatalog.SPILL_CHARGE).toNanos()
+            : NEVER_NANOS;
+    return PolicyTuning.DEFAULT.withUrgentCharge(charge).withOtherCharge(charge);
+  }
+
+  private static RouteView without(Set<RegionId> closed, RouteView view) {
+    List<RegionSummary> regions = new ArrayList<>();
+    for (RegionSummary region : view.regions()) {
+      if (!closed.contains(region.region())) {
+        regions.add(region);
+      }
+    }
+    return new RouteView(view.ownRegion(), view.engines(), regions, view.queue());
+  }
+}
--- a/entry/src/main/java/org/gentianslip/entry/model/ModelDispatcher.java
+++ b/entry/src/main/java/org/gentianslip/entry/model/ModelDispatcher.java
@@ -1,247 +1,194 @@
 package org.gentianslip.entry.model;
 
-import java.util.ArrayList;
-import java.util.HashMap;
-import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.concurrent.ConcurrentLinkedQueue;
-import okhttp3.Call;
-import org.gentianslip.core.id.Rank;
-import org.gentianslip.core.id.RegionId;
-import org.gentianslip.core.outcome.NotRunReason;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.locks.ReentrantLock;
+import org.gentianslip.core.id.RequestId;
 import org.gentianslip.core.outcome.Outcome;
+import org.gentianslip.core.outcome.RetryDecision;
 import org.gentianslip.core.outcome.RetryRule;
+import org.gentianslip.core.queue.Dispatcher;
+import org.gentianslip.core.queue.OfferResult;
+import org.gentianslip.core.queue.Placement;
 import org.gentianslip.core.routing.RouteDecision;
-import org.gentianslip.core.routing.RouteView;
-import org.gentianslip.core.routing.RoutingPolicy;
+import org.gentianslip.core.routing.RouteReason;
+import org.gentianslip.core.routing.RouteRequest;
 import org.gentianslip.entry.http.ErrorCode;
 import org.gentianslip.entry.http.ErrorReply;
 import org.gentianslip.entry.http.HeaderNames;
 import org.gentianslip.entry.http.OutcomeName;
-import org.gentianslip.entry.relay.UpstreamClient;
-import org.gentianslip.entry.relay.UpstreamRequest;
-import org.gentianslip.entry.relay.UpstreamResult;
-import org.gentianslip.entry.state.EngineState;
 import org.gentianslip.entry.state.FleetState;
 
 /**
  * Carries model requests from admission to their end.
  *
- * <p>The routing policy decides; this class acts on its decisions. Every request ends exactly once.
- * Whether requests may leave the region depends on the {@link Forwarding} it was made with. Safe
- * for use by several threads.
+ * <p>Every request passes through the queue of its model; one thread at a time places requests, so
+ * that each placement counts in the next decision. Every request ends exactly once. Safe for use by
+ * several threads.
  */
-final class ModelDispatcher {
+final class ModelDispatcher implements AttemptEnds {
 
-  private static final int URGENT_PRIORITY = 10;
-  private static final int MAX_RACES = 4;
+  private static final long RETRY_AFTER_MILLIS = 500;
+  private static final long MILLIS_PER_SECOND = 1_000;
 
   private final FleetState state;
-  private final RoutingPolicy policy;
-  private final Forwarding forwarding;
-  private final UpstreamClient client;
+  private final ModelQueues queues;
+  private final EngineAttempts engines;
+  private final RegionAttempts regions;
   private final RetryRule retries;
   private final ModelReport report;
-  private final AwayCalls away = new AwayCalls();
-  private final ConcurrentLinkedQueue<ModelExchange> waiting = new ConcurrentLinkedQueue<>();
-
+  private final Map<RequestId, ModelExchange> waiting;
+  private final ReentrantLock placing = new ReentrantLock();
+  private final AtomicBoolean wanted = new AtomicBoolean();
+
+  /**
+   * Creates a dispatcher.
+   *
+   * @param waiting holds the waiting requests; the policy reads it
+   */
   ModelDispatcher(
       FleetState state,
-      RoutingPolicy policy,
-      Forwarding forwarding,
-      UpstreamClient client,
+      ModelQueues queues,
+      Map<RequestId, ModelExchange> waiting,
       RetryRule retries,
-      ModelReport report) {
+      ModelReport report,
+      Attempts attempts) {
     this.state = state;
-    this.policy = policy;
-    this.forwarding = forwarding;
-    this.client = client;
+    this.queues = queues;
+    this.waiting = waiting;
     this.retries = retries;
     this.report = report;
+    this.engines = attempts.engines(this);
+    this.regions = attempts.regions(this);
+  }
+
+  /** Makes the two kinds of attempts, which tell their ends to a dispatcher. */
+  interface Attempts {
+
+    /** Returns the attempts at engines. */
+    EngineAttempts engines(AttemptEnds ends);
+
+    /** Returns the attempts at other regions. */
+    RegionAttempts regions(AttemptEnds ends);
+  }
+
+  /** Returns a map for the waiting requests of one dispatcher. */
+  static Map<RequestId, ModelExchange> newWaiting() {
+    return new ConcurrentHashMap<>();
   }
 
   /** Takes an admitted request. */
   void submit(long nowNanos, ModelExchange exchange) {
     report.admitted();
-    step(nowNanos, exchange);
+    offer(nowNanos, exchange);
+    place(nowNanos);
   }
 
-  /** Decides again about the waiting requests. */
-  void retryWaiting(long nowNanos) {
-    List<ModelExchange> batch = new ArrayList<>();
-    for (ModelExchange e = waiting.poll(); e != null; e = waiting.poll()) {
-      batch.add(e);
-    }
-    for (ModelExchange exchange : batch) {
-      step(nowNanos, exchange);
+  private void offer(long nowNanos, ModelExchange exchange) {
+    RouteRequest route = exchange.route();
+    waiting.put(route.id(), exchange);
+    OfferResult result = queues.of(route.model()).offer(nowNanos, route);
+    if (result instanceof OfferResult.Refused refused) {
+      waiting.remove(route.id());
+      refuse(nowNanos, exchange, refused.reason(), refused.retryAfterMillis());
+    } else if (result instanceof OfferResult.AcceptedInstead instead) {
+      ModelExchange displaced = waiting.remove(instead.displaced().id());
+      refuse(nowNanos, displaced, RouteReason.OVER_SHARE, RETRY_AFTER_MILLIS);
     }
   }
 
-  /** Gives up the exchanges with regions that have fallen silent; their requests go on here. */
-  void leaveSilentRegions(long nowNanos) {
-    for (RegionId region : away.regions()) {
-      if (state.regions().fresh(nowNanos, region).isEmpty()) {
-        away.cancelAll(region);
+  /** Places what can be placed now. */
+  void place(long nowNanos) {
+    wanted.set(true);
+    if (placing.isHeldByCurrentThread()) {
+      return;
+    }
+    while (wanted.get() && placing.tryLock()) {
+      try {
+        while (wanted.getAndSet(false)) {
+          queues.all().forEach(d -> placeAll(nowNanos, d));
+        }
+      } finally {
+        placing.unlock();
       }
     }
   }
 
-  /** Returns the number of waiting requests. */
-  int waitingCount() {
-    return waiting.size();
-  }
-
-  private void step(long nowNanos, ModelExchange exchange) {
-    for (int race = 0; race < MAX_RACES; race++) {
-      if (exchange.expired(nowNanos)) {
-        fail(
-            nowNanos,
-            exchange,
-            ErrorCode.DEADLINE,
-            "The deadline passed before an engine was free.");
+  private void placeAll(long nowNanos, Dispatcher dispatcher) {
+    while (true) {
+      long hash = ThreadLocalRandom.current().nextLong();
+      Optional<Placement> placed = dispatcher.next(nowNanos, state.view(nowNanos, hash));
+      if (placed.isEmpty()) {
         return;
       }
-      RouteDecision decision =
-          policy.decide(nowNanos, exchange.route(), viewFor(nowNanos, exchange));
-      if (act(nowNanos, exchange, decision)) {
-        return;
+      ModelExchange exchange = waiting.remove(placed.get().request().id());
+      if (exchange != null) {
+        carryOut(nowNanos, exchange, placed.get().decision());
       }
     }
-    waiting.add(exchange);
   }
 
-  private boolean act(long nowNanos, ModelExchange exchange, RouteDecision decision) {
+  private void carryOut(long nowNanos, ModelExchange exchange, RouteDecision decision) {
     if (decision instanceof RouteDecision.ToEngine to) {
-      return startAtEngine(nowNanos, exchange, to);
-    }
-    if (decision instanceof RouteDecision.ToRegion to) {
-      return startAtRegion(nowNanos, exchange, to);
-    }
-    if (decision instanceof RouteDecision.Wait) {
-      waiting.add(exchange);
-      return true;
+      if (!engines.start(nowNanos, exchange, to)) {
+        queues.of(exchange.route().model()).ended(nowNanos, exchange.route());
+        offer(nowNanos, exchange);
+      }
+    } else if (decision instanceof RouteDecision.ToRegion to) {
+      if (!regions.start(nowNanos, exchange, to)) {
+        offer(nowNanos, exchange);
+      }
+    } else if (decision instanceof RouteDecision.Refuse no) {
+      refuse(nowNanos, exchange, no.reason(), no.retryAfterMillis());
     }
-    var refuse = (RouteDecision.Refuse) decision;
-    report.step(nowNanos, exchange, "refuse", "", refuse.reason().name());
-    fail(nowNanos, exchange, ErrorCode.NO_CAPACITY, "No capacity is free for this request.");
-    return true;
   }
 
-  private boolean startAtEngine(long nowNanos, ModelExchange exchange, RouteDecision.ToEngine to) {
-    EngineState engine = state.engines().get(to.engine());
-    if (engine == null || !engine.begin(state.engines().view(nowNanos, engine).slots())) {
-      return false;
+  /** Refuses what waits in vain, leaves silent regions, and places what can be placed. */
+  void tick(long nowNanos) {
+    if (queues.refresh()) {
+      waiting.values().forEach(e -> offerAgain(nowNanos, e));
     }
-    report.step(nowNanos, exchange, "to-engine", to.engine().value(), to.reason().name());
-    exchange.nextAttempt();
-    var remaining = exchange.remaining(nowNanos);
-    var timeouts =
-        exchange.stream()
-            ? exchange.settings().timeouts(remaining)
-            : exchange.settings().wholeAnswerTimeouts(remaining);
-    client.start(
-        engineRequest(nowNanos, exchange, engine),
-        timeouts,
-        result -> engineAnswered(exchange, engine, result));
-    return true;
-  }
-
-  private static UpstreamRequest engineRequest(
-      long nowNanos, ModelExchange exchange, EngineState engine) {
-    Map<String, String> headers = new HashMap<>();
-    headers.put(HeaderNames.REQUEST_ID, exchange.route().id().value());
-    int priority = exchange.route().rank() == Rank.URGENT ? URGENT_PRIORITY : 0;
-    headers.put(HeaderNames.PRIORITY, Integer.toString(priority));
-    return new UpstreamRequest(
-        "POST",
-        "http://" + engine.listed().address() + exchange.path(),
-        headers,
-        exchange.body(),
-        "application/json",
-        nowNanos + exchange.remaining(nowNanos).toNanos());
-  }
-
-  private void engineAnswered(ModelExchange exchange, EngineState engine, UpstreamResult result) {
-    Optional<Outcome> broken = Optional.empty();
-    try {
-      if (result instanceof UpstreamResult.Answer answer) {
-        broken = AnswerCopy.copy(exchange, answer, state.place().region(), report);
+    for (Dispatcher dispatcher : queues.all()) {
+      for (RouteRequest expired : dispatcher.expire(nowNanos)) {
+        ModelExchange exchange = waiting.remove(expired.id());
+        if (exchange != null) {
+          refuse(nowNanos, exchange, RouteReason.DEADLINE, RETRY_AFTER_MILLIS);
+        }
       }
-    } finally {
-      engine.finish();
     }
-    long now = System.nanoTime();
-    if (broken.isPresent()) {
-      report.step(now, exchange, "engine-broke-off", engine.id().value(), "answer not whole");
-      again(now, exchange, broken.get());
-    } else if (result instanceof UpstreamResult.Refused refused) {
-      noteRefusal(now, exchange, engine, refused.code());
-      again(now, exchange, new Outcome.NotRun(NotRunReason.REFUSED_BEFORE_START));
-    } else if (result instanceof UpstreamResult.Failed failed) {
-      engine.suspect(now);
-      report.step(now, exchange, "engine-failed", engine.id().value(), failed.message());
-      again(now, exchange, failed.outcome());
+    regions.leaveSilent(nowNanos);
+    if (!waiting.isEmpty()) {
+      place(nowNanos);
     }
-    retryWaiting(System.nanoTime());
   }
 
-  private void noteRefusal(long nowNanos, ModelExchange exchange, EngineState engine, String code) {
-    report.step(nowNanos, exchange, "engine-refused", engine.id().value(), code);
-    if (code.equals("leaving")) {
-      state.engines().markLeaving(engine.id(), nowNanos);
-    } else {
-      engine.suspect(nowNanos);
+  private void offerAgain(long nowNanos, ModelExchange exchange) {
+    if (waiting.containsKey(exchange.route().id())) {
+      offer(nowNanos, exchange);
     }
   }
 
-  private RouteView viewFor(long nowNanos, ModelExchange exchange) {
-    return state.view(nowNanos, exchange.requestHash(), exchange.closedRegions());
-  }
-
-  private boolean startAtRegion(long nowNanos, ModelExchange exchange, RouteDecision.ToRegion to) {
-    exchange.tryRegion(to.region());
-    exchange.nextAttempt();
-    Optional<Call> call =
-        forwarding.forward(
-            nowNanos,
-            exchange,
-            to.region(),
-            result -> regionAnswered(nowNanos, exchange, to.region(), result));
-    if (call.isEmpty()) {
-      return false;
-    }
-    away.add(to.region(), exchange.route().id(), call.get());
-    report.forwarded(nowNanos, exchange, to);
-    return true;
+  /** Returns the number of waiting requests. */
+  int waitingCount() {
+    return waiting.size();
   }
 
-  private void regionAnswered(
-      long sentNanos, ModelExchange exchange, RegionId region, UpstreamResult result) {
-    away.remove(region, exchange.route().id());
+  @Override
+  public void engineFreed(ModelExchange exchange) {
     long now = System.nanoTime();
-    if (result instanceof UpstreamResult.Answer answer) {
-      state.backoff().succeeded(now, region);
-      AnswerCopy.copy(exchange, answer, region, report)
-          .ifPresent(outcome -> again(System.nanoTime(), exchange, outcome));
-      return;
-    }
-    state.backoff().failed(now, sentNanos, region);
-    if (result instanceof UpstreamResult.Refused refused) {
-      report.step(now, exchange, "region-refused", region.value(), refused.code());
-      again(now, exchange, new Outcome.NotRun(NotRunReason.REFUSED_BEFORE_START));
-    } else if (result instanceof UpstreamResult.Failed failed) {
-      report.step(now, exchange, "region-failed", region.value(), failed.message());
-      again(now, exchange, failed.outcome());
-    }
+    queues.of(exchange.route().model()).ended(now, exchange.route());
+    place(now);
   }
 
-  /** Tries a model request again; it may run twice, since only one answer reaches the caller. */
-  private void again(long nowNanos, ModelExchange exchange, Outcome outcome) {
+  @Override
+  public void failed(long nowNanos, ModelExchange exchange, Outcome outcome) {
     if (!(outcome instanceof Outcome.NotRun)) {
       exchange.markStartedUpstream();
     }
-    var decision =
+    RetryDecision decision =
         retries.decide(
             nowNanos,
             nowNanos + exchange.remaining(nowNanos).toNanos(),
@@ -250,28 +197,41 @@
             false,
             outcome);
     if (decision.isRetry()) {
-      step(nowNanos, exchange);
+      exchange.renewRoute(nowNanos);
+      offer(nowNanos, exchange);
+      place(nowNanos);
       return;
     }
     report.step(nowNanos, exchange, "no-retry", "", decision.name());
-    fail(nowNanos, exchange, ErrorCode.BACKEND_FAILED, "No engine answered the request.");
+    end(
+        nowNanos,
+        exchange,
+        replyFor(exchange, ErrorCode.BACKEND_FAILED, "No engine answered the request."));
+  }
+
+  private void refuse(
+      long nowNanos, ModelExchange exchange, RouteReason reason, long retryAfterMillis) {
+    report.step(nowNanos, exchange, "refuse", "", reason.name());
+    ErrorReply reply =
+        reason == RouteReason.DEADLINE
+            ? replyFor(exchange, ErrorCode.DEADLINE, "No engine is free in time for this request.")
+            : replyFor(exchange, ErrorCode.NO_CAPACITY, "No capacity is free for this request.");
+    long seconds = Math.max(1, (retryAfterMillis + MILLIS_PER_SECOND - 1) / MILLIS_PER_SECOND);
+    end(nowNanos, exchange, reply.withHeader("Retry-After", Long.toString(seconds)));
   }
 
-  private void fail(long nowNanos, ModelExchange exchange, ErrorCode code, String message) {
+  private static ErrorReply replyFor(ModelExchange exchange, ErrorCode code, String message) {
+    return exchange.startedUpstream()
+        ? ErrorReply.unknown(code, message)
+        : ErrorReply.notRun(code, message);
+  }
+
+  private void end(long nowNanos, ModelExchange exchange, ErrorReply reply) {
     if (!exchange.finishOnce()) {
       return;
     }
-    ErrorReply reply =
-        exchange.startedUpstream()
-            ? ErrorReply.unknown(code, message)
-            : ErrorReply.notRun(code, message);
     report.failed(nowNanos, exchange, reply);
-    exchange.sink().fail(exchange.route().forwarded() ? asRefusal(reply) : reply);
-  }
-
-  /** Marks a refusal towards a peer as one that came before any work. */
-  private static ErrorReply asRefusal(ErrorReply reply) {
-    boolean notRun = reply.outcome() == OutcomeName.NOT_RUN;
-    return notRun ? reply.withHeader(HeaderNames.NOT_STARTED, "true") : reply;
+    boolean refusal = exchange.route().forwarded() && reply.outcome() == OutcomeName.NOT_RUN;
+    exchange.sink().fail(refusal ? reply.withHeader(HeaderNames.NOT_STARTED, "true") : reply);
   }
 }
--- a/entry/src/main/java/org/gentianslip/entry/model/ModelExchange.java
+++ b/entry/src/main/java/org/gentianslip/entry/model/ModelExchange.java
@@ -5,23 +5,25 @@
 import java.util.TreeSet;
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.gentianslip.core.id.RegionId;
-import org.gentianslip.core.membership.RendezvousHash;
+import org.gentianslip.core.id.RequestId;
 import org.gentianslip.core.routing.RouteRequest;
 import org.gentianslip.entry.caller.RequestSettings;
 import org.gentianslip.entry.http.ResponseSink;
+import org.gentianslip.entry.relay.UpstreamTimeouts;
 
 /**
  * Holds one model request from its admission to its end.
  *
- * <p>One thread at a time works on it; the hand-over between threads goes through executors or the
- * queue. Only {@link #finishOnce()} may be called by several threads at once.
+ * <p>One thread at a time works on it; the hand-over between threads goes through the queue and the
+ * client library. Only {@link #finishOnce()} may be called by several threads at once.
  */
 final class ModelExchange {
 
   private static final int MAX_REGIONS = 2;
 
-  private final RouteRequest route;
+  private final RequestId id;
   private final RequestSettings settings;
+  private final Forwarding forwarding;
   private final String path;
   private final byte[] body;
   private final boolean stream;
@@ -29,19 +31,31 @@
   private final long endNanos;
   private final AtomicBoolean finished = new AtomicBoolean();
   private final Set<RegionId> regionsTried = new TreeSet<>();
+  private volatile RouteRequest route;
   private int attempts;
   private boolean startedUpstream;
 
+  /**
+   * Creates an exchange.
+   *
+   * @param id the id by which callers and operators know the request
+   * @param route what the policy may know; its id is unique in this instance
+   * @param forwarding how the request may leave the region
+   */
   ModelExchange(
+      RequestId id,
       RouteRequest route,
       RequestSettings settings,
+      Forwarding forwarding,
       String path,
       byte[] body,
       boolean stream,
       ResponseSink sink,
       long endNanos) {
+    this.id = id;
     this.route = route;
     this.settings = settings;
+    this.forwarding = forwarding;
     this.path = path;
     this.body = body;
     this.stream = stream;
@@ -49,19 +63,22 @@
     this.endNanos = endNanos;
   }
 
-  RouteRequest route() {
-    return route;
+  RequestId id() {
+    return id;
   }
 
-  /** Returns an evenly spread hash of the request. */
-  long requestHash() {
-    return RendezvousHash.hash(route.id().value(), "request");
+  RouteRequest route() {
+    return route;
   }
 
   RequestSettings settings() {
     return settings;
   }
 
+  Forwarding forwarding() {
+    return forwarding;
+  }
+
   String path() {
     return path;
   }
@@ -70,10 +87,6 @@
     return body;
   }
 
-  boolean stream() {
-    return stream;
-  }
-
   ResponseSink sink() {
     return sink;
   }
@@ -83,14 +96,21 @@
     return Duration.ofNanos(Math.max(0, endNanos - nowNanos));
   }
 
-  boolean expired(long nowNanos) {
-    return endNanos - nowNanos <= 0;
+  /** Returns the bounds of an attempt that starts now. */
+  UpstreamTimeouts timeouts(long nowNanos) {
+    Duration remaining = remaining(nowNanos);
+    return stream ? settings.timeouts(remaining) : settings.wholeAnswerTimeouts(remaining);
   }
 
-  /** Counts an attempt at a backend server or a peer and returns its number, from 1. */
-  int nextAttempt() {
+  /** Gives the request a new time to wait for its first token, before another attempt. */
+  void renewRoute(long nowNanos) {
+    long limit = nowNanos + settings.firstTokenLimit().toNanos();
+    route = route.withDeadline(limit - endNanos < 0 ? limit : endNanos);
+  }
+
+  /** Counts an attempt at a backend server or a peer. */
+  void nextAttempt() {
     attempts++;
-    return attempts;
   }
 
   int attempts() {
--- a/entry/src/main/java/org/gentianslip/entry/model/ModelReport.java
+++ b/entry/src/main/java/org/gentianslip/entry/model/ModelReport.java
@@ -35,7 +35,7 @@
 
   void step(long nowNanos, ModelExchange exchange, String step, String target, String reason) {
     long at = TimeUnit.NANOSECONDS.toMillis(nowNanos - exchange.route().arrivedNanos());
-    decisions.add(exchange.route().id(), new DecisionLog.Step(at, step, target, reason));
+    decisions.add(exchange.id(), new DecisionLog.Step(at, step, target, reason));
   }
 
   void forwarded(long nowNanos, ModelExchange exchange, RouteDecision.ToRegion to) {
--- a/entry/src/main/java/org/gentianslip/entry/model/ModelRequests.java
+++ b/entry/src/main/java/org/gentianslip/entry/model/ModelRequests.java
@@ -6,8 +6,8 @@
 import org.gentianslip.core.outcome.RetryBudget;
 import org.gentianslip.core.outcome.RetryRule;
 import org.gentianslip.core.routing.RouteRequest;
-import org.gentianslip.core.routing.RoutingPolicy;
 import org.gentianslip.entry.caller.EntryDirectory;
+import org.gentianslip.entry.caller.RequestIds;
 import org.gentianslip.entry.caller.RequestSettings;
 import org.gentianslip.entry.explain.DecisionLog;
 import org.gentianslip.entry.http.ErrorCode;
@@ -23,7 +23,7 @@
 /**
  * Serves model requests of callers and of peers.
  *
- * <p>Peers' requests go through a dispatcher that cannot forward. Safe for use by several threads.
+ * <p>Peers' requests have no way to leave the region. Safe for use by several threads.
  */
 public final class ModelRequests {
 
@@ -31,20 +31,22 @@
   private static final long LEAST_USEFUL_NANOS = 10_000_000L;
   private static final double RETRY_SHARE = 0.1;
   private static final int RETRY_BURST = 20;
+  private static final long HASH_SEED = 0x67656e7469616eL;
 
   private final FleetState state;
   private final EntryDirectory directory;
   private final PrefixDigest digest;
   private final EntryMetrics metrics;
+  private final RequestIds routeIds;
   private final RetryBudget budget = RetryBudget.of(RETRY_SHARE, RETRY_BURST);
-  private final ModelDispatcher fromCallers;
-  private final ModelDispatcher fromPeers;
+  private final Forwarding toPeers;
+  private final Forwarding nowhere = new NoForwarding();
+  private final ModelDispatcher dispatcher;
 
-  /** Creates the two dispatchers. */
+  /** Creates the dispatcher. */
   public ModelRequests(
       FleetState state,
       EntryDirectory directory,
-      RoutingPolicy policy,
       UpstreamClient client,
       EntryMetrics metrics,
       DecisionLog decisions,
@@ -53,13 +55,33 @@
     this.directory = directory;
     this.metrics = metrics;
     this.digest = new PrefixDigest(state.place().peerKey());
+    this.routeIds = new RequestIds(state.place().instance(), state.incarnation());
+    this.toPeers = new PeerForwarding(state, client);
     var report = new ModelReport(state, metrics, decisions, inFlight);
-    var retries = new RetryRule(MAX_ATTEMPTS, LEAST_USEFUL_NANOS, budget);
-    this.fromCallers =
+    var waiting = ModelDispatcher.newWaiting();
+    this.dispatcher =
         new ModelDispatcher(
-            state, policy, new PeerForwarding(state, client), client, retries, report);
-    this.fromPeers =
-        new ModelDispatcher(state, policy, new NoForwarding(), client, retries, report);
+            state,
+            new ModelQueues(state, new ChosenPolicy(state, waiting, HASH_SEED)),
+            waiting,
+            new RetryRule(MAX_ATTEMPTS, LEAST_USEFUL_NANOS, budget),
+            report,
+            attempts(state, client, report));
+  }
+
+  private static ModelDispatcher.Attempts attempts(
+      FleetState state, UpstreamClient client, ModelReport report) {
+    return new ModelDispatcher.Attempts() {
+      @Override
+      public EngineAttempts engines(AttemptEnds ends) {
+        return new EngineAttempts(state, client, report, ends);
+      }
+
+      @Override
+      public RegionAttempts regions(AttemptEnds ends) {
+        return new RegionAttempts(state, report, ends);
+      }
+    };
   }
 
   /** Takes a caller's request. */
@@ -115,12 +137,20 @@
       refuse(settings, sink, reply);
       return;
     }
-    var route = route(nowNanos, id, settings, parsed, remaining, forwarded);
-    var exchange =
-        new ModelExchange(
-            route, settings, path, body, parsed.stream(), sink, nowNanos + remaining.toNanos());
+    var route = route(nowNanos, settings, parsed, remaining, forwarded);
     budget.requestStarted();
-    (forwarded ? fromPeers : fromCallers).submit(nowNanos, exchange);
+    dispatcher.submit(
+        nowNanos,
+        new ModelExchange(
+            id,
+            route,
+            settings,
+            forwarded ? nowhere : toPeers,
+            path,
+            body,
+            parsed.stream(),
+            sink,
+            nowNanos + remaining.toNanos()));
   }
 
   private void refuse(RequestSettings settings, ResponseSink sink, ErrorReply reply) {
@@ -138,14 +168,15 @@
 
   private RouteRequest route(
       long nowNanos,
-      RequestId id,
       RequestSettings settings,
       ModelBody body,
       Duration remaining,
       boolean forwarded) {
     int prefixTokens = settings.effective().get(SettingCatalog.PREFIX_TOKENS);
+    Duration firstToken = settings.firstTokenLimit();
+    Duration wait = firstToken.compareTo(remaining) < 0 ? firstToken : remaining;
     return new RouteRequest(
-        id,
+        routeIds.choose(null),
         settings.customer(),
         settings.kind(),
         settings.rank(),
@@ -154,21 +185,24 @@
         body.prompt().length() / PrefixDigest.CHARS_PER_TOKEN,
         body.maxTokens(),
         nowNanos,
-        nowNanos + remaining.toNanos(),
+        nowNanos + wait.toNanos(),
         settings.allowedRegions(),
         forwarded);
   }
 
   /** Decides again about the waiting requests; to be called from time to time. */
   public void tick(long nowNanos) {
-    fromCallers.retryWaiting(nowNanos);
-    fromPeers.retryWaiting(nowNanos);
-    fromCallers.leaveSilentRegions(nowNanos);
+    dispatcher.tick(nowNanos);
     metrics.queued(waitingCount());
   }
 
+  /** Places waiting requests, since something has changed. */
+  public void place(long nowNanos) {
+    dispatcher.place(nowNanos);
+  }
+
   /** Returns the number of waiting requests. */
   public int waitingCount() {
-    return fromCallers.waitingCount() + fromPeers.waitingCount();
+    return dispatcher.waitingCount();
   }
 }
--- a/entry/src/main/java/org/gentianslip/entry/model/PeerForwarding.java
+++ b/entry/src/main/java/org/gentianslip/entry/model/PeerForwarding.java
@@ -43,7 +43,7 @@
     var remaining = exchange.remaining(nowNanos);
     Map<String, String> headers = new HashMap<>();
     headers.put(HeaderNames.PEER_KEY, state.place().peerKey());
-    headers.put(HeaderNames.REQUEST_ID, exchange.route().id().value());
+    headers.put(HeaderNames.REQUEST_ID, exchange.id().value());
     headers.put(HeaderNames.CUSTOMER, exchange.route().customer().value());
     headers.put(HeaderNames.KIND, exchange.route().kind().value());
     headers.put(HeaderNames.ATTEMPT, Integer.toString(exchange.attempts()));
@@ -56,11 +56,7 @@
             exchange.body(),
             "application/json",
             nowNanos + remaining.toNanos());
-    var timeouts =
-        exchange.stream()
-            ? exchange.settings().timeouts(remaining)
-            : exchange.settings().wholeAnswerTimeouts(remaining);
-    return Optional.of(client.start(request, timeouts, receiver));
+    return Optional.of(client.start(request, exchange.timeouts(nowNanos), receiver));
   }
 
   private Optional<EntryRecord> target(long nowNanos, ModelExchange exchange, RegionId region) {
--- a/entry/src/main/java/org/gentianslip/entry/model/TokenClock.java
+++ b/entry/src/main/java/org/gentianslip/entry/model/TokenClock.java
@@ -1,5 +1,6 @@
 package org.gentianslip.entry.model;
 
+import java.util.OptionalLong;
 import org.gentianslip.entry.relay.StreamRelay;
 
 /** Measures the times of a streamed answer's tokens. Used by one thread. */
@@ -9,6 +10,8 @@
   private final ModelReport report;
   private boolean started;
   private long lastNanos;
+  private long gapsNanos;
+  private int gaps;
 
   TokenClock(ModelExchange exchange, ModelReport report) {
     this.exchange = exchange;
@@ -22,8 +25,15 @@
       report.firstToken(now, exchange);
     } else {
       report.tokenGap(exchange, (now - lastNanos) / count);
+      gapsNanos += now - lastNanos;
+      gaps += count;
     }
     started = true;
     lastNanos = now;
   }
+
+  /** Returns the mean time between tokens, in nanoseconds, if there were several. */
+  OptionalLong meanGapNanos() {
+    return gaps == 0 ? OptionalLong.empty() : OptionalLong.of(gapsNanos / gaps);
+  }
 }
--- a/entry/src/main/java/org/gentianslip/entry/platform/LoadPoller.java
+++ b/entry/src/main/java/org/gentianslip/entry/platform/LoadPoller.java
@@ -23,14 +23,21 @@
   private final OkHttpClient client;
   private final EntryMetrics metrics;
   private final Runnable announce;
+  private final Runnable changed;
 
   /**
    * Creates a poller.
    *
    * @param announce tells the peers at once that an engine is leaving
+   * @param changed is run after each report
    */
   public LoadPoller(
-      EngineTable engines, OkHttpClient client, EntryMetrics metrics, Runnable announce) {
+      EngineTable engines,
+      OkHttpClient client,
+      EntryMetrics metrics,
+      Runnable announce,
+      Runnable changed) {
+    this.changed = changed;
     this.announce = announce;
     this.engines = engines;
     this.client = client.newBuilder().callTimeout(TIMEOUT).build();
@@ -47,6 +54,7 @@
   private void ask(EngineState engine) {
     var request =
         new Request.Builder().url("http://" + engine.listed().address() + "/load").build();
+    int ownInFlight = engine.inFlight();
     client
         .newCall(request)
         .enqueue(
@@ -60,14 +68,14 @@
               public void onResponse(Call call, Response response) throws IOException {
                 try (response) {
                   if (response.isSuccessful()) {
-                    report(engine, response.peekBody(MAX_REPORT_BYTES).bytes());
+                    report(engine, ownInFlight, response.peekBody(MAX_REPORT_BYTES).bytes());
                   }
                 }
               }
             });
   }
 
-  private void report(EngineState engine, byte[] body) throws IOException {
+  private void report(EngineState engine, int ownInFlight, byte[] body) throws IOException {
     metrics.controlMessage("load", 0, body.length);
     var node = Json.parse(body);
     long now = System.nanoTime();
@@ -78,8 +86,9 @@
             node.path("waiting").asInt(),
             node.path("leaving").asBoolean(),
             now);
-    if (engines.report(now, engine, load)) {
+    if (engines.report(now, engine, load, ownInFlight)) {
       announce.run();
     }
+    changed.run();
   }
 }
--- a/entry/src/main/java/org/gentianslip/entry/process/EntryProcess.java
+++ b/entry/src/main/java/org/gentianslip/entry/process/EntryProcess.java
@@ -11,7 +11,6 @@
 import okhttp3.OkHttpClient;
 import org.gentianslip.core.id.Incarnation;
 import org.gentianslip.core.membership.PauseDetector;
-import org.gentianslip.core.routing.LeastLoadedPolicy;
 import org.gentianslip.core.ticket.TicketLedger;
 import org.gentianslip.core.ticket.TicketMint;
 import org.gentianslip.entry.caller.AdmissionCheck;
@@ -57,6 +56,7 @@
   private static final long LOAD_MILLIS = 250;
   private static final long HELLO_MILLIS = Membership.TICK_NANOS / 1_000_000;
   private static final long SWEEP_MILLIS = 1_000;
+  private static final long SHARE_MILLIS = 250;
 
   private final EntryPlace place;
   private final FleetState state;
@@ -94,9 +94,7 @@
         new TicketLedger(mint, LEDGER_CAPACITY, LEDGER_RETENTION_NANOS, System.nanoTime());
     this.hellos = new HelloExchange(state, intake, control, metrics);
     intake.connect(new SettingsPull(state, control, metrics), hellos::announce);
-    this.models =
-        new ModelRequests(
-            state, directory, new LeastLoadedPolicy(), upstream, metrics, decisions, inFlight);
+    this.models = new ModelRequests(state, directory, upstream, metrics, decisions, inFlight);
     var report = new ServiceReport(place.region().value(), metrics, decisions, inFlight);
     this.services = new ServiceRequests(state, directory, upstream, mint, ledger, report);
     this.drain = new Drain(state, inFlight, hellos);
@@ -140,11 +138,18 @@
   }
 
   private void schedule() {
-    var poller = new LoadPoller(state.engines(), control, metrics, hellos::announce);
+    var poller =
+        new LoadPoller(
+            state.engines(),
+            control,
+            metrics,
+            hellos::announce,
+            () -> models.place(System.nanoTime()));
     every(TICK_MILLIS, () -> tick(System.nanoTime()));
     every(LOAD_MILLIS, poller::round);
     every(HELLO_MILLIS, () -> hellos.round(System.nanoTime()));
     every(SWEEP_MILLIS, () -> ledger.sweep(System.nanoTime()));
+    every(SHARE_MILLIS, () -> state.refreshShares(System.nanoTime()));
   }
 
   private void tick(long nowNanos) {
--- a/entry/src/main/java/org/gentianslip/entry/state/EngineState.java
+++ b/entry/src/main/java/org/gentianslip/entry/state/EngineState.java
@@ -6,6 +6,9 @@
 import java.util.stream.Collectors;
 import org.gentianslip.core.id.EngineId;
 import org.gentianslip.core.id.ModelId;
+import org.gentianslip.core.limit.EngineReport;
+import org.gentianslip.core.limit.EngineShare;
+import org.gentianslip.core.limit.ShareLimit;
 import org.gentianslip.core.routing.EngineView;
 import org.gentianslip.entry.platform.BackendRecord;
 
@@ -19,30 +22,33 @@
 
   private static final long SUSPECT_NANOS = 2_000_000_000L;
 
-  private final BackendRecord listed;
   private final EngineId id;
-  private final Set<ModelId> models;
   private final AtomicInteger inFlight = new AtomicInteger();
+  private final AtomicInteger sentSinceReport = new AtomicInteger();
   private final AtomicReference<EngineLoad> load = new AtomicReference<>(EngineLoad.NONE);
+  private final AtomicReference<ShareLimit> limit = new AtomicReference<>();
+  private volatile BackendRecord listed;
+  private volatile Set<ModelId> models;
+  private volatile EngineReport report;
+  private volatile EngineShare share = EngineShare.equal(0, 1);
   private volatile long suspectUntilNanos;
   private volatile boolean suspected;
 
-  /** Creates the state of an engine that the platform lists. */
-  public EngineState(BackendRecord listed) {
-    this.listed = listed;
+  /**
+   * Creates the state of an engine that the platform lists.
+   *
+   * @param nowNanos the present time, in nanoseconds of the monotonic clock
+   */
+  public EngineState(long nowNanos, BackendRecord listed) {
     this.id = EngineId.of(listed.id());
-    this.models = listed.models().stream().map(ModelId::of).collect(Collectors.toUnmodifiableSet());
+    relist(listed);
+    limit.set(ShareLimit.of(nowNanos, Math.max(1, listed.slots()), share));
   }
 
-  /** Returns the state with a new entry of the list, keeping what was learned. */
-  EngineState relisted(BackendRecord record) {
-    if (record.equals(listed)) {
-      return this;
-    }
-    var next = new EngineState(record);
-    next.inFlight.set(inFlight.get());
-    next.load.set(load.get());
-    return next;
+  /** Takes a new element of the list. */
+  void relist(BackendRecord record) {
+    listed = record;
+    models = record.models().stream().map(ModelId::of).collect(Collectors.toUnmodifiableSet());
   }
 
   /** Returns the id of the engine. */
@@ -55,22 +61,10 @@
     return listed;
   }
 
-  /**
-   * Counts a request that is to be sent to the engine.
-   *
-   * @param limit the greatest number of requests in flight
-   * @return whether the request may be sent; if so, {@link #finish()} must follow
-   */
-  public boolean begin(int limit) {
-    while (true) {
-      int now = inFlight.get();
-      if (now >= limit) {
-        return false;
-      }
-      if (inFlight.compareAndSet(now, now + 1)) {
-        return true;
-      }
-    }
+  /** Counts a request that is sent to the engine; {@link #finish()} must follow. */
+  public void begin() {
+    inFlight.incrementAndGet();
+    sentSinceReport.incrementAndGet();
   }
 
   /** Counts the end of a request. */
@@ -78,24 +72,43 @@
     inFlight.decrementAndGet();
   }
 
-  /** Returns the requests of this instance that are in flight. */
-  public int inFlight() {
-    return inFlight.get();
-  }
-
-  /** Takes a load report. */
-  public void report(EngineLoad report) {
-    load.set(report);
+  /**
+   * Takes a load report.
+   *
+   * @param ownInFlight the requests of this instance in flight when the report was asked for
+   */
+  void report(EngineLoad next, int ownInFlight) {
+    final int slotsBefore = slots();
+    load.set(next);
+    sentSinceReport.set(Math.max(0, inFlight.get() - ownInFlight));
+    report = new EngineReport(next.running(), next.waiting(), ownInFlight, next.atNanos());
+    if (slots() != slotsBefore) {
+      limit.set(ShareLimit.of(next.atNanos(), slots(), share));
+    }
   }
 
   /** Forgets the last load report, after a pause of this process. */
   void forgetLoad() {
     load.set(EngineLoad.NONE);
+    report = null;
+  }
+
+  /** Takes this instance's place among those that share the engine. */
+  void takeShare(long nowNanos, EngineShare next) {
+    if (!next.equals(share)) {
+      share = next;
+      limit.set(ShareLimit.of(nowNanos, slots(), next));
+    }
   }
 
-  /** Returns the last load report. */
-  public EngineLoad load() {
-    return load.get();
+  private int slots() {
+    int reported = load.get().slots();
+    return Math.max(1, reported > 0 ? reported : listed.slots());
+  }
+
+  /** Returns the requests of this instance that are in flight. */
+  public int inFlight() {
+    return inFlight.get();
   }
 
   /** Returns whether the engine is leaving by its list entry or its own report. */
@@ -103,6 +116,21 @@
     return !listed.live() || load.get().leaving();
   }
 
+  /** Lowers the limit, since the engine refused work as full. */
+  public void refusedAsFull(long nowNanos) {
+    limit.updateAndGet(l -> l.afterRefusal(nowNanos));
+  }
+
+  /**
+   * Adapts the limit to the pace of an answer.
+   *
+   * @param tokenNanos the mean time between tokens, in nanoseconds
+   * @param targetNanos the greatest time that is wanted, in nanoseconds
+   */
+  public void answered(long nowNanos, long tokenNanos, long targetNanos) {
+    limit.updateAndGet(l -> l.afterAnswer(nowNanos, tokenNanos, targetNanos));
+  }
+
   /** Sends no new work to the engine for a while, since it could not be reached. */
   public void suspect(long nowNanos) {
     suspectUntilNanos = nowNanos + SUSPECT_NANOS;
@@ -119,16 +147,19 @@
    * @param marked whether the engine is known to be leaving from another source
    */
   EngineView view(long nowNanos, boolean marked) {
-    EngineLoad report = load.get();
-    int slots = report.slots() > 0 ? report.slots() : listed.slots();
+    EngineLoad last = load.get();
+    EngineReport noted = report;
+    ShareLimit own = limit.get();
     return new EngineView(
         id,
         models,
-        slots,
+        slots(),
         inFlight.get(),
-        report.running(),
-        report.waiting(),
-        report.atNanos(),
-        !marked && !saysLeaving() && !isSuspected(nowNanos));
+        last.running(),
+        last.waiting(),
+        last.atNanos(),
+        !marked && !saysLeaving() && !isSuspected(nowNanos),
+        noted == null ? own.limit() : own.limit(nowNanos, noted),
+        sentSinceReport.get());
   }
 }
--- a/entry/src/main/java/org/gentianslip/entry/state/EngineTable.java
+++ b/entry/src/main/java/org/gentianslip/entry/state/EngineTable.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.atomic.AtomicReference;
 import org.gentianslip.core.id.EngineId;
 import org.gentianslip.core.id.RegionId;
+import org.gentianslip.core.limit.EngineShare;
 import org.gentianslip.core.membership.LeavingMark;
 import org.gentianslip.core.membership.LeavingMarks;
 import org.gentianslip.core.routing.EngineView;
@@ -33,19 +34,25 @@
   }
 
   /** Takes a list of the platform. */
-  public synchronized void update(InstanceList list) {
+  public synchronized void update(long nowNanos, InstanceList list) {
     Map<EngineId, EngineState> old = engines.get();
     Map<EngineId, EngineState> next = new TreeMap<>();
     for (BackendRecord record : list.backends()) {
       if (record.model() && record.region().equals(region.value())) {
         EngineState known = old.get(EngineId.of(record.id()));
-        EngineState state = known == null ? new EngineState(record) : known.relisted(record);
+        EngineState state = known == null ? new EngineState(nowNanos, record) : known;
+        state.relist(record);
         next.put(state.id(), state);
       }
     }
     engines.set(next);
   }
 
+  /** Takes this instance's place among those that share the engines. */
+  public void takeShare(long nowNanos, EngineShare share) {
+    engines.get().values().forEach(e -> e.takeShare(nowNanos, share));
+  }
+
   /** Returns the engines in the order of their ids. */
   public List<EngineState> all() {
     return List.copyOf(engines.get().values());
@@ -76,8 +83,7 @@
     int free = 0;
     for (EngineView view : views(nowNanos)) {
       if (view.usable()) {
-        int used = Math.max(view.inFlight(), view.reportedRunning() + view.reportedWaiting());
-        free += Math.max(0, view.slots() - used);
+        free += Math.max(0, view.slots() - view.load());
       }
     }
     return free;
@@ -110,10 +116,11 @@
   /**
    * Takes an engine's load report.
    *
+   * @param ownInFlight the requests of this instance in flight when the report was asked for
    * @return whether it shows that the engine is leaving, and this is news
    */
-  public boolean report(long nowNanos, EngineState engine, EngineLoad load) {
-    engine.report(load);
+  public boolean report(long nowNanos, EngineState engine, EngineLoad load, int ownInFlight) {
+    engine.report(load, ownInFlight);
     if (load.leaving()) {
       return markLeaving(engine.id(), nowNanos);
     }
--- a/entry/src/main/java/org/gentianslip/entry/state/FleetState.java
+++ b/entry/src/main/java/org/gentianslip/entry/state/FleetState.java
@@ -3,12 +3,13 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
-import java.util.Set;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.Predicate;
 import org.gentianslip.core.id.Incarnation;
 import org.gentianslip.core.id.InstanceId;
 import org.gentianslip.core.id.RegionId;
+import org.gentianslip.core.limit.EngineShare;
 import org.gentianslip.core.membership.InstanceState;
 import org.gentianslip.core.membership.Life;
 import org.gentianslip.core.membership.Member;
@@ -21,7 +22,9 @@
 import org.gentianslip.entry.platform.EntryRecord;
 import org.gentianslip.entry.platform.InstanceList;
 import org.gentianslip.entry.process.EntryPlace;
+import org.gentianslip.settings.Link;
 import org.gentianslip.settings.Region;
+import org.gentianslip.settings.SettingCatalog;
 import org.gentianslip.settings.Settings;
 
 /**
@@ -32,6 +35,8 @@
  */
 public final class FleetState {
 
+  private static final double BYTES_PER_MEGABIT = 125_000;
+
   private final EntryPlace place;
   private final Incarnation incarnation;
   private final AtomicReference<Settings> settings = new AtomicReference<>();
@@ -41,6 +46,7 @@
   private final RegionBook regions = new RegionBook();
   private final RegionBackoff backoff;
   private final AtomicBoolean settled = new AtomicBoolean();
+  private volatile EngineShare awayShare = EngineShare.equal(0, 1);
   private final AtomicBoolean leaving = new AtomicBoolean();
 
   /** Creates the state of an instance that knows nothing yet. */
@@ -83,7 +89,7 @@
       return;
     }
     list.set(next);
-    engines.update(next);
+    engines.update(nowNanos, next);
     membership.takeList(nowNanos, next);
   }
 
@@ -173,18 +179,12 @@
         .toList();
   }
 
-  /**
-   * Returns what the routing policy may know.
-   *
-   * @param requestHash an evenly spread hash of the request
-   * @param tried the regions that the request was sent to before; they count as unreachable
-   */
-  public RouteView view(long nowNanos, long requestHash, Set<RegionId> tried) {
-    return new RouteView(
-        place.region(), engines.views(nowNanos), summaries(nowNanos, requestHash, tried));
+  /** Returns what the routing policy may know. */
+  public RouteView view(long nowNanos, long requestHash) {
+    return new RouteView(place.region(), engines.views(nowNanos), summaries(nowNanos, requestHash));
   }
 
-  private List<RegionSummary> summaries(long nowNanos, long requestHash, Set<RegionId> tried) {
+  private List<RegionSummary> summaries(long nowNanos, long requestHash) {
     Settings current = settings.get();
     if (current == null) {
       return List.of();
@@ -192,18 +192,58 @@
     List<RegionSummary> summaries = new ArrayList<>();
     for (Region region : current.regions()) {
       if (!region.id().equals(place.region())) {
-        boolean open =
-            !tried.contains(region.id()) && backoff.admits(nowNanos, region.id(), requestHash);
-        summaries.add(summary(nowNanos, region.id(), open));
+        boolean open = backoff.admits(nowNanos, region.id(), requestHash);
+        summaries.add(regions.summary(nowNanos, region.id(), awayShare, open));
       }
     }
     return summaries;
   }
 
-  private RegionSummary summary(long nowNanos, RegionId region, boolean open) {
-    return regions
-        .fresh(nowNanos, region)
-        .map(r -> new RegionSummary(region, r.freeSlots(), r.seenNanos(), r.roundTripNanos(), open))
-        .orElseGet(() -> new RegionSummary(region, 0, 0, 0, false));
+  /**
+   * Works out this instance's shares of engines, of other regions' spare capacity and of links.
+   *
+   * <p>To be called from time to time, since shares follow the instances that are believed live.
+   */
+  public void refreshShares(long nowNanos) {
+    List<String> own = liveIds(nowNanos, e -> e.region().equals(place.region().value()));
+    List<String> all = liveIds(nowNanos, e -> true);
+    EngineShare share = shareAmong(own);
+    engines.takeShare(nowNanos, share);
+    awayShare = shareAmong(all);
+    Settings current = settings.get();
+    if (current != null) {
+      limitLinks(nowNanos, current, own.size());
+    }
+  }
+
+  private List<String> liveIds(long nowNanos, Predicate<EntryRecord> filter) {
+    MembershipTable table = membership.table();
+    List<String> ids = new ArrayList<>();
+    for (EntryRecord e : list.get().entries()) {
+      InstanceId id = InstanceId.of(e.id());
+      boolean live = e.live() && table.stateOf(nowNanos, id) == InstanceState.LIVE;
+      if (filter.test(e) && live && !id.equals(place.instance())) {
+        ids.add(e.id());
+      }
+    }
+    ids.add(place.instance().value());
+    ids.sort(null);
+    return ids;
+  }
+
+  private EngineShare shareAmong(List<String> ids) {
+    return EngineShare.equal(ids.indexOf(place.instance().value()), ids.size());
+  }
+
+  private void limitLinks(long nowNanos, Settings current, int instances) {
+    double budget = current.instance(place.region()).get(SettingCatalog.LINK_BUDGET);
+    for (Link link : current.links()) {
+      RegionId other = link.first().equals(place.region()) ? link.second() : link.first();
+      boolean touches = link.first().equals(place.region()) || link.second().equals(place.region());
+      if (touches && budget > 0) {
+        double share = link.megabitsPerSecond() * BYTES_PER_MEGABIT * budget / instances;
+        regions.limit(nowNanos, other, share);
+      }
+    }
   }
 }
--- a/entry/src/main/java/org/gentianslip/entry/state/RegionReport.java
+++ b/entry/src/main/java/org/gentianslip/entry/state/RegionReport.java
@@ -12,4 +12,10 @@
  * @param seenNanos when the report was made, in nanoseconds of this instance's monotonic clock
  * @param roundTripNanos the round trip to the region, in nanoseconds, 0 if not known
  */
-public record RegionReport(RegionId region, int freeSlots, long seenNanos, long roundTripNanos) {}
+public record RegionReport(RegionId region, int freeSlots, long seenNanos, long roundTripNanos) {
+
+  /** Returns this report, with the given round trip if it has none of its own. */
+  RegionReport orRoundTrip(long known) {
+    return roundTripNanos > 0 ? this : new RegionReport(region, freeSlots, seenNanos, known);
+  }
+}
