Let the settings decide the level and rate of logs and the drain's bound

Cause: logLevel, logRatePerSecond and drainTimeoutMillis could be set, but nothing read them. Ruled out: a rate at each log statement, which can be forgotten at the next one; the filter at the handlers sees every line. Conclusion: lines that are left out are not counted anywhere yet.

--- a/entry/src/main/java/org/gentianslip/entry/process/Drain.java
+++ b/entry/src/main/java/org/gentianslip/entry/process/Drain.java
@@ -6,6 +6,8 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.gentianslip.entry.peer.HelloExchange;
 import org.gentianslip.entry.state.FleetState;
+import org.gentianslip.settings.SettingCatalog;
+import org.gentianslip.settings.Settings;
 
 /**
  * Ends an instance gracefully.
@@ -17,7 +19,6 @@
 
   private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
   private static final Duration ANNOUNCE = Duration.ofSeconds(2);
-  private static final Duration LONGEST = Duration.ofMinutes(10);
   private static final long POLL_MILLIS = 20;
 
   private final FleetState state;
@@ -57,7 +58,15 @@
     if (elapsedNanos < ANNOUNCE.toNanos()) {
       return false;
     }
-    return inFlight.count() == 0 || elapsedNanos > LONGEST.toNanos();
+    return inFlight.count() == 0 || elapsedNanos > longest().toNanos();
+  }
+
+  /** Returns how long to wait; a revision that comes in force meanwhile counts. */
+  private Duration longest() {
+    Settings settings = state.settings();
+    return settings == null
+        ? SettingCatalog.DRAIN_TIMEOUT.defaultValue()
+        : settings.instance(state.place().region()).get(SettingCatalog.DRAIN_TIMEOUT);
   }
 
   private static void pause() {
--- a/entry/src/main/java/org/gentianslip/entry/process/EntryProcess.java
+++ b/entry/src/main/java/org/gentianslip/entry/process/EntryProcess.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.logging.Logger;
 import okhttp3.OkHttpClient;
 import org.gentianslip.core.id.Incarnation;
 import org.gentianslip.core.membership.PauseDetector;
@@ -21,6 +22,7 @@
 import org.gentianslip.entry.explain.DecisionLog;
 import org.gentianslip.entry.http.HttpServer;
 import org.gentianslip.entry.http.Json;
+import org.gentianslip.entry.logging.LogControl;
 import org.gentianslip.entry.metrics.EntryMetrics;
 import org.gentianslip.entry.model.ModelRequests;
 import org.gentianslip.entry.operator.OperatorPort;
@@ -39,6 +41,7 @@
 import org.gentianslip.entry.service.ServiceRequests;
 import org.gentianslip.entry.state.FleetState;
 import org.gentianslip.entry.state.Membership;
+import org.gentianslip.settings.Settings;
 
 /**
  * Runs one instance.
@@ -63,6 +66,9 @@
   private final EntryMetrics metrics = new EntryMetrics();
   private final DecisionLog decisions = new DecisionLog();
   private final InFlight inFlight = new InFlight(metrics);
+  private final LogControl logs =
+      LogControl.install(
+          Logger.getLogger(""), Logger.getLogger("org.gentianslip"), System::nanoTime);
   private final ScheduledExecutorService timer =
       Executors.newScheduledThreadPool(2, r -> daemon(r, "timer"));
   private final ExecutorService reads =
@@ -145,6 +151,14 @@
     every(LOAD_MILLIS, poller::round);
     every(HELLO_MILLIS, () -> hellos.round(System.nanoTime()));
     every(SWEEP_MILLIS, () -> ledger.sweep(System.nanoTime()));
+    every(SWEEP_MILLIS, this::applyLogSettings);
+  }
+
+  private void applyLogSettings() {
+    Settings settings = state.settings();
+    if (settings != null) {
+      logs.apply(settings.instance(place.region()));
+    }
   }
 
   private void tick(long nowNanos) {
