Bound the work for documents with very many faults

Cause: a line of 10000 branches overflowed the stack of the parser, and a document with 50000 unknown keys gave 50001 findings, each with a search for the nearest name. An instance parses what it is shown, so one bad revision could have stopped it. Ruled out: a lower limit on the size, which the platform sets.

--- a/settings/src/main/java/org/gentianslip/settings/ContentReader.java
+++ b/settings/src/main/java/org/gentianslip/settings/ContentReader.java
@@ -194,7 +194,7 @@
       Place place = node.place().at(member.getKey());
       Optional<Setting<?>> setting = SettingCatalog.find(member.getKey());
       if (setting.isEmpty()) {
-        findings.add(place, ObjectFields.unknown("setting", member.getKey(), SETTING_NAMES));
+        findings.addUnknown(place, "setting", member.getKey(), SETTING_NAMES);
         continue;
       }
       try {
--- a/settings/src/main/java/org/gentianslip/settings/NearestName.java
+++ b/settings/src/main/java/org/gentianslip/settings/NearestName.java
@@ -8,11 +8,15 @@
 /** Finds the known name that is most like an unknown one. Stateless; safe for several threads. */
 final class NearestName {
 
+  /** The greatest number of characters that are compared. */
+  private static final int MAX_COMPARED = 128;
+
   private NearestName() {}
 
   /** Returns the known name with the least edit distance, and the first of equals. */
   static Optional<String> of(String unknown, Collection<String> known) {
-    String lower = unknown.toLowerCase(Locale.ROOT);
+    String start = unknown.substring(0, Math.min(MAX_COMPARED, unknown.length()));
+    String lower = start.toLowerCase(Locale.ROOT);
     return known.stream()
         .sorted()
         .min(Comparator.comparingInt(k -> distance(lower, k.toLowerCase(Locale.ROOT))));
--- a/settings/src/main/java/org/gentianslip/settings/ObjectFields.java
+++ b/settings/src/main/java/org/gentianslip/settings/ObjectFields.java
@@ -43,18 +43,11 @@
   private void findUnknown(List<String> known) {
     for (String key : (Iterable<String>) object::fieldNames) {
       if (!known.contains(key)) {
-        findings.add(place.at(key), unknown("key", key, known));
+        findings.addUnknown(place.at(key), "key", key, known);
       }
     }
   }
 
-  /** Returns the message about an unknown name. */
-  static String unknown(String what, String name, List<String> known) {
-    String nearest =
-        NearestName.of(name, known).map(n -> "; the nearest known one is \"" + n + "\"").orElse("");
-    return "Unknown " + what + " " + Excerpt.of(name) + nearest;
-  }
-
   Place place() {
     return place;
   }
--- a/settings/src/main/java/org/gentianslip/settings/ReferenceChecker.java
+++ b/settings/src/main/java/org/gentianslip/settings/ReferenceChecker.java
@@ -118,7 +118,7 @@
 
   private void requireKnown(String what, String name, Set<String> known, Place place) {
     if (!known.contains(name)) {
-      findings.add(place, ObjectFields.unknown(what, name, List.copyOf(known)));
+      findings.addUnknown(place, what, name, known);
     }
   }
 
--- a/settings/src/main/java/org/gentianslip/settings/TreeBuilder.java
+++ b/settings/src/main/java/org/gentianslip/settings/TreeBuilder.java
@@ -1,5 +1,6 @@
 package org.gentianslip.settings;
 
+import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -17,6 +18,9 @@
  */
 final class TreeBuilder {
 
+  /** The greatest number of branches of a cycle that a finding names. */
+  private static final int MAX_NAMED = 5;
+
   private final FindingCollector findings;
   private final Set<String> faulty;
   private final boolean complete;
@@ -85,23 +89,37 @@
     String first = cycle.get(0);
     findings.add(
         byId.get(first).place().at("parent"),
-        "The parents form a cycle, but must end at a firm: "
-            + String.join(" -> ", cycle)
-            + " -> "
-            + first);
+        "The parents form a cycle, but must end at a firm: " + text(cycle));
     cycle.forEach(id -> nodes.put(id, Optional.empty()));
   }
 
+  private static String text(List<String> cycle) {
+    String first = cycle.get(0);
+    return cycle.size() <= MAX_NAMED
+        ? String.join(" -> ", cycle) + " -> " + first
+        : String.join(" -> ", cycle.subList(0, MAX_NAMED))
+            + " and "
+            + (cycle.size() - MAX_NAMED)
+            + " more -> "
+            + first;
+  }
+
+  /**
+   * Places a branch after its ancestors; the line may be long, so it is walked without recursion.
+   */
   private Optional<BranchNode> place(BranchDeclaration branch) {
-    Optional<BranchNode> known = nodes.get(branch.id());
-    if (known != null) {
-      return known;
+    var line = new ArrayDeque<BranchDeclaration>();
+    BranchDeclaration next = branch;
+    while (next != null && !nodes.containsKey(next.id())) {
+      line.push(next);
+      next = next.parent().map(byId::get).orElse(null);
+    }
+    for (BranchDeclaration below : line) {
+      Optional<BranchNode> node =
+          below.parent().isPresent() ? placeBelow(below, below.parent().get()) : placeRoot(below);
+      nodes.put(below.id(), node.filter(n -> isUnambiguous(below)));
     }
-    Optional<BranchNode> node =
-        branch.parent().isPresent() ? placeBelow(branch, branch.parent().get()) : placeRoot(branch);
-    node = node.filter(n -> isUnambiguous(branch));
-    nodes.put(branch.id(), node);
-    return node;
+    return nodes.get(branch.id());
   }
 
   private Optional<BranchNode> placeRoot(BranchDeclaration branch) {
@@ -117,12 +135,11 @@
   private Optional<BranchNode> placeBelow(BranchDeclaration branch, String parent) {
     if (!byId.containsKey(parent)) {
       if (complete && !faulty.contains(parent)) {
-        findings.add(
-            branch.place().at("parent"), ObjectFields.unknown("parent", parent, idsBut(branch)));
+        findings.addUnknown(branch.place().at("parent"), "parent", parent, idsBut(branch));
       }
       return Optional.empty();
     }
-    Optional<BranchNode> above = place(byId.get(parent));
+    Optional<BranchNode> above = nodes.get(parent);
     if (above.isEmpty()) {
       return Optional.empty();
     }
