Stop calling services that say they are leaving

Cause: LeavingBackendTest: a service that was leaving was called still 7.7 s later (bound 5 s), and 12 of 325 calls were answered no_capacity though another server of the service was free. Change: a refusal with the code leaving marks the service's backend server as it does an engine, which the peers hear of; a call refused before its start goes to a server that it was not sent to before, a ticketed one under the same ticket and before it expires, since the refusal proves that it did not start.

--- a/entry/src/main/java/org/gentianslip/entry/service/RepeatableCalls.java
+++ b/entry/src/main/java/org/gentianslip/entry/service/RepeatableCalls.java
@@ -1,9 +1,7 @@
 package org.gentianslip.entry.service;
 
 import java.io.IOException;
-import java.util.Comparator;
-import java.util.List;
-import org.gentianslip.core.membership.RendezvousHash;
+import java.util.Optional;
 import org.gentianslip.core.outcome.AttemptJournal;
 import org.gentianslip.core.outcome.NotRunReason;
 import org.gentianslip.core.outcome.Outcome;
@@ -33,12 +31,14 @@
 
   private final FleetState state;
   private final UpstreamClient client;
+  private final ServiceBackends backends;
   private final RetryBudget budget = RetryBudget.of(RETRY_SHARE, RETRY_BURST);
   private final RetryRule rule = new RetryRule(MAX_ATTEMPTS, LEAST_USEFUL_NANOS, budget);
 
   RepeatableCalls(FleetState state, UpstreamClient client) {
     this.state = state;
     this.client = client;
+    this.backends = new ServiceBackends(state);
   }
 
   void run(long nowNanos, ServiceExchange exchange) {
@@ -47,30 +47,28 @@
   }
 
   private void attempt(long nowNanos, ServiceExchange exchange) {
-    ServiceCall call = exchange.call();
-    List<BackendRecord> backends =
-        state.serviceBackends(call.service().id().value()).stream()
-            .sorted(Comparator.comparingLong(b -> RendezvousHash.hash(call.id().value(), b.id())))
-            .toList();
-    if (backends.isEmpty()) {
+    Optional<BackendRecord> next = backends.next(nowNanos, exchange);
+    if (next.isEmpty()) {
       exchange.fail(
           ErrorReply.notRun(
               ErrorCode.NO_CAPACITY, "No backend server of this region runs the service."));
       return;
     }
-    int attempt = exchange.nextAttempt();
-    BackendRecord backend = backends.get((attempt - 1) % backends.size());
+    BackendRecord backend = next.get();
+    exchange.beginAttempt(backend.id());
     exchange.step(nowNanos, "to-service", backend.id(), "REPEATABLE");
+    ServiceCall call = exchange.call();
     client.start(
         BackendRequests.toBackend(call, backend, call.endNanos()),
         exchange.timeouts(nowNanos),
-        result -> answered(exchange, result));
+        result -> answered(exchange, backend, result));
   }
 
-  private void answered(ServiceExchange exchange, UpstreamResult result) {
+  private void answered(ServiceExchange exchange, BackendRecord backend, UpstreamResult result) {
     if (result instanceof UpstreamResult.Answer answer) {
       copy(exchange, answer);
-    } else if (result instanceof UpstreamResult.Refused) {
+    } else if (result instanceof UpstreamResult.Refused refused) {
+      backends.refused(System.nanoTime(), exchange, backend, refused.code());
       again(exchange, new Outcome.NotRun(NotRunReason.REFUSED_BEFORE_START));
     } else if (result instanceof UpstreamResult.Failed failed) {
       again(exchange, failed.outcome());
--- a/entry/src/main/java/org/gentianslip/entry/service/ServiceExchange.java
+++ b/entry/src/main/java/org/gentianslip/entry/service/ServiceExchange.java
@@ -1,7 +1,9 @@
 package org.gentianslip.entry.service;
 
 import java.time.Duration;
+import java.util.HashSet;
 import java.util.Map;
+import java.util.Set;
 import org.gentianslip.entry.http.ErrorReply;
 import org.gentianslip.entry.http.HeaderNames;
 import org.gentianslip.entry.http.OutcomeName;
@@ -19,6 +21,7 @@
   private final ResponseSink sink;
   private final long arrivedNanos;
   private final ServiceReport report;
+  private final Set<String> tried = new HashSet<>();
   private int attempts;
   private boolean ended;
 
@@ -33,9 +36,13 @@
     return call;
   }
 
-  int nextAttempt() {
+  void beginAttempt(String backend) {
     attempts++;
-    return attempts;
+    tried.add(backend);
+  }
+
+  boolean tried(String backend) {
+    return tried.contains(backend);
   }
 
   int attempts() {
--- a/entry/src/main/java/org/gentianslip/entry/service/TicketedCalls.java
+++ b/entry/src/main/java/org/gentianslip/entry/service/TicketedCalls.java
@@ -6,7 +6,6 @@
 import java.util.Optional;
 import org.gentianslip.core.id.InstanceId;
 import org.gentianslip.core.id.RegionId;
-import org.gentianslip.core.membership.RendezvousHash;
 import org.gentianslip.core.outcome.NotRunReason;
 import org.gentianslip.core.outcome.Outcome;
 import org.gentianslip.core.ticket.ForeignTicketDecision;
@@ -42,12 +41,14 @@
   private final UpstreamClient client;
   private final TicketMint mint;
   private final TicketLedger ledger;
+  private final ServiceBackends backends;
 
   TicketedCalls(FleetState state, UpstreamClient client, TicketMint mint, TicketLedger ledger) {
     this.state = state;
     this.client = client;
     this.mint = mint;
     this.ledger = ledger;
+    this.backends = new ServiceBackends(state);
   }
 
   void run(long nowNanos, ServiceExchange exchange) {
@@ -94,7 +95,7 @@
       withdraw(nowNanos, exchange, ticket, ErrorCode.LEAVING, "This instance is leaving.");
       return;
     }
-    Optional<BackendRecord> backend = backend(exchange.call());
+    Optional<BackendRecord> backend = backends.next(nowNanos, exchange);
     if (backend.isEmpty()) {
       String message = "No backend server of this region runs the service.";
       withdraw(nowNanos, exchange, ticket, ErrorCode.NO_CAPACITY, message);
@@ -122,14 +123,6 @@
         neverRan ? ErrorReply.notRun(code, message) : refusal(nowNanos, exchange, redemption));
   }
 
-  private Optional<BackendRecord> backend(ServiceCall call) {
-    List<BackendRecord> backends = state.serviceBackends(call.service().id().value());
-    return backends.stream()
-        .max(
-            java.util.Comparator.comparingLong(
-                b -> RendezvousHash.hash(call.id().value(), b.id())));
-  }
-
   private ErrorReply refusal(long nowNanos, ServiceExchange exchange, Redemption redemption) {
     if (redemption instanceof Redemption.AlreadyUsed used) {
       return used(used.use());
@@ -169,25 +162,38 @@
 
   private void execute(
       long nowNanos, ServiceExchange exchange, Ticket ticket, BackendRecord backend) {
-    exchange.nextAttempt();
+    exchange.beginAttempt(backend.id());
     exchange.step(nowNanos, "to-service", backend.id(), "TICKET");
     client.startOnFreshConnection(
         BackendRequests.toBackend(exchange.call(), backend, ticket.expiresNanos()),
         exchange.timeouts(nowNanos),
-        result -> executed(exchange, ticket, result));
+        result -> executed(exchange, ticket, backend, result));
   }
 
-  private void executed(ServiceExchange exchange, Ticket ticket, UpstreamResult result) {
+  private void executed(
+      ServiceExchange exchange, Ticket ticket, BackendRecord backend, UpstreamResult result) {
     if (result instanceof UpstreamResult.Answer answer) {
       copy(exchange, ticket, answer);
-    } else if (result instanceof UpstreamResult.Refused) {
-      end(exchange, ticket, new Outcome.NotRun(NotRunReason.REFUSED_BEFORE_START));
+    } else if (result instanceof UpstreamResult.Refused refused) {
+      long now = System.nanoTime();
+      backends.refused(now, exchange, backend, refused.code());
+      afterRefusal(now, exchange, ticket);
     } else if (result instanceof UpstreamResult.Failed failed) {
       exchange.step(System.nanoTime(), "service-failed", "", failed.message());
       end(exchange, ticket, failed.outcome());
     }
   }
 
+  /** Tries the next backend server, since the call surely did not start at the one before. */
+  private void afterRefusal(long nowNanos, ServiceExchange exchange, Ticket ticket) {
+    Optional<BackendRecord> next = backends.untried(nowNanos, exchange);
+    if (next.isPresent() && nowNanos - ticket.expiresNanos() < 0) {
+      execute(nowNanos, exchange, ticket, next.get());
+      return;
+    }
+    end(exchange, ticket, new Outcome.NotRun(NotRunReason.REFUSED_BEFORE_START));
+  }
+
   private void copy(ServiceExchange exchange, Ticket ticket, UpstreamResult.Answer answer) {
     byte[] body;
     try {
--- a/entry/src/main/java/org/gentianslip/entry/state/EngineTable.java
+++ b/entry/src/main/java/org/gentianslip/entry/state/EngineTable.java
@@ -88,8 +88,13 @@
     return engine.saysLeaving() || marks.get().isLeaving(nowNanos, engine.id());
   }
 
+  /** Returns whether a backend server of any type was seen to be leaving lately. */
+  public boolean isMarked(long nowNanos, EngineId backend) {
+    return marks.get().isLeaving(nowNanos, backend);
+  }
+
   /**
-   * Takes that an engine was seen to be leaving.
+   * Takes that an engine or another backend server was seen to be leaving.
    *
    * @param seenNanos when it was seen, in nanoseconds of the monotonic clock
    * @return whether this is news, to be passed on
--- a/entry/src/main/java/org/gentianslip/entry/state/FleetState.java
+++ b/entry/src/main/java/org/gentianslip/entry/state/FleetState.java
@@ -6,6 +6,7 @@
 import java.util.Set;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicReference;
+import org.gentianslip.core.id.EngineId;
 import org.gentianslip.core.id.Incarnation;
 import org.gentianslip.core.id.InstanceId;
 import org.gentianslip.core.id.RegionId;
@@ -156,9 +157,10 @@
   }
 
   /** Returns the backend servers of a service in the own region that take new calls. */
-  public List<BackendRecord> serviceBackends(String service) {
+  public List<BackendRecord> serviceBackends(long nowNanos, String service) {
     return list.get().backends().stream()
         .filter(b -> !b.model() && b.live())
+        .filter(b -> !engines.isMarked(nowNanos, EngineId.of(b.id())))
         .filter(b -> service.equals(b.service()))
         .filter(b -> b.region().equals(place.region().value()))
         .toList();
