--- a/entry/src/main/java/org/gentianslip/entry/service/RepeatableCalls.java
+++ b/entry/src/main/java/org/gentianslip/entry/service/RepeatableCalls.java
@@ -3,7 +3,6 @@
 import java.io.IOException;
 import java.util.Optional;
 import org.gentianslip.core.outcome.AttemptJournal;
-import org.gentianslip.core.outcome.NotRunReason;
 import org.gentianslip.core.outcome.Outcome;
 import org.gentianslip.core.outcome.RetryBudget;
 import org.gentianslip.core.outcome.RetryDecision;
@@ -69,7 +68,7 @@
       copy(exchange, answer);
     } else if (result instanceof UpstreamResult.Refused refused) {
       backends.refused(System.nanoTime(), exchange, backend, refused.code());
-      again(exchange, new Outcome.NotRun(NotRunReason.REFUSED_BEFORE_START));
+      again(exchange, refused.outcome());
     } else if (result instanceof UpstreamResult.Failed failed) {
       again(exchange, failed.outcome());
     }
--- a/entry/src/main/java/org/gentianslip/entry/service/TicketedCalls.java
+++ b/entry/src/main/java/org/gentianslip/entry/service/TicketedCalls.java
@@ -6,7 +6,6 @@
 import java.util.Optional;
 import org.gentianslip.core.id.InstanceId;
 import org.gentianslip.core.id.RegionId;
-import org.gentianslip.core.outcome.NotRunReason;
 import org.gentianslip.core.outcome.Outcome;
 import org.gentianslip.core.ticket.ForeignTicketDecision;
 import org.gentianslip.core.ticket.ForeignTicketRule;
@@ -134,9 +133,10 @@
           : ErrorReply.unknown(ErrorCode.TICKET_INVALID, message);
     }
     if (redemption instanceof Redemption.TableFull full) {
-      var reply =
-          ErrorReply.notRun(ErrorCode.NO_CAPACITY, "This instance remembers too many calls now.");
-      return full.neverUsed() ? withTicket(nowNanos, exchange, reply) : reply;
+      String message = "This instance remembers too many calls now.";
+      return full.neverUsed()
+          ? withTicket(nowNanos, exchange, ErrorReply.notRun(ErrorCode.NO_CAPACITY, message))
+          : ErrorReply.unknown(ErrorCode.NO_CAPACITY, message);
     }
     return invalid("The ticket belongs to another call or is not genuine.");
   }
@@ -177,21 +177,23 @@
     } else if (result instanceof UpstreamResult.Refused refused) {
       long now = System.nanoTime();
       backends.refused(now, exchange, backend, refused.code());
-      afterRefusal(now, exchange, ticket);
+      afterRefusal(now, exchange, ticket, refused.outcome());
     } else if (result instanceof UpstreamResult.Failed failed) {
       exchange.step(System.nanoTime(), "service-failed", "", failed.message());
       end(exchange, ticket, failed.outcome());
     }
   }
 
-  /** Tries the next backend server, since the call surely did not start at the one before. */
-  private void afterRefusal(long nowNanos, ServiceExchange exchange, Ticket ticket) {
+  /** Tries the next backend server if the call surely did not start at the one before. */
+  private void afterRefusal(
+      long nowNanos, ServiceExchange exchange, Ticket ticket, Outcome outcome) {
     Optional<BackendRecord> next = backends.untried(nowNanos, exchange);
-    if (next.isPresent() && nowNanos - ticket.expiresNanos() < 0) {
+    boolean mayRun = outcome instanceof Outcome.NotRun && nowNanos - ticket.expiresNanos() < 0;
+    if (mayRun && next.isPresent()) {
       execute(nowNanos, exchange, ticket, next.get());
       return;
     }
-    end(exchange, ticket, new Outcome.NotRun(NotRunReason.REFUSED_BEFORE_START));
+    end(exchange, ticket, outcome);
   }
 
   private void copy(ServiceExchange exchange, Ticket ticket, UpstreamResult.Answer answer) {
@@ -232,7 +234,8 @@
     ServiceCall call = exchange.call();
     Optional<EntryRecord> owner = listed(ticket.owner());
     ForeignTicketDecision decision =
-        ForeignTicketRule.decide(ticket, call.binding(), view(call, owner), call.forwarded());
+        ForeignTicketRule.decide(
+            ticket, call.binding(), view(nowNanos, call, owner), call.forwarded());
     exchange.step(
         nowNanos, "foreign-ticket", ticket.owner().value(), decision.getClass().getSimpleName());
     if (decision instanceof ForeignTicketDecision.PassToOwner) {
@@ -258,13 +261,14 @@
     return state.list().entries().stream().filter(e -> e.id().equals(owner.value())).findFirst();
   }
 
-  private OwnerView view(ServiceCall call, Optional<EntryRecord> owner) {
+  private OwnerView view(long nowNanos, ServiceCall call, Optional<EntryRecord> owner) {
     if (owner.isEmpty()) {
       return OwnerView.NOT_KNOWN;
     }
     InstanceId id = InstanceId.of(owner.get().id());
     boolean allowed = call.settings().allowedRegions().contains(RegionId.of(owner.get().region()));
-    return new OwnerView(true, state.incarnationOf(id), true, allowed);
+    boolean reachable = state.membership().table().isReachable(nowNanos, id);
+    return new OwnerView(true, state.incarnationOf(id), reachable, allowed);
   }
 
   private void passed(ServiceExchange exchange, String region, UpstreamResult result) {
