--- a/entry/src/main/java/org/gentianslip/entry/http/HttpServer.java
+++ b/entry/src/main/java/org/gentianslip/entry/http/HttpServer.java
@@ -49,6 +49,7 @@
     app.setExecutionMode(ExecutionMode.WORKER);
     app.setStartupSummary(java.util.List.of());
     app.error((ctx, cause, status) -> answerFault(ctx, cause, status));
+    app.before(DecoderCheck::check);
     routes.accept(app);
     var netty = new NettyServer();
     netty.setOptions(options);
@@ -75,11 +76,10 @@
 
   private static ErrorReply toReply(io.jooby.Context ctx, StatusCode status) {
     if (ctx.getRequestPath().equals("/bad-request")) {
-      return ErrorReply.notRun(
-              ErrorCode.HEADERS_TOO_LARGE, "The request line or the headers are too large.")
-          .withHeader("Connection", "close");
+      return headersTooLarge();
     }
     return switch (status.value()) {
+      case 431 -> headersTooLarge();
       case 400 -> ErrorReply.notRun(ErrorCode.MALFORMED_REQUEST, "The request is malformed.");
       case 404 -> ErrorReply.notRun(ErrorCode.UNKNOWN_PATH, "Nothing is served at this path.");
       case 405 ->
@@ -95,6 +95,12 @@
     };
   }
 
+  private static ErrorReply headersTooLarge() {
+    return ErrorReply.notRun(
+            ErrorCode.HEADERS_TOO_LARGE, "The request line or the headers are too large.")
+        .withHeader("Connection", "close");
+  }
+
   /** Stops serving; a graceful shutdown has ended all exchanges before. */
   @Override
   public void close() {
--- a/entry/src/main/java/org/gentianslip/entry/process/IncomingRequest.java
+++ b/entry/src/main/java/org/gentianslip/entry/process/IncomingRequest.java
@@ -1,6 +1,7 @@
 package org.gentianslip.entry.process;
 
 import io.jooby.Context;
+import java.util.Locale;
 import java.util.Optional;
 import org.gentianslip.entry.http.ErrorCode;
 import org.gentianslip.entry.http.ErrorReply;
@@ -30,6 +31,13 @@
           ErrorReply.notRun(
               ErrorCode.UNSUPPORTED_CODING, "Send the body without a content coding."));
     }
+    if (isForm(ctx)) {
+      return Optional.of(
+          ErrorReply.notRun(
+              ErrorCode.UNSUPPORTED_FORM,
+              "Send the body with another content type than that of a form, such as"
+                  + " application/json."));
+    }
     if (body.length > maxBodyBytes) {
       return Optional.of(
           ErrorReply.notRun(
@@ -39,6 +47,14 @@
     return Optional.empty();
   }
 
+  /** Returns whether the server took the body for a form, so that its bytes are lost. */
+  private static boolean isForm(Context ctx) {
+    String type = header(ctx, "Content-Type");
+    String lower = type == null ? "" : type.toLowerCase(Locale.ROOT);
+    return lower.startsWith("application/x-www-form-urlencoded")
+        || lower.startsWith("multipart/form-data");
+  }
+
   /** Returns the path and query below a prefix, or nothing if it has dot segments. */
   static Optional<String> pathBelow(Context ctx, String prefix) {
     String path = ctx.getRequestPath().substring(prefix.length());
--- a/entry/src/main/java/org/gentianslip/entry/service/ServiceReport.java
+++ b/entry/src/main/java/org/gentianslip/entry/service/ServiceReport.java
@@ -2,6 +2,7 @@
 
 import java.util.concurrent.TimeUnit;
 import org.gentianslip.entry.explain.DecisionLog;
+import org.gentianslip.entry.http.ErrorCode;
 import org.gentianslip.entry.http.ErrorReply;
 import org.gentianslip.entry.metrics.EntryMetrics;
 import org.gentianslip.entry.process.InFlight;
@@ -36,7 +37,12 @@
     decisions.add(call.id(), new DecisionLog.Step(at, step, target, reason));
   }
 
+  /** Takes a failure; to be asked for a ticket is none, since the call follows with it. */
   void failed(ServiceCall call, ErrorReply reply) {
+    if (reply.code() == ErrorCode.TICKET_REQUIRED) {
+      inFlight.end();
+      return;
+    }
     metrics.refused(call.settings().rank(), reply.code().text());
     ended(call, reply.outcome().text());
   }
