--- a/entry/src/main/java/org/gentianslip/entry/http/ErrorCode.java
+++ b/entry/src/main/java/org/gentianslip/entry/http/ErrorCode.java
@@ -32,6 +32,8 @@
   BODY_TOO_LARGE(413),
   /** The content coding of the body is not supported. */
   UNSUPPORTED_CODING(415),
+  /** The body is a form, which cannot be passed on as it came. */
+  UNSUPPORTED_FORM(415),
   /** This region may not see the payload. */
   WRONG_REGION(421),
   /** A call that is not idempotent needs a ticket. */
