Decide the orders to engines

Cause: engines take orders to load models, adapters and versions and to change role; nothing decided who gives them. An old author that wakes late must do no harm, at engines that ignore fences too. Ruled out: an author's substitute within one version of the list, which would be a second author at engines that ignore fences; a quiet time counted from the request of the list, since a waiting read may have been sent long before the new list was published; going on with a term over versions that were missed, since another instance may have been the author in between. Change: package order of core. Conclusion: the mechanism holds as decisions; nothing calls it yet.

--- /dev/null
+++ b/core/src/main/java/org/gentianslip/core/order/AuthorTerm.java
@@ -0,0 +1,45 @@
+package org.gentianslip.core.order;
+
+import java.util.Optional;
+import org.gentianslip.core.id.EngineId;
+import org.gentianslip.core.id.InstanceId;
+
+/**
+ * The time in which an instance is the author for an engine.
+ *
+ * <p>A term goes on without a new quiet time only from one version of the list to the very next,
+ * since another instance may have been the author in a version between. Immutable.
+ *
+ * @param fence the fence of the orders
+ * @param quietUntilNanos when the orders of any earlier author have expired
+ */
+record AuthorTerm(Fence fence, long quietUntilNanos) {
+
+  /**
+   * Returns the term that a view gives, or nothing if another instance is the author.
+   *
+   * @param before the term under the view before
+   * @param nowNanos when the view was received
+   */
+  static Optional<AuthorTerm> under(
+      AuthorView view,
+      EngineId engine,
+      InstanceId self,
+      Optional<AuthorTerm> before,
+      OrderTimes times,
+      long nowNanos) {
+    if (!view.author(engine).equals(Optional.of(self))) {
+      return Optional.empty();
+    }
+    long quietUntil =
+        before
+            .filter(term -> view.version() - term.fence.listVersion() <= 1)
+            .map(AuthorTerm::quietUntilNanos)
+            .orElse(nowNanos + times.quietNanos());
+    return Optional.of(new AuthorTerm(view.fence(self), quietUntil));
+  }
+
+  boolean isQuiet(long nowNanos) {
+    return quietUntilNanos - nowNanos > 0;
+  }
+}
