--- a/entry/src/main/java/org/gentianslip/entry/model/PeerForwarding.java
+++ b/entry/src/main/java/org/gentianslip/entry/model/PeerForwarding.java
@@ -1,12 +1,13 @@
 package org.gentianslip.entry.model;
 
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.Consumer;
 import okhttp3.Call;
 import org.gentianslip.core.id.RegionId;
-import org.gentianslip.entry.caller.RendezvousHash;
+import org.gentianslip.core.membership.RendezvousHash;
 import org.gentianslip.entry.http.HeaderNames;
 import org.gentianslip.entry.platform.EntryRecord;
 import org.gentianslip.entry.relay.UpstreamClient;
@@ -42,7 +43,7 @@
     var remaining = exchange.remaining(nowNanos);
     Map<String, String> headers = new HashMap<>();
     headers.put(HeaderNames.PEER_KEY, state.place().peerKey());
-    headers.put(HeaderNames.REQUEST_ID, exchange.route().id().value());
+    headers.put(HeaderNames.REQUEST_ID, exchange.id().value());
     headers.put(HeaderNames.CUSTOMER, exchange.route().customer().value());
     headers.put(HeaderNames.KIND, exchange.route().kind().value());
     headers.put(HeaderNames.ATTEMPT, Integer.toString(exchange.attempts()));
@@ -55,26 +56,12 @@
             exchange.body(),
             "application/json",
             nowNanos + remaining.toNanos());
-    var timeouts =
-        exchange.stream()
-            ? exchange.settings().timeouts(remaining)
-            : exchange.settings().wholeAnswerTimeouts(remaining);
-    return Optional.of(client.start(request, timeouts, receiver));
+    return Optional.of(client.start(request, exchange.timeouts(nowNanos), receiver));
   }
 
   private Optional<EntryRecord> target(long nowNanos, ModelExchange exchange, RegionId region) {
     String key = Long.toHexString(exchange.route().prefixDigest());
-    EntryRecord best = null;
-    long bestWeight = 0;
-    for (EntryRecord entry : state.entriesOf(region.value())) {
-      boolean leaving =
-          state.peers().fresh(nowNanos, entry.id()).map(p -> p.leaving()).orElse(false);
-      long weight = RendezvousHash.weight(key, entry.id());
-      if (!leaving && (best == null || weight > bestWeight)) {
-        best = entry;
-        bestWeight = weight;
-      }
-    }
-    return Optional.ofNullable(best);
+    return state.entriesOf(nowNanos, region).stream()
+        .max(Comparator.comparingLong(e -> RendezvousHash.hash(key, e.id())));
   }
 }
--- a/entry/src/main/java/org/gentianslip/entry/platform/LoadPoller.java
+++ b/entry/src/main/java/org/gentianslip/entry/platform/LoadPoller.java
@@ -22,9 +22,23 @@
   private final EngineTable engines;
   private final OkHttpClient client;
   private final EntryMetrics metrics;
+  private final Runnable announce;
+  private final Runnable changed;
 
-  /** Creates a poller. */
-  public LoadPoller(EngineTable engines, OkHttpClient client, EntryMetrics metrics) {
+  /**
+   * Creates a poller.
+   *
+   * @param announce tells the peers at once that an engine is leaving
+   * @param changed is run after each report
+   */
+  public LoadPoller(
+      EngineTable engines,
+      OkHttpClient client,
+      EntryMetrics metrics,
+      Runnable announce,
+      Runnable changed) {
+    this.changed = changed;
+    this.announce = announce;
     this.engines = engines;
     this.client = client.newBuilder().callTimeout(TIMEOUT).build();
     this.metrics = metrics;
@@ -40,6 +54,7 @@
   private void ask(EngineState engine) {
     var request =
         new Request.Builder().url("http://" + engine.listed().address() + "/load").build();
+    int ownInFlight = engine.inFlight();
     client
         .newCall(request)
         .enqueue(
@@ -53,22 +68,27 @@
               public void onResponse(Call call, Response response) throws IOException {
                 try (response) {
                   if (response.isSuccessful()) {
-                    report(engine, response.peekBody(MAX_REPORT_BYTES).bytes());
+                    report(engine, ownInFlight, response.peekBody(MAX_REPORT_BYTES).bytes());
                   }
                 }
               }
             });
   }
 
-  private void report(EngineState engine, byte[] body) throws IOException {
+  private void report(EngineState engine, int ownInFlight, byte[] body) throws IOException {
     metrics.controlMessage("load", 0, body.length);
     var node = Json.parse(body);
-    engine.report(
+    long now = System.nanoTime();
+    var load =
         new EngineLoad(
             node.path("slots").asInt(),
             node.path("running").asInt(),
             node.path("waiting").asInt(),
             node.path("leaving").asBoolean(),
-            System.nanoTime()));
+            now);
+    if (engines.report(now, engine, load, ownInFlight)) {
+      announce.run();
+    }
+    changed.run();
   }
 }
--- a/entry/src/main/java/org/gentianslip/entry/relay/UpstreamClient.java
+++ b/entry/src/main/java/org/gentianslip/entry/relay/UpstreamClient.java
@@ -61,6 +61,11 @@
     return send(fresh, request, timeouts, receiver);
   }
 
+  /** Closes idle connections, after a pause of this process. */
+  public void evictConnections() {
+    pooled.connectionPool().evictAll();
+  }
+
   private static Call send(
       OkHttpClient client,
       UpstreamRequest request,
@@ -96,8 +101,7 @@
       return new UpstreamResult.Answer(response, journal);
     }
     try (response) {
-      journal.close();
-      return new UpstreamResult.Refused(RefusalCode.read(response));
+      return new UpstreamResult.Refused(RefusalCode.read(response), journal.close());
     }
   }
 
--- a/entry/src/main/java/org/gentianslip/entry/service/TicketedCalls.java
+++ b/entry/src/main/java/org/gentianslip/entry/service/TicketedCalls.java
@@ -4,10 +4,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import org.gentianslip.core.id.Incarnation;
 import org.gentianslip.core.id.InstanceId;
 import org.gentianslip.core.id.RegionId;
-import org.gentianslip.core.outcome.NotRunReason;
+import org.gentianslip.core.membership.RendezvousHash;
 import org.gentianslip.core.outcome.Outcome;
 import org.gentianslip.core.ticket.ForeignTicketDecision;
 import org.gentianslip.core.ticket.ForeignTicketRule;
@@ -17,7 +16,6 @@
 import org.gentianslip.core.ticket.TicketLedger;
 import org.gentianslip.core.ticket.TicketMint;
 import org.gentianslip.core.ticket.TicketUse;
-import org.gentianslip.entry.caller.RendezvousHash;
 import org.gentianslip.entry.http.ErrorCode;
 import org.gentianslip.entry.http.ErrorReply;
 import org.gentianslip.entry.http.HeaderNames;
@@ -128,7 +126,7 @@
     return backends.stream()
         .max(
             java.util.Comparator.comparingLong(
-                b -> RendezvousHash.weight(call.id().value(), b.id())));
+                b -> RendezvousHash.hash(call.id().value(), b.id())));
   }
 
   private ErrorReply refusal(long nowNanos, ServiceExchange exchange, Redemption redemption) {
@@ -142,9 +140,10 @@
           : ErrorReply.unknown(ErrorCode.TICKET_INVALID, message);
     }
     if (redemption instanceof Redemption.TableFull full) {
-      var reply =
-          ErrorReply.notRun(ErrorCode.NO_CAPACITY, "This instance remembers too many calls now.");
-      return full.neverUsed() ? withTicket(nowNanos, exchange, reply) : reply;
+      String message = "This instance remembers too many calls now.";
+      return full.neverUsed()
+          ? withTicket(nowNanos, exchange, ErrorReply.notRun(ErrorCode.NO_CAPACITY, message))
+          : ErrorReply.unknown(ErrorCode.NO_CAPACITY, message);
     }
     return invalid("The ticket belongs to another call or is not genuine.");
   }
@@ -181,8 +180,8 @@
   private void executed(ServiceExchange exchange, Ticket ticket, UpstreamResult result) {
     if (result instanceof UpstreamResult.Answer answer) {
       copy(exchange, ticket, answer);
-    } else if (result instanceof UpstreamResult.Refused) {
-      end(exchange, ticket, new Outcome.NotRun(NotRunReason.REFUSED_BEFORE_START));
+    } else if (result instanceof UpstreamResult.Refused refused) {
+      end(exchange, ticket, refused.outcome());
     } else if (result instanceof UpstreamResult.Failed failed) {
       exchange.step(System.nanoTime(), "service-failed", "", failed.message());
       end(exchange, ticket, failed.outcome());
@@ -258,9 +257,10 @@
     if (owner.isEmpty()) {
       return OwnerView.NOT_KNOWN;
     }
-    var peer = state.peers().fresh(nowNanos, owner.get().id());
+    InstanceId id = InstanceId.of(owner.get().id());
     boolean allowed = call.settings().allowedRegions().contains(RegionId.of(owner.get().region()));
-    return new OwnerView(true, peer.map(p -> Incarnation.parse(p.incarnation())), true, allowed);
+    boolean reachable = state.membership().table().isReachable(nowNanos, id);
+    return new OwnerView(true, state.incarnationOf(id), reachable, allowed);
   }
 
   private void passed(ServiceExchange exchange, String region, UpstreamResult result) {
--- a/entry/src/main/java/org/gentianslip/entry/state/EngineState.java
+++ b/entry/src/main/java/org/gentianslip/entry/state/EngineState.java
@@ -6,6 +6,9 @@
 import java.util.stream.Collectors;
 import org.gentianslip.core.id.EngineId;
 import org.gentianslip.core.id.ModelId;
+import org.gentianslip.core.limit.EngineReport;
+import org.gentianslip.core.limit.EngineShare;
+import org.gentianslip.core.limit.ShareLimit;
 import org.gentianslip.core.routing.EngineView;
 import org.gentianslip.entry.platform.BackendRecord;
 
@@ -19,32 +22,33 @@
 
   private static final long SUSPECT_NANOS = 2_000_000_000L;
 
-  private final BackendRecord listed;
   private final EngineId id;
-  private final Set<ModelId> models;
   private final AtomicInteger inFlight = new AtomicInteger();
+  private final AtomicInteger sentSinceReport = new AtomicInteger();
   private final AtomicReference<EngineLoad> load = new AtomicReference<>(EngineLoad.NONE);
-  private volatile boolean leaving;
+  private final AtomicReference<ShareLimit> limit = new AtomicReference<>();
+  private volatile BackendRecord listed;
+  private volatile Set<ModelId> models;
+  private volatile EngineReport report;
+  private volatile EngineShare share = EngineShare.equal(0, 1);
   private volatile long suspectUntilNanos;
   private volatile boolean suspected;
 
-  /** Creates the state of an engine that the platform lists. */
-  public EngineState(BackendRecord listed) {
-    this.listed = listed;
+  /**
+   * Creates the state of an engine that the platform lists.
+   *
+   * @param nowNanos the present time, in nanoseconds of the monotonic clock
+   */
+  public EngineState(long nowNanos, BackendRecord listed) {
     this.id = EngineId.of(listed.id());
-    this.models = listed.models().stream().map(ModelId::of).collect(Collectors.toUnmodifiableSet());
+    relist(listed);
+    limit.set(ShareLimit.of(nowNanos, Math.max(1, listed.slots()), share));
   }
 
-  /** Returns the state with a new entry of the list, keeping what was learned. */
-  EngineState relisted(BackendRecord record) {
-    if (record.equals(listed)) {
-      return this;
-    }
-    var next = new EngineState(record);
-    next.inFlight.set(inFlight.get());
-    next.load.set(load.get());
-    next.leaving = leaving;
-    return next;
+  /** Takes a new element of the list. */
+  void relist(BackendRecord record) {
+    listed = record;
+    models = record.models().stream().map(ModelId::of).collect(Collectors.toUnmodifiableSet());
   }
 
   /** Returns the id of the engine. */
@@ -57,27 +61,49 @@
     return listed;
   }
 
+  /** Counts a request that is sent to the engine; {@link #finish()} must follow. */
+  public void begin() {
+    inFlight.incrementAndGet();
+    sentSinceReport.incrementAndGet();
+  }
+
+  /** Counts the end of a request. */
+  public void finish() {
+    inFlight.decrementAndGet();
+  }
+
   /**
-   * Counts a request that is to be sent to the engine.
+   * Takes a load report.
    *
-   * @param limit the greatest number of requests in flight
-   * @return whether the request may be sent; if so, {@link #finish()} must follow
+   * @param ownInFlight the requests of this instance in flight when the report was asked for
    */
-  public boolean begin(int limit) {
-    while (true) {
-      int now = inFlight.get();
-      if (now >= limit) {
-        return false;
-      }
-      if (inFlight.compareAndSet(now, now + 1)) {
-        return true;
-      }
+  void report(EngineLoad next, int ownInFlight) {
+    final int slotsBefore = slots();
+    load.set(next);
+    sentSinceReport.set(Math.max(0, inFlight.get() - ownInFlight));
+    report = new EngineReport(next.running(), next.waiting(), ownInFlight, next.atNanos());
+    if (slots() != slotsBefore) {
+      limit.set(ShareLimit.of(next.atNanos(), slots(), share));
     }
   }
 
-  /** Counts the end of a request. */
-  public void finish() {
-    inFlight.decrementAndGet();
+  /** Forgets the last load report, after a pause of this process. */
+  void forgetLoad() {
+    load.set(EngineLoad.NONE);
+    report = null;
+  }
+
+  /** Takes this instance's place among those that share the engine. */
+  void takeShare(long nowNanos, EngineShare next) {
+    if (!next.equals(share)) {
+      share = next;
+      limit.set(ShareLimit.of(nowNanos, slots(), next));
+    }
+  }
+
+  private int slots() {
+    int reported = load.get().slots();
+    return Math.max(1, reported > 0 ? reported : listed.slots());
   }
 
   /** Returns the requests of this instance that are in flight. */
@@ -85,27 +111,24 @@
     return inFlight.get();
   }
 
-  /** Takes a load report. */
-  public void report(EngineLoad report) {
-    load.set(report);
-    if (report.leaving()) {
-      leaving = true;
-    }
-  }
-
-  /** Returns the last load report. */
-  public EngineLoad load() {
-    return load.get();
+  /** Returns whether the engine is leaving by its list entry or its own report. */
+  boolean saysLeaving() {
+    return !listed.live() || load.get().leaving();
   }
 
-  /** Marks the engine as leaving for good. */
-  public void markLeaving() {
-    leaving = true;
+  /** Lowers the limit, since the engine refused work as full. */
+  public void refusedAsFull(long nowNanos) {
+    limit.updateAndGet(l -> l.afterRefusal(nowNanos));
   }
 
-  /** Returns whether the engine is leaving, by its list entry, its report or its refusal. */
-  public boolean leaving() {
-    return leaving || !listed.live();
+  /**
+   * Adapts the limit to the pace of an answer.
+   *
+   * @param tokenNanos the mean time between tokens, in nanoseconds
+   * @param targetNanos the greatest time that is wanted, in nanoseconds
+   */
+  public void answered(long nowNanos, long tokenNanos, long targetNanos) {
+    limit.updateAndGet(l -> l.afterAnswer(nowNanos, tokenNanos, targetNanos));
   }
 
   /** Sends no new work to the engine for a while, since it could not be reached. */
@@ -114,23 +137,29 @@
     suspected = true;
   }
 
-  /** Returns whether new work may be sent to the engine. */
-  public boolean usable(long nowNanos) {
-    return !leaving() && !(suspected && nowNanos - suspectUntilNanos < 0);
+  private boolean isSuspected(long nowNanos) {
+    return suspected && nowNanos - suspectUntilNanos < 0;
   }
 
-  /** Returns what the routing policy may know. */
-  public EngineView view(long nowNanos) {
-    EngineLoad report = load.get();
-    int slots = report.slots() > 0 ? report.slots() : listed.slots();
+  /**
+   * Returns what the routing policy may know.
+   *
+   * @param marked whether the engine is known to be leaving from another source
+   */
+  EngineView view(long nowNanos, boolean marked) {
+    EngineLoad last = load.get();
+    EngineReport noted = report;
+    ShareLimit own = limit.get();
     return new EngineView(
         id,
         models,
-        slots,
+        slots(),
         inFlight.get(),
-        report.running(),
-        report.waiting(),
-        report.atNanos(),
-        usable(nowNanos));
+        last.running(),
+        last.waiting(),
+        last.atNanos(),
+        !marked && !saysLeaving() && !isSuspected(nowNanos),
+        noted == null ? own.limit() : own.limit(nowNanos, noted),
+        sentSinceReport.get());
   }
 }
