Give orders to engines

Cause: OrderDesk decided orders and nothing asked it. Ruled out: a check before the call only, since opening a connection may take long after it; the check is an interceptor between the open connection and the write. A list counted as confirmed by any answer of the config service: one that shows an older list must not confirm the one in use. Without these settings nothing is ordered. The stand-in engine answers GET /orders without its history, GET /admin/orders with it. Conclusion: operators can order engines by settings.

--- a/core/src/main/java/org/gentianslip/core/order/EngineTarget.java
+++ b/core/src/main/java/org/gentianslip/core/order/EngineTarget.java
@@ -19,4 +19,9 @@
     models = Set.copyOf(models);
     adapters = Set.copyOf(adapters);
   }
+
+  /** Returns whether any state will do. */
+  public boolean isEmpty() {
+    return models.isEmpty() && adapters.isEmpty() && version.isEmpty() && role.isEmpty();
+  }
 }
--- a/core/src/main/java/org/gentianslip/core/order/OrderDesk.java
+++ b/core/src/main/java/org/gentianslip/core/order/OrderDesk.java
@@ -22,7 +22,7 @@
 
   private final InstanceId self;
   private final OrderTimes times;
-  private final double storeLoadsPerSecond;
+  private double storeLoadsPerSecond;
   private final Map<EngineId, AuthorTerm> terms = new HashMap<>();
   private final Map<EngineId, Long> lastOrderEndNanos = new HashMap<>();
   private AuthorView view;
@@ -36,13 +36,27 @@
    * @throws IllegalArgumentException if {@code storeLoadsPerSecond} is not positive
    */
   public OrderDesk(InstanceId self, OrderTimes times, double storeLoadsPerSecond) {
-    if (!(storeLoadsPerSecond > 0)) {
-      throw new IllegalArgumentException(
-          "storeLoadsPerSecond must be positive: " + storeLoadsPerSecond);
-    }
     this.self = Objects.requireNonNull(self, "self");
     this.times = Objects.requireNonNull(times, "times");
-    this.storeLoadsPerSecond = storeLoadsPerSecond;
+    this.storeLoadsPerSecond = requirePositive(storeLoadsPerSecond);
+  }
+
+  /**
+   * Takes the loads a second that the weight store allows from now on.
+   *
+   * @throws IllegalArgumentException if {@code loadsPerSecond} is not positive
+   */
+  public void onStoreRate(double loadsPerSecond, long nowNanos) {
+    storeLoadsPerSecond = requirePositive(loadsPerSecond);
+    if (view != null) {
+      earn(nowNanos);
+      budget = budget.withRate(share(nowNanos), nowNanos);
+    }
+  }
+
+  /** Returns whether the list names this instance as the author for an engine. */
+  public boolean isAuthor(EngineId engine) {
+    return terms.containsKey(engine);
   }
 
   /**
@@ -119,6 +133,13 @@
     lastOrderEndNanos.put(engine, nowNanos);
   }
 
+  private static double requirePositive(double loadsPerSecond) {
+    if (!(loadsPerSecond > 0)) {
+      throw new IllegalArgumentException("loads per second must be positive: " + loadsPerSecond);
+    }
+    return loadsPerSecond;
+  }
+
   private Optional<OrderReason> obstacle(
       EngineId engine, EngineCondition condition, long nowNanos) {
     AuthorTerm term = terms.get(engine);
--- a/entry/src/main/java/org/gentianslip/entry/operator/StatusPage.java
+++ b/entry/src/main/java/org/gentianslip/entry/operator/StatusPage.java
@@ -3,7 +3,9 @@
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.Locale;
+import java.util.Map;
 import java.util.function.IntSupplier;
+import java.util.function.Supplier;
 import org.gentianslip.core.id.InstanceId;
 import org.gentianslip.core.membership.Life;
 import org.gentianslip.core.membership.Member;
@@ -24,10 +26,21 @@
   private final SettingsIntake intake;
   private final InFlight inFlight;
   private final IntSupplier queued;
+  private final Supplier<Map<String, String>> orders;
 
-  /** Creates the page. */
+  /**
+   * Creates the page.
+   *
+   * @param queued gives the number of waiting requests
+   * @param orders gives for each engine why it was last sent no order
+   */
   public StatusPage(
-      FleetState state, SettingsIntake intake, InFlight inFlight, IntSupplier queued) {
+      FleetState state,
+      SettingsIntake intake,
+      InFlight inFlight,
+      IntSupplier queued,
+      Supplier<Map<String, String>> orders) {
+    this.orders = orders;
     this.state = state;
     this.intake = intake;
     this.inFlight = inFlight;
@@ -51,6 +64,7 @@
     addRejection(body);
     addInstances(nowNanos, body.putArray("instances"));
     addEngines(nowNanos, body.putArray("engines"));
+    body.set("orders", Json.tree(orders.get()));
     return Json.bytes(body);
   }
 
--- /dev/null
+++ b/entry/src/main/java/org/gentianslip/entry/order/EngineClient.java
@@ -0,0 +1,104 @@
+package org.gentianslip.entry.order;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.io.IOException;
+import java.time.Duration;
+import java.util.HashSet;
+import java.util.Set;
+import java.util.function.BooleanSupplier;
+import okhttp3.MediaType;
+import okhttp3.OkHttpClient;
+import okhttp3.Request;
+import okhttp3.RequestBody;
+import okhttp3.Response;
+import org.gentianslip.core.order.EngineCondition;
+import org.gentianslip.core.order.EngineOrder;
+import org.gentianslip.core.order.Fence;
+import org.gentianslip.entry.http.Json;
+import org.gentianslip.entry.platform.BackendRecord;
+
+/**
+ * Reads the state of engines and sends orders to them, each order once.
+ *
+ * <p>Safe for use by several threads.
+ */
+final class EngineClient {
+
+  private static final MediaType JSON = MediaType.get("application/json");
+  private static final long MAX_STATE_BYTES = 64 * 1024;
+
+  private final OkHttpClient client;
+
+  EngineClient(OkHttpClient client, Duration timeout) {
+    this.client =
+        client
+            .newBuilder()
+            .callTimeout(timeout)
+            .retryOnConnectionFailure(false)
+            .followRedirects(false)
+            .addNetworkInterceptor(new OrderGate())
+            .build();
+  }
+
+  /**
+   * Reads the state of an engine.
+   *
+   * @throws IOException if it gives no answer that can be used
+   */
+  EngineCondition read(BackendRecord engine) throws IOException {
+    long sentNanos = System.nanoTime();
+    var request = new Request.Builder().url(url(engine)).build();
+    try (Response response = client.newCall(request).execute()) {
+      if (!response.isSuccessful()) {
+        throw new IOException("The engine answered " + response.code());
+      }
+      var state = Json.parse(response.peekBody(MAX_STATE_BYTES).bytes());
+      return condition(state, engine.checksFencing(), sentNanos);
+    } catch (IllegalArgumentException e) {
+      throw new IOException("The state is not valid", e);
+    }
+  }
+
+  /**
+   * Sends an order once.
+   *
+   * @param mayWrite is asked immediately before the write
+   * @return the status of the answer
+   * @throws IOException if there is no answer; the engine may have taken the order
+   */
+  int send(BackendRecord engine, EngineOrder order, BooleanSupplier mayWrite) throws IOException {
+    var body = Json.object();
+    body.put("type", order.type().text()).put("target", order.target());
+    body.putArray("fence").add(order.fence().listVersion()).add(order.fence().place());
+    var request =
+        new Request.Builder()
+            .url(url(engine))
+            .post(RequestBody.create(Json.bytes(body), JSON))
+            .tag(BooleanSupplier.class, mayWrite)
+            .build();
+    try (Response response = client.newCall(request).execute()) {
+      return response.code();
+    }
+  }
+
+  private static EngineCondition condition(JsonNode state, boolean checksFence, long sentNanos) {
+    Set<String> models = new HashSet<>();
+    state.path("models").forEach(m -> models.add(m.asText()));
+    state.path("loading").forEach(m -> models.add(m.asText()));
+    Set<String> adapters = new HashSet<>();
+    state.path("adapters").forEach(a -> adapters.add(a.asText()));
+    var fence = state.path("fence");
+    return new EngineCondition(
+        models,
+        adapters,
+        state.path("version").asText(),
+        state.path("role").asText(),
+        new Fence(fence.path(0).asLong(), fence.path(1).asInt()),
+        checksFence,
+        sentNanos);
+  }
+
+  private static String url(BackendRecord engine) {
+    return "http://" + engine.address() + "/orders";
+  }
+}
--- /dev/null
+++ b/entry/src/main/java/org/gentianslip/entry/order/package-info.java
@@ -0,0 +1,2 @@
+/** Gives orders to the engines of the region. */
+package org.gentianslip.entry.order;
--- a/entry/src/main/java/org/gentianslip/entry/peer/Hello.java
+++ b/entry/src/main/java/org/gentianslip/entry/peer/Hello.java
@@ -19,6 +19,7 @@
  * @param busyShare the share of its region's engines that it keeps busy, from 0 to 1
  * @param settingsRevision the revision of the settings in force
  * @param settingsSha256 the hash of that revision's manifest
+ * @param listVersion the version of the platform's list that it uses
  * @param regions what it knows of the spare capacity of regions, its own among them
  * @param leavingEngines the engines of its region that it knows to be leaving
  * @param hints what it believes of third instances
@@ -35,6 +36,7 @@
     double busyShare,
     long settingsRevision,
     String settingsSha256,
+    long listVersion,
     List<RegionPart> regions,
     List<EnginePart> leavingEngines,
     List<HintPart> hints) {
--- a/entry/src/main/java/org/gentianslip/entry/peer/HelloReader.java
+++ b/entry/src/main/java/org/gentianslip/entry/peer/HelloReader.java
@@ -63,6 +63,9 @@
   private void takeRest(long nowNanos, long roundTripNanos, Hello hello) {
     takeRegions(nowNanos, roundTripNanos, hello);
     takeLeavingEngines(nowNanos, hello);
+    if (hello.region().equals(state.place().region().value())) {
+      state.notePeersList(hello.listVersion());
+    }
     if (hello.settingsRevision() > 0) {
       intake.peerAnnounces(
           nowNanos,
--- a/entry/src/main/java/org/gentianslip/entry/peer/HelloWriter.java
+++ b/entry/src/main/java/org/gentianslip/entry/peer/HelloWriter.java
@@ -38,6 +38,7 @@
         state.busyShare(nowNanos),
         ref.revision().value(),
         ref.sha256(),
+        state.list().version(),
         regions(nowNanos),
         leavingEngines(nowNanos),
         hints(nowNanos));
--- a/entry/src/main/java/org/gentianslip/entry/platform/KeyWatcher.java
+++ b/entry/src/main/java/org/gentianslip/entry/platform/KeyWatcher.java
@@ -33,6 +33,13 @@
      * @return whether the value was used; otherwise it is read again after a pause
      */
     boolean accept(long revision, byte[] value);
+
+    /**
+     * Learns that the value received last is what the service shows.
+     *
+     * @param sentNanos when the call that showed it was sent, on the monotonic clock
+     */
+    default void confirmed(long sentNanos) {}
   }
 
   /** Creates a watcher; {@link #start()} starts it. */
@@ -53,14 +60,17 @@
     long after = 0;
     long pause = MIN_PAUSE_MILLIS;
     while (!closed) {
+      long sentNanos = System.nanoTime();
       ReadResult result = reader.watch(key, after, WAIT);
       if (result instanceof ReadResult.Found found
           && listener.accept(found.revision(), found.value())) {
+        listener.confirmed(sentNanos);
         after = found.revision();
         pause = MIN_PAUSE_MILLIS;
         continue;
       }
       if (result instanceof ReadResult.Unchanged && after > 0) {
+        listener.confirmed(sentNanos);
         pause = MIN_PAUSE_MILLIS;
         continue;
       }
--- a/entry/src/main/java/org/gentianslip/entry/process/EntryProcess.java
+++ b/entry/src/main/java/org/gentianslip/entry/process/EntryProcess.java
@@ -1,6 +1,5 @@
 package org.gentianslip.entry.process;
 
-import com.fasterxml.jackson.core.JsonProcessingException;
 import com.google.common.flogger.FluentLogger;
 import java.security.SecureRandom;
 import java.util.Optional;
@@ -12,6 +11,7 @@
 import okhttp3.OkHttpClient;
 import org.gentianslip.core.id.Incarnation;
 import org.gentianslip.core.membership.PauseDetector;
+import org.gentianslip.core.order.OrderTimes;
 import org.gentianslip.core.ticket.TicketLedger;
 import org.gentianslip.core.ticket.TicketMint;
 import org.gentianslip.entry.caller.AdmissionCheck;
@@ -20,18 +20,18 @@
 import org.gentianslip.entry.caller.RequestIds;
 import org.gentianslip.entry.explain.DecisionLog;
 import org.gentianslip.entry.http.HttpServer;
-import org.gentianslip.entry.http.Json;
 import org.gentianslip.entry.logging.LogControl;
 import org.gentianslip.entry.metrics.EntryMetrics;
 import org.gentianslip.entry.model.ModelRequests;
 import org.gentianslip.entry.operator.OperatorPort;
 import org.gentianslip.entry.operator.StatusPage;
+import org.gentianslip.entry.order.EngineOrders;
 import org.gentianslip.entry.peer.HelloExchange;
 import org.gentianslip.entry.peer.PeerPort;
 import org.gentianslip.entry.peer.SettingsPull;
 import org.gentianslip.entry.platform.ConfigReader;
-import org.gentianslip.entry.platform.InstanceList;
 import org.gentianslip.entry.platform.KeyWatcher;
+import org.gentianslip.entry.platform.ListIntake;
 import org.gentianslip.entry.platform.LoadPoller;
 import org.gentianslip.entry.platform.ReadResult;
 import org.gentianslip.entry.platform.SettingsIntake;
@@ -60,6 +60,7 @@
   private static final long HELLO_MILLIS = Membership.TICK_NANOS / 1_000_000;
   private static final long SWEEP_MILLIS = 1_000;
   private static final long SHARE_MILLIS = 250;
+  private static final long ORDER_MILLIS = 500;
 
   private final EntryPlace place;
   private final FleetState state;
@@ -73,6 +74,8 @@
       Executors.newScheduledThreadPool(2, r -> daemon(r, "timer"));
   private final ExecutorService reads =
       Executors.newSingleThreadExecutor(r -> daemon(r, "settings"));
+  private final ScheduledExecutorService orderTimer =
+      Executors.newSingleThreadScheduledExecutor(r -> daemon(r, "orders"));
   private final PauseDetector pauses = new PauseDetector(MAX_GAP_NANOS, System.nanoTime());
   private final UpstreamClient upstream = new UpstreamClient();
   private final OkHttpClient control = new OkHttpClient();
@@ -83,6 +86,7 @@
   private final ModelRequests models;
   private final ServiceRequests services;
   private final EntryDirectory directory;
+  private final EngineOrders orders;
   private final Drain drain;
   private final java.util.List<AutoCloseable> started = new java.util.ArrayList<>();
 
@@ -103,6 +107,7 @@
     this.models = new ModelRequests(state, directory, upstream, metrics, decisions, inFlight);
     var report = new ServiceReport(place.region().value(), metrics, decisions, inFlight);
     this.services = new ServiceRequests(state, directory, upstream, mint, ledger, report);
+    this.orders = new EngineOrders(state, control, OrderTimes.DEFAULT);
     this.drain = new Drain(state, inFlight, hellos);
   }
 
@@ -125,7 +130,7 @@
 
   private void watch() {
     watch("settings/manifest", (revision, value) -> intake.serviceShows(System.nanoTime(), value));
-    watch("instances/" + place.region(), (revision, value) -> takeList(value));
+    watch("instances/" + place.region(), new ListIntake(state, orders::confirmed));
   }
 
   private void watch(String key, KeyWatcher.ValueListener listener) {
@@ -134,15 +139,6 @@
     watcher.start();
   }
 
-  private boolean takeList(byte[] value) {
-    try {
-      state.update(System.nanoTime(), Json.parse(value, InstanceList.class));
-    } catch (JsonProcessingException | IllegalArgumentException e) {
-      LOGGER.atWarning().log("list: The list is not readable. %s", e.getMessage());
-    }
-    return true;
-  }
-
   private void schedule() {
     var poller =
         new LoadPoller(
@@ -157,6 +153,8 @@
     every(SWEEP_MILLIS, () -> ledger.sweep(System.nanoTime()));
     every(SHARE_MILLIS, () -> state.refreshShares(System.nanoTime()));
     every(SWEEP_MILLIS, this::applyLogSettings);
+    orderTimer.scheduleWithFixedDelay(
+        () -> runSafely(orders::round), ORDER_MILLIS, ORDER_MILLIS, TimeUnit.MILLISECONDS);
   }
 
   private void applyLogSettings() {
@@ -203,7 +201,7 @@
           new PeerPort(hellos, intake, peerKey::matches).addTo(app);
           ports.addTo(app, "/peer/v1/forward", new PeerDoor(check, peerKey));
         });
-    var status = new StatusPage(state, intake, inFlight, models::waitingCount);
+    var status = new StatusPage(state, intake, inFlight, models::waitingCount, orders::lastReasons);
     serve(
         place.operatorPort(),
         app ->
@@ -247,6 +245,7 @@
   @Override
   public void close() {
     timer.shutdownNow();
+    orderTimer.shutdownNow();
     reads.shutdownNow();
     try {
       for (int i = started.size() - 1; i >= 0; i--) {
--- a/entry/src/main/java/org/gentianslip/entry/state/FleetState.java
+++ b/entry/src/main/java/org/gentianslip/entry/state/FleetState.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Predicate;
 import org.gentianslip.core.id.EngineId;
@@ -49,6 +50,7 @@
   private final AtomicBoolean settled = new AtomicBoolean();
   private volatile EngineShare awayShare = EngineShare.equal(0, 1);
   private final AtomicBoolean leaving = new AtomicBoolean();
+  private final AtomicLong peersListVersion = new AtomicLong();
 
   /** Creates the state of an instance that knows nothing yet. */
   public FleetState(EntryPlace place, Incarnation incarnation) {
@@ -84,6 +86,16 @@
     return list.get();
   }
 
+  /** Notes the version of the list that a peer of the region uses. */
+  public void notePeersList(long version) {
+    peersListVersion.accumulateAndGet(version, Math::max);
+  }
+
+  /** Returns the greatest version of the region's list that a peer is known to use, or 0. */
+  public long peersListVersion() {
+    return peersListVersion.get();
+  }
+
   /** Takes a list if it is later than the known one. */
   public synchronized void update(long nowNanos, InstanceList next) {
     if (next.version() <= list.get().version()) {
--- /dev/null
+++ b/entry/src/test/java/org/gentianslip/entry/order/EngineClientTest.java
@@ -0,0 +1,68 @@
+package org.gentianslip.entry.order;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.is;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import java.io.IOException;
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.atomic.AtomicInteger;
+import okhttp3.OkHttpClient;
+import org.gentianslip.core.id.EngineId;
+import org.gentianslip.core.order.EngineOrder;
+import org.gentianslip.core.order.Fence;
+import org.gentianslip.core.order.OrderType;
+import org.gentianslip.entry.platform.BackendRecord;
+import org.gentianslip.standin.engine.EngineOptions;
+import org.gentianslip.standin.engine.EngineStandin;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+@Timeout(60)
+class EngineClientTest {
+
+  private static final EngineOrder ORDER =
+      new EngineOrder(EngineId.of("engine"), OrderType.SET_ROLE, "prefill", new Fence(3, 1));
+
+  private final EngineStandin engine = EngineStandin.start(EngineOptions.builder("engine").build());
+  private final EngineClient client = new EngineClient(new OkHttpClient(), Duration.ofSeconds(30));
+
+  @AfterEach
+  void close() {
+    engine.close();
+  }
+
+  @Test
+  void writesNothingIfTheOrderMayNotBeWrittenAnyMore() {
+    assertThrows(IOException.class, () -> client.send(record(engine.port()), ORDER, () -> false));
+    assertThat(engine.state().accepted(), is(empty()));
+  }
+
+  @Test
+  void asksOnlyOnceTheConnectionIsOpen() {
+    var asked = new AtomicInteger();
+    int port = engine.port();
+    engine.close();
+    assertThrows(
+        IOException.class,
+        () -> client.send(record(port), ORDER, () -> asked.incrementAndGet() > 0));
+    assertThat(asked.get(), is(0));
+  }
+
+  @Test
+  void readsTheFenceThatTheEngineTook() throws IOException {
+    client.send(record(engine.port()), ORDER, () -> true);
+    var condition = client.read(record(engine.port()));
+    assertThat(condition.fence(), is(new Fence(3, 1)));
+    assertThat(condition.role(), is("prefill"));
+  }
+
+  private static BackendRecord record(int port) {
+    String address = "127.0.0.1:" + port;
+    return new BackendRecord(
+        "engine", "graz", "graz-1", address, "model", List.of(), null, 8, true, "live");
+  }
+}
--- /dev/null
+++ b/entry/src/test/java/org/gentianslip/entry/order/EngineOrdersTest.java
@@ -0,0 +1,195 @@
+package org.gentianslip.entry.order;
+
+import static org.awaitility.Awaitility.await;
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.contains;
+import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.hasEntry;
+import static org.hamcrest.Matchers.hasSize;
+import static org.hamcrest.Matchers.is;
+
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.List;
+import okhttp3.OkHttpClient;
+import org.gentianslip.core.id.Incarnation;
+import org.gentianslip.core.id.Revision;
+import org.gentianslip.core.order.OrderTimes;
+import org.gentianslip.entry.platform.BackendRecord;
+import org.gentianslip.entry.platform.EntryRecord;
+import org.gentianslip.entry.platform.InstanceList;
+import org.gentianslip.entry.state.FleetState;
+import org.gentianslip.entry.testing.Places;
+import org.gentianslip.settings.ParseResult;
+import org.gentianslip.settings.Settings;
+import org.gentianslip.settings.SettingsDocument;
+import org.gentianslip.settings.SettingsParser;
+import org.gentianslip.standin.engine.EngineOptions;
+import org.gentianslip.standin.engine.EngineStandin;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+@Timeout(60)
+class EngineOrdersTest {
+
+  private static final OrderTimes SHORT =
+      OrderTimes.of(Duration.ofMillis(400), Duration.ofMillis(200), Duration.ofMillis(200));
+  private static final OrderTimes LONG =
+      OrderTimes.of(Duration.ofHours(1), Duration.ofSeconds(5), Duration.ofHours(1));
+
+  private final OkHttpClient client = new OkHttpClient();
+  private FleetState state;
+  private boolean ignoresFences;
+  private EngineStandin engine = start(true);
+
+  @AfterEach
+  void close() {
+    engine.close();
+    client.dispatcher().executorService().shutdown();
+  }
+
+  @Nested
+  class WhenItIsTheAuthor {
+
+    @Test
+    void setsTheRoleOfAnEngineThatChecksFences() {
+      var orders = orders(LONG, "a", "{\"engineRole\":\"prefill\"}");
+      orders.round();
+      assertThat(engine.state().role(), is("prefill"));
+      assertThat(engine.state().fence().version(), is(7L));
+    }
+
+    @Test
+    void sendsNoOrderTwice() {
+      var orders = orders(LONG, "a", "{\"engineRole\":\"prefill\"}");
+      orders.round();
+      orders.round();
+      assertThat(engine.state().accepted(), hasSize(1));
+      assertThat(orders.lastReasons(), hasEntry("engine", "at_target"));
+    }
+
+    @Test
+    void loadsModelsAfterTheQuietTime() {
+      var orders =
+          orders(SHORT, "a", "{\"engineModels\":[\"m\",\"n\"],\"weightStoreLoadsPerMinute\":6000}");
+      await()
+          .atMost(Duration.ofSeconds(50))
+          .until(
+              () -> {
+                orders.confirmed(list("a"), System.nanoTime());
+                orders.round();
+                return engine.state().models().contains("n");
+              });
+      assertThat(engine.state().accepted(), hasSize(1));
+    }
+
+    @Test
+    void waitsAtAnEngineThatIgnoresFences() {
+      engine.close();
+      engine = start(false);
+      var orders = orders(LONG, "a", "{\"engineRole\":\"prefill\"}");
+      orders.round();
+      assertThat(engine.state().accepted(), is(empty()));
+      assertThat(orders.lastReasons(), hasEntry("engine", "quiet_time"));
+    }
+
+    @Test
+    void yieldsToLaterAuthors() {
+      orders(LONG, "a", "{\"engineRole\":\"decode\"}", 8).round();
+      var orders = orders(LONG, "a", "{\"engineRole\":\"prefill\"}");
+      orders.round();
+      assertThat(engine.state().role(), is("decode"));
+      assertThat(orders.lastReasons(), hasEntry("engine", "later_order_taken"));
+    }
+  }
+
+  @Test
+  void sendsNothingOncePeersUseLaterLists() {
+    var orders = orders(LONG, "a", "{\"engineRole\":\"prefill\"}");
+    state.notePeersList(8);
+    orders.round();
+    assertThat(engine.state().accepted(), is(empty()));
+    assertThat(orders.lastReasons(), hasEntry("engine", "later_list_known"));
+  }
+
+  @Test
+  void leavesTheEnginesOfOtherAuthorsAlone() {
+    var orders = orders(LONG, "b", "{\"engineRole\":\"prefill\"}");
+    orders.round();
+    assertThat(engine.state().accepted(), is(empty()));
+    assertThat(orders.lastReasons(), hasEntry("engine", "not_author"));
+  }
+
+  @Test
+  void ordersNothingIfNothingIsSet() {
+    orders(LONG, "a", "{}").round();
+    assertThat(engine.state().accepted(), is(empty()));
+    assertThat(engine.state().models(), contains("m"));
+  }
+
+  private EngineOrders orders(OrderTimes times, String listed, String values) {
+    return orders(times, listed, values, 7);
+  }
+
+  private EngineOrders orders(OrderTimes times, String listed, String values, long version) {
+    state = new FleetState(Places.inGraz("a"), Incarnation.of(1));
+    var list = list(listed, version);
+    state.update(System.nanoTime(), list);
+    state.put(settings(values));
+    var orders = new EngineOrders(state, client, times);
+    orders.confirmed(list, System.nanoTime());
+    return orders;
+  }
+
+  private static Settings settings(String values) {
+    String part =
+        """
+        {"regions": [{"id": "graz", "dataCentres": ["graz-1"]}],
+         "models": ["m"],
+         "customers": [{"id": "shop", "firm": "venture", "keySha256": "%s"}],
+         "branches": [{"id": "venture", "level": "firm", "name": "venture", "values": %s}]}
+        """
+            .formatted("0".repeat(64), values);
+    var document = new SettingsDocument("part", part.getBytes(StandardCharsets.UTF_8));
+    var result = SettingsParser.parse(Revision.of(1), List.of(document));
+    if (result instanceof ParseResult.Accepted accepted) {
+      return accepted.settings();
+    }
+    throw new AssertionError(result.toString());
+  }
+
+  private InstanceList list(String instance) {
+    return list(instance, 7);
+  }
+
+  private InstanceList list(String instance, long version) {
+    var entry =
+        new EntryRecord(
+            instance, "graz", "graz-1", "127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3", "live");
+    var backend =
+        new BackendRecord(
+            "engine",
+            "graz",
+            "graz-1",
+            "127.0.0.1:" + engine.port(),
+            "model",
+            List.of("m"),
+            null,
+            8,
+            !ignoresFences,
+            "live");
+    return new InstanceList(version, List.of(entry), List.of(backend));
+  }
+
+  private EngineStandin start(boolean checksFencing) {
+    ignoresFences = !checksFencing;
+    return EngineStandin.start(
+        EngineOptions.builder("engine")
+            .models(List.of("m"))
+            .checksFencing(checksFencing)
+            .loadModelMillis(1)
+            .build());
+  }
+}
--- /dev/null
+++ b/entry/src/test/java/org/gentianslip/entry/platform/ListIntakeTest.java
@@ -0,0 +1,50 @@
+package org.gentianslip.entry.platform;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.contains;
+import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.is;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import org.gentianslip.core.id.Incarnation;
+import org.gentianslip.entry.state.FleetState;
+import org.gentianslip.entry.testing.Places;
+import org.junit.jupiter.api.Test;
+
+class ListIntakeTest {
+
+  private final FleetState state = new FleetState(Places.inGraz("a"), Incarnation.of(1));
+  private final List<Long> confirmed = new ArrayList<>();
+  private final ListIntake intake =
+      new ListIntake(state, (list, sentNanos) -> confirmed.add(list.version()));
+
+  @Test
+  void confirmsTheListInUse() {
+    accept("{\"version\":7}");
+    intake.confirmed(0);
+    assertThat(confirmed, contains(7L));
+  }
+
+  @Test
+  void confirmsNothingWhileTheServiceShowsAnOlderList() {
+    accept("{\"version\":7}");
+    accept("{\"version\":6}");
+    intake.confirmed(0);
+    assertThat(confirmed, is(empty()));
+    assertThat(state.list().version(), is(7L));
+  }
+
+  @Test
+  void confirmsNothingWhileTheListIsNotReadable() {
+    accept("{\"version\":7}");
+    accept("{");
+    intake.confirmed(0);
+    assertThat(confirmed, is(empty()));
+  }
+
+  private void accept(String list) {
+    intake.accept(1, list.getBytes(StandardCharsets.UTF_8));
+  }
+}
--- /dev/null
+++ b/entry/src/test/java/org/gentianslip/entry/testing/package-info.java
@@ -0,0 +1,2 @@
+/** Helpers of the tests. */
+package org.gentianslip.entry.testing;
--- a/settings/src/main/java/org/gentianslip/settings/SettingCatalog.java
+++ b/settings/src/main/java/org/gentianslip/settings/SettingCatalog.java
@@ -234,6 +234,46 @@
           0.0,
           "Prices the tokens of a request for the report on cost.");
 
+  /** The models that the region's engines are to have loaded. */
+  public static final Setting<Set<String>> ENGINE_MODELS =
+      declareForInstance(
+          "engineModels",
+          ValueType.names(),
+          Set.of(),
+          "Names the models that every engine of the region is ordered to load.");
+
+  /** The adapters that the region's engines are to have loaded. */
+  public static final Setting<Set<String>> ENGINE_ADAPTERS =
+      declareForInstance(
+          "engineAdapters",
+          ValueType.names(),
+          Set.of(),
+          "Names the adapters that every engine of the region is ordered to load.");
+
+  /** The version of the weights that the region's engines are to have; empty for any. */
+  public static final Setting<String> ENGINE_VERSION =
+      declareForInstance(
+          "engineVersion",
+          ValueType.name(),
+          "",
+          "Sets the version of the weights that every engine of the region is ordered to take.");
+
+  /** The role that the region's engines are to have; empty for any. */
+  public static final Setting<String> ENGINE_ROLE =
+      declareForInstance(
+          "engineRole",
+          ValueType.name(),
+          "",
+          "Sets the role that every engine of the region is ordered to take.");
+
+  /** The rate of the weight store. */
+  public static final Setting<Double> WEIGHT_STORE_RATE =
+      declareForInstance(
+          "weightStoreLoadsPerMinute",
+          ValueType.number("loads per minute", 0.01, 100_000),
+          6.0,
+          "Bounds the loads that the instances of all regions together order.");
+
   private static final List<Setting<?>> ALL = List.copyOf(DECLARED);
   private static final Map<String, Setting<?>> BY_NAME =
       ALL.stream().collect(Collectors.toUnmodifiableMap(Setting::name, Function.identity()));
--- a/settings/src/main/java/org/gentianslip/settings/ValueType.java
+++ b/settings/src/main/java/org/gentianslip/settings/ValueType.java
@@ -26,6 +26,7 @@
 final class ValueType<T> {
 
   private static final JsonNodeFactory JSON = JsonNodeFactory.instance;
+  private static final int MAX_NAME_LENGTH = 128;
 
   private final String unit;
   private final String allowed;
@@ -128,6 +129,42 @@
         });
   }
 
+  /** Returns the type of names, which may be empty. */
+  static ValueType<String> name() {
+    return new ValueType<>(
+        "",
+        "a text of at most " + MAX_NAME_LENGTH + " characters",
+        n -> {
+          require(n.isTextual() && n.textValue().length() <= MAX_NAME_LENGTH);
+          return n.textValue();
+        },
+        JSON::textNode);
+  }
+
+  /** Returns the type of sets of names. */
+  static ValueType<Set<String>> names() {
+    return new ValueType<>(
+        "",
+        "a list of names",
+        ValueType::readNames,
+        names -> {
+          ArrayNode array = JSON.arrayNode();
+          names.forEach(array::add);
+          return array;
+        });
+  }
+
+  private static Set<String> readNames(JsonNode node) {
+    require(node.isArray());
+    var names = new TreeSet<String>();
+    for (JsonNode element : node) {
+      require(element.isTextual() && !element.textValue().isEmpty());
+      require(element.textValue().length() <= MAX_NAME_LENGTH);
+      names.add(element.textValue());
+    }
+    return Collections.unmodifiableSet(names);
+  }
+
   private static Set<RegionId> readRegions(JsonNode node) {
     require(node.isArray() && !node.isEmpty());
     var regions = new TreeSet<RegionId>();
--- a/standin/src/main/java/org/gentianslip/standin/engine/EngineHandler.java
+++ b/standin/src/main/java/org/gentianslip/standin/engine/EngineHandler.java
@@ -1,8 +1,12 @@
 package org.gentianslip.standin.engine;
 
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.List;
 import java.util.Map;
 import org.gentianslip.standin.http.HttpCall;
 import org.gentianslip.standin.http.HttpHandler;
+import org.gentianslip.standin.http.Json;
 
 /** Routes the calls of an engine. Safe for use by several threads, as the stand-in is. */
 final class EngineHandler implements HttpHandler {
@@ -21,7 +25,8 @@
         case "POST /v1/completions" -> complete(call, false);
         case "GET /load" -> call.answerJson(200, engine.load());
         case "POST /orders" -> order(call);
-        case "GET /orders" -> call.answerJson(200, engine.state());
+        case "GET /orders" -> call.answerJson(200, presentState());
+        case "GET /admin/orders" -> call.answerJson(200, engine.state());
         case "POST /admin/leaving" -> setLeaving(call);
         case "POST /admin/faults" -> setFaults(call);
         case "GET /admin/stats" -> call.answerJson(200, engine.stats());
@@ -42,6 +47,11 @@
     engine.accept(call, CompletionRequest.parse(body.get(), chat, priority));
   }
 
+  private JsonNode presentState() {
+    ObjectNode state = Json.MAPPER.valueToTree(engine.state());
+    return state.without(List.of("accepted", "refused"));
+  }
+
   private void order(HttpCall call) {
     var order = EngineOrder.parse(call.requireJson());
     if (engine.apply(order)) {
