Refuse a request by its head, before its body is read

Cause: a caller of a bound customer who reaches an instance outside the allowed regions was refused only after its whole body had been read there, and requests that the server had not read whole were found by reflection into the server. Change: a guard in each connection, put there by the network library's own extension point, refuses by the head alone: wrong region, unknown customer or kind, a body that is announced too large, a head that is malformed or too long, and a sender that needs more than 30 s for one request. The reflective check is gone.

--- a/entry/src/main/java/org/gentianslip/entry/http/ErrorReply.java
+++ b/entry/src/main/java/org/gentianslip/entry/http/ErrorReply.java
@@ -53,6 +53,13 @@
     return new ErrorReply(code, message, outcome, entries, all);
   }
 
+  /**
+   * Returns this failure with an unknown outcome: an earlier call of the same ticket may have run.
+   */
+  public ErrorReply orUnknown() {
+    return new ErrorReply(code, message, OutcomeName.UNKNOWN, entries, headers);
+  }
+
   /** Returns the JSON body in UTF-8. */
   public byte[] toJson() {
     var error = Json.object();
--- a/entry/src/main/java/org/gentianslip/entry/http/HttpServer.java
+++ b/entry/src/main/java/org/gentianslip/entry/http/HttpServer.java
@@ -23,8 +23,11 @@
 
   private final io.jooby.Server server;
 
-  private HttpServer(io.jooby.Server server) {
+  private final int port;
+
+  private HttpServer(io.jooby.Server server, int port) {
     this.server = server;
+    this.port = port;
   }
 
   /**
@@ -33,10 +36,13 @@
    * @param host the IP number to listen on
    * @param port the port to listen on
    * @param maxBodyBytes the greatest size of a body, in bytes
+   * @param check decides by the head of a request whether its body is read
    * @param routes adds the routes
    * @throws UncheckedIOException if another process listens on the port
    */
-  public static HttpServer start(String host, int port, int maxBodyBytes, Consumer<Jooby> routes) {
+  public static HttpServer start(
+      String host, int port, int maxBodyBytes, HeadCheck check, Consumer<Jooby> routes) {
+    GuardInstaller.guard(port, check, maxBodyBytes);
     requireFree(host, port);
     var options = new ServerOptions();
     options.setPort(port);
@@ -49,11 +55,10 @@
     app.setExecutionMode(ExecutionMode.WORKER);
     app.setStartupSummary(java.util.List.of());
     app.error((ctx, cause, status) -> answerFault(ctx, cause, status));
-    app.before(DecoderCheck::check);
     routes.accept(app);
     var netty = new NettyServer();
     netty.setOptions(options);
-    return new HttpServer(netty.start(app));
+    return new HttpServer(netty.start(app), port);
   }
 
   /** Finds a port that is taken, since the server would share it with the other process. */
@@ -105,5 +110,6 @@
   @Override
   public void close() {
     server.stop();
+    GuardInstaller.release(port);
   }
 }
--- /dev/null
+++ b/entry/src/main/java/org/gentianslip/entry/http/RequestGuard.java
@@ -0,0 +1,121 @@
+package org.gentianslip.entry.http;
+
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.handler.codec.http.TooLongHttpHeaderException;
+import io.netty.util.ReferenceCountUtil;
+import java.util.Optional;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Stands before the server's own handler on one connection.
+ *
+ * <p>It refuses a request by its head, before a byte of its body is kept, and closes the connection
+ * then. A request whose head was not read whole, and one whose sender takes too long, never reach a
+ * route. Used by the connection's event loop only.
+ */
+final class RequestGuard extends ChannelInboundHandlerAdapter {
+
+  private static final long SEND_TIMEOUT_SECONDS = 30;
+
+  private final HeadCheck check;
+  private final long maxBodyBytes;
+  private boolean refused;
+  private Future<?> deadline;
+
+  RequestGuard(HeadCheck check, long maxBodyBytes) {
+    this.check = check;
+    this.maxBodyBytes = maxBodyBytes;
+  }
+
+  @Override
+  public void channelRead(ChannelHandlerContext ctx, Object msg) {
+    if (refused) {
+      ReferenceCountUtil.release(msg);
+      return;
+    }
+    if (msg instanceof HttpRequest request) {
+      Optional<ErrorReply> refusal = refusalOf(request);
+      if (refusal.isPresent()) {
+        refuse(ctx, request, refusal.get());
+        ReferenceCountUtil.release(msg);
+        return;
+      }
+      startDeadline(ctx);
+    }
+    if (msg instanceof LastHttpContent) {
+      stopDeadline();
+    }
+    ctx.fireChannelRead(msg);
+  }
+
+  private Optional<ErrorReply> refusalOf(HttpRequest request) {
+    if (request.decoderResult().isFailure()) {
+      return Optional.of(malformed(request.decoderResult().cause()));
+    }
+    if (HttpUtil.getContentLength(request, 0L) > maxBodyBytes) {
+      return Optional.of(
+          ErrorReply.notRun(
+              ErrorCode.BODY_TOO_LARGE,
+              "The body is larger than the " + maxBodyBytes + " bytes that are read."));
+    }
+    return check.refusal(request);
+  }
+
+  private static ErrorReply malformed(Throwable cause) {
+    return cause instanceof TooLongHttpHeaderException
+            || cause instanceof io.netty.handler.codec.http.TooLongHttpLineException
+        ? ErrorReply.notRun(
+            ErrorCode.HEADERS_TOO_LARGE, "The request line or the headers are too large.")
+        : ErrorReply.notRun(ErrorCode.MALFORMED_REQUEST, "The request is malformed.");
+  }
+
+  private void refuse(ChannelHandlerContext ctx, HttpRequest request, ErrorReply reply) {
+    refused = true;
+    stopDeadline();
+    byte[] body = reply.toJson();
+    var response =
+        new DefaultFullHttpResponse(
+            HttpVersion.HTTP_1_1,
+            HttpResponseStatus.valueOf(reply.code().status()),
+            Unpooled.wrappedBuffer(body));
+    response.headers().set(HttpHeaderNames.CONTENT_TYPE, "application/json");
+    response.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.length);
+    response.headers().set(HttpHeaderNames.CONNECTION, "close");
+    response.headers().set(HeaderNames.OUTCOME, reply.outcome().text());
+    reply.headers().forEach(response.headers()::set);
+    String id = request.headers().get(HeaderNames.REQUEST_ID);
+    if (id != null) {
+      response.headers().set(HeaderNames.REQUEST_ID, id);
+    }
+    ctx.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE);
+  }
+
+  private void startDeadline(ChannelHandlerContext ctx) {
+    stopDeadline();
+    deadline = ctx.executor().schedule(() -> ctx.close(), SEND_TIMEOUT_SECONDS, TimeUnit.SECONDS);
+  }
+
+  private void stopDeadline() {
+    if (deadline != null) {
+      deadline.cancel(false);
+      deadline = null;
+    }
+  }
+
+  @Override
+  public void channelInactive(ChannelHandlerContext ctx) {
+    stopDeadline();
+    ctx.fireChannelInactive();
+  }
+}
--- /dev/null
+++ b/entry/src/main/java/org/gentianslip/entry/process/CallerHeadCheck.java
@@ -0,0 +1,40 @@
+package org.gentianslip.entry.process;
+
+import io.netty.handler.codec.http.HttpRequest;
+import java.util.Optional;
+import org.gentianslip.entry.caller.Admission;
+import org.gentianslip.entry.caller.AdmissionCheck;
+import org.gentianslip.entry.http.ErrorReply;
+import org.gentianslip.entry.http.HeadCheck;
+import org.gentianslip.entry.http.HeaderNames;
+import org.gentianslip.entry.metrics.EntryMetrics;
+
+/**
+ * Refuses a caller's request before its body is read: so no payload enters a region that may not
+ * see it.
+ *
+ * <p>Safe for use by several threads.
+ */
+record CallerHeadCheck(AdmissionCheck check, EntryMetrics metrics) implements HeadCheck {
+
+  private static final String SERVICES = "/services/";
+  private static final String MODELS = "/v1/c";
+
+  @Override
+  public Optional<ErrorReply> refusal(HttpRequest request) {
+    if (!request.uri().startsWith(SERVICES) && !request.uri().startsWith(MODELS)) {
+      return Optional.empty();
+    }
+    Admission admission =
+        check.checkCaller(
+            System.nanoTime(),
+            request.headers().get(HeaderNames.AUTHORIZATION),
+            request.headers().get(HeaderNames.KIND));
+    if (!(admission instanceof Admission.Refused refused)) {
+      return Optional.empty();
+    }
+    metrics.refusedUnranked(refused.reply().code().text());
+    boolean ticketed = request.headers().contains(HeaderNames.TICKET);
+    return Optional.of(ticketed ? refused.reply().orUnknown() : refused.reply());
+  }
+}
--- a/entry/src/main/java/org/gentianslip/entry/process/EntryProcess.java
+++ b/entry/src/main/java/org/gentianslip/entry/process/EntryProcess.java
@@ -19,6 +19,7 @@
 import org.gentianslip.entry.caller.EntryDirectory;
 import org.gentianslip.entry.caller.RequestIds;
 import org.gentianslip.entry.explain.DecisionLog;
+import org.gentianslip.entry.http.HeadCheck;
 import org.gentianslip.entry.http.HttpServer;
 import org.gentianslip.entry.http.Json;
 import org.gentianslip.entry.logging.LogControl;
@@ -199,6 +200,7 @@
     var operatorKey = new SharedKey(place.operatorKey());
     serve(
         place.peerPort(),
+        HeadCheck.NONE,
         app -> {
           new PeerPort(hellos, intake, peerKey::matches).addTo(app);
           ports.addTo(app, "/peer/v1/forward", new PeerDoor(check, peerKey));
@@ -206,20 +208,23 @@
     var status = new StatusPage(state, intake, inFlight, models::waitingCount);
     serve(
         place.operatorPort(),
+        HeadCheck.NONE,
         app ->
             new OperatorPort(
                     state, metrics, decisions, status, operatorKey::matches, this::startDrain)
                 .addTo(app));
     serve(
         place.callerPort(),
+        new CallerHeadCheck(check, metrics),
         app -> {
           new EntriesPort(state, directory).addTo(app);
           ports.addTo(app, "", new CallerDoor(check));
         });
   }
 
-  private void serve(int port, java.util.function.Consumer<io.jooby.Jooby> routes) {
-    started.add(HttpServer.start(place.host(), port, MAX_BODY_BYTES, routes));
+  private void serve(
+      int port, HeadCheck check, java.util.function.Consumer<io.jooby.Jooby> routes) {
+    started.add(HttpServer.start(place.host(), port, MAX_BODY_BYTES, check, routes));
   }
 
   private void startDrain() {
--- a/entry/src/main/java/org/gentianslip/entry/process/RequestPorts.java
+++ b/entry/src/main/java/org/gentianslip/entry/process/RequestPorts.java
@@ -13,7 +13,6 @@
 import org.gentianslip.entry.http.ErrorReply;
 import org.gentianslip.entry.http.HeaderNames;
 import org.gentianslip.entry.http.JoobySink;
-import org.gentianslip.entry.http.OutcomeName;
 import org.gentianslip.entry.http.ResponseSink;
 import org.gentianslip.entry.metrics.EntryMetrics;
 import org.gentianslip.entry.model.ModelRequests;
@@ -118,13 +117,7 @@
     metrics.refusedUnranked(reply.code().text());
     boolean mayHaveRun = IncomingRequest.ticket(ctx).isPresent();
     if (mayHaveRun) {
-      sink.fail(
-          new ErrorReply(
-              reply.code(),
-              reply.message(),
-              OutcomeName.UNKNOWN,
-              reply.entries(),
-              reply.headers()));
+      sink.fail(reply.orUnknown());
       return;
     }
     sink.fail(door.forwarded() ? reply.withHeader(HeaderNames.NOT_STARTED, "true") : reply);
