--- a/entry/src/main/java/org/gentianslip/entry/process/EntryProcess.java
+++ b/entry/src/main/java/org/gentianslip/entry/process/EntryProcess.java
@@ -114,6 +114,7 @@
     process.watch();
     process.schedule();
     process.listen();
+    process.controlLogs();
     LOGGER.atInfo().log(
         "entry: %s %s listens on %s:%s.",
         place.instance(), process.state.incarnation(), place.host(), place.callerPort());
@@ -151,6 +152,9 @@
     every(LOAD_MILLIS, poller::round);
     every(HELLO_MILLIS, () -> hellos.round(System.nanoTime()));
     every(SWEEP_MILLIS, () -> ledger.sweep(System.nanoTime()));
+  }
+
+  private void controlLogs() {
     every(SWEEP_MILLIS, this::applyLogSettings);
   }
 
