Keep settings inside what the queue and the links can take

Cause: otherFloorShare 1 and maxQueueLength 0 were valid settings, but the queue's limits refuse them, so a valid revision would have made every tick of an entry fail. linkBudgetShare 0 lifted the limit instead of closing the link. A customerWeight in a branch of a kind had no effect. Ruled out: mending the values in the entry, where nobody would see it. Change: the ranges are 0 to 0.9, at least 1, and at least 0.01; a setting declares for what it holds (request, customer or instance), and a value in a branch that tells apart more is a finding. Tests: the range in three expectations follows the new one; the three values above are expected as findings now. Conclusion: retryBudgetShare and costPerThousandTokens are not read yet.

--- a/settings/src/main/java/org/gentianslip/settings/DeclaredSetting.java
+++ b/settings/src/main/java/org/gentianslip/settings/DeclaredSetting.java
@@ -15,7 +15,7 @@
   private final String name;
   private final int index;
   private final ValueType<T> type;
-  private final boolean perInstance;
+  private final SettingReach reach;
   private final T defaultValue;
   private final String description;
 
@@ -23,27 +23,26 @@
       String name,
       int index,
       ValueType<T> type,
-      boolean perInstance,
+      SettingReach reach,
       T defaultValue,
       String description) {
     this.name = name;
     this.index = index;
     this.type = type;
-    this.perInstance = perInstance;
+    this.reach = reach;
     this.defaultValue = defaultValue;
     this.description = description;
   }
 
-  /** Returns the declaration of a value that may differ between requests. */
-  static <T> DeclaredSetting<T> ofRequest(
-      String name, int index, ValueType<T> type, T defaultValue, String description) {
-    return new DeclaredSetting<>(name, index, type, false, defaultValue, description);
-  }
-
-  /** Returns the declaration of a value that holds for a whole instance. */
-  static <T> DeclaredSetting<T> ofInstance(
-      String name, int index, ValueType<T> type, T defaultValue, String description) {
-    return new DeclaredSetting<>(name, index, type, true, defaultValue, description);
+  /** Returns the declaration of a setting. */
+  static <T> DeclaredSetting<T> of(
+      String name,
+      int index,
+      ValueType<T> type,
+      SettingReach reach,
+      T defaultValue,
+      String description) {
+    return new DeclaredSetting<>(name, index, type, reach, defaultValue, description);
   }
 
   @Override
@@ -57,8 +56,8 @@
   }
 
   @Override
-  public boolean perInstance() {
-    return perInstance;
+  public SettingReach reach() {
+    return reach;
   }
 
   @Override
--- a/settings/src/main/java/org/gentianslip/settings/InstanceValuesBuilder.java
+++ b/settings/src/main/java/org/gentianslip/settings/InstanceValuesBuilder.java
@@ -3,13 +3,11 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
-import java.util.Optional;
 import java.util.Set;
 import org.gentianslip.core.id.RegionId;
 
 /**
- * Computes the values that hold for whole instances, and finds those that are set where they cannot
- * hold.
+ * Computes the values that hold for whole instances, and finds those on which firms disagree.
  *
  * <p>Used by one thread.
  */
@@ -32,7 +30,6 @@
   }
 
   InstanceValues build() {
-    tree.forEach(this::findMisplaced);
     var byRegion = new HashMap<RegionId, ResolvedValues>();
     for (RegionId region : regions) {
       Scope scope = Scope.ALL.with(BranchLevel.REGION, region.value());
@@ -42,30 +39,6 @@
     return new InstanceValues(byRegion, values(Scope.ALL));
   }
 
-  private void findMisplaced(BranchNode node) {
-    Optional<BranchLevel> level = narrowLevel(node.scope());
-    if (level.isEmpty()) {
-      return;
-    }
-    for (Setting<?> setting : SettingCatalog.all()) {
-      Optional<Located<Object>> value = node.value(setting);
-      if (setting.perInstance() && value.isPresent()) {
-        findings.add(
-            value.get().place(),
-            String.format(
-                "%s holds for a whole instance and must be set in a branch of a firm or region,"
-                    + " but \"%s\" is for a %s",
-                setting.name(), node.id(), level.get().jsonName()));
-      }
-    }
-  }
-
-  private static Optional<BranchLevel> narrowLevel(Scope scope) {
-    return scope.name(BranchLevel.CUSTOMER).isPresent()
-        ? Optional.of(BranchLevel.CUSTOMER)
-        : scope.name(BranchLevel.KIND).map(k -> BranchLevel.KIND);
-  }
-
   private List<List<BranchNode>> branchesOfFirms(Scope scope) {
     var firms = new ArrayList<List<BranchNode>>();
     for (BranchNode node : tree) {
@@ -86,7 +59,7 @@
   private void findContradictions(Scope scope) {
     List<List<BranchNode>> firms = branchesOfFirms(scope);
     for (Setting<?> setting : SettingCatalog.all()) {
-      if (setting.perInstance()) {
+      if (setting.reach() == SettingReach.INSTANCE) {
         findContradiction(setting, firms);
       }
     }
--- a/settings/src/main/java/org/gentianslip/settings/ResolvedValues.java
+++ b/settings/src/main/java/org/gentianslip/settings/ResolvedValues.java
@@ -56,7 +56,9 @@
     for (Setting<?> setting : SettingCatalog.all()) {
       int i = setting.index();
       for (ResolvedValues firm : firms) {
-        if (setting.perInstance() && firm.isSet(setting) && !values.isSet(setting)) {
+        if (setting.reach() == SettingReach.INSTANCE
+            && firm.isSet(setting)
+            && !values.isSet(setting)) {
           values.values[i] = firm.values[i];
           values.origins[i] = firm.origins[i];
         }
--- a/settings/src/main/java/org/gentianslip/settings/Setting.java
+++ b/settings/src/main/java/org/gentianslip/settings/Setting.java
@@ -18,13 +18,8 @@
   /** Returns the place in {@link SettingCatalog#all()}, from 0. */
   int index();
 
-  /**
-   * Returns whether the value holds for a whole instance, whatever the request.
-   *
-   * <p>Such a value is set in branches of firms and regions only, and it is read from {@link
-   * Settings#instance}.
-   */
-  boolean perInstance();
+  /** Returns for what the value holds; values for instances come from {@link Settings#instance}. */
+  SettingReach reach();
 
   /** Returns the value that holds where no branch sets one. */
   T defaultValue();
--- a/settings/src/main/java/org/gentianslip/settings/SettingCatalog.java
+++ b/settings/src/main/java/org/gentianslip/settings/SettingCatalog.java
@@ -98,7 +98,8 @@
 
   /** The share of requests that may be retried. */
   public static final Setting<Double> RETRY_BUDGET =
-      declareForInstance(
+      declare(
+          SettingReach.INSTANCE,
           "retryBudgetShare",
           ValueType.share(),
           0.1,
@@ -122,36 +123,40 @@
 
   /** The share of a link that requests to another region may use. */
   public static final Setting<Double> LINK_BUDGET =
-      declareForInstance(
+      declare(
+          SettingReach.INSTANCE,
           "linkBudgetShare",
-          ValueType.share(),
+          ValueType.number("share of 1", 0.01, 1),
           0.5,
           "Bounds what requests to another region may use of the link's capacity.");
 
   /** The share of capacity that is kept for work that is not urgent. */
   public static final Setting<Double> OTHER_FLOOR =
-      declareForInstance(
+      declare(
+          SettingReach.INSTANCE,
           "otherFloorShare",
-          ValueType.share(),
+          ValueType.number("share of 1", 0, 0.9),
           0.1,
           "Keeps a share of the capacity for work that is not urgent, also in a flood.");
 
   /** The weight of a customer in the fair share within a rank. */
   public static final Setting<Double> CUSTOMER_WEIGHT =
       declare(
+          SettingReach.CUSTOMER,
           "customerWeight",
           ValueType.number("weight", 0.01, 1_000),
           1.0,
           "Weighs the customer against others of the same rank; twice the weight, twice the"
               + " share.");
 
-  /** The greatest number of requests that wait at one instance. */
+  /** The greatest number of requests of one rank and model that wait at one instance. */
   public static final Setting<Integer> MAX_QUEUE =
-      declareForInstance(
+      declare(
+          SettingReach.INSTANCE,
           "maxQueueLength",
-          ValueType.wholeNumber("requests", 0, 100_000),
+          ValueType.wholeNumber("requests", 1, 100_000),
           200,
-          "Bounds the requests that wait at one instance.");
+          "Bounds the requests of one rank and model that wait at one instance.");
 
   /** The length of the prompt's start that chooses an engine. */
   public static final Setting<Integer> PREFIX_TOKENS =
@@ -171,7 +176,8 @@
 
   /** How long a graceful shutdown waits for requests in flight. */
   public static final Setting<Duration> DRAIN_TIMEOUT =
-      declareForInstance(
+      declare(
+          SettingReach.INSTANCE,
           "drainTimeoutMillis",
           ValueType.millis(0, HOUR_MILLIS),
           Duration.ofMillis(600_000),
@@ -204,7 +210,8 @@
 
   /** The least severe level that is logged. */
   public static final Setting<String> LOG_LEVEL =
-      declareForInstance(
+      declare(
+          SettingReach.INSTANCE,
           "logLevel",
           ValueType.oneOf("severe", "warning", "info", "fine", "finest"),
           "info",
@@ -212,7 +219,8 @@
 
   /** The greatest number of log lines of one place in the code. */
   public static final Setting<Integer> LOG_RATE =
-      declareForInstance(
+      declare(
+          SettingReach.INSTANCE,
           "logRatePerSecond",
           ValueType.wholeNumber("lines per second", 1, 10_000),
           10,
@@ -252,15 +260,12 @@
 
   private static <T> Setting<T> declare(
       String name, ValueType<T> type, T defaultValue, String description) {
-    return add(DeclaredSetting.ofRequest(name, DECLARED.size(), type, defaultValue, description));
-  }
-
-  private static <T> Setting<T> declareForInstance(
-      String name, ValueType<T> type, T defaultValue, String description) {
-    return add(DeclaredSetting.ofInstance(name, DECLARED.size(), type, defaultValue, description));
+    return declare(SettingReach.REQUEST, name, type, defaultValue, description);
   }
 
-  private static <T> Setting<T> add(Setting<T> setting) {
+  private static <T> Setting<T> declare(
+      SettingReach reach, String name, ValueType<T> type, T defaultValue, String description) {
+    var setting = DeclaredSetting.of(name, DECLARED.size(), type, reach, defaultValue, description);
     DECLARED.add(setting);
     return setting;
   }
--- a/settings/src/main/java/org/gentianslip/settings/Settings.java
+++ b/settings/src/main/java/org/gentianslip/settings/Settings.java
@@ -70,7 +70,7 @@
    * <p>Settings that may differ between requests have their defaults in it.
    *
    * @param region the region of the instance
-   * @see Setting#perInstance()
+   * @see SettingReach#INSTANCE
    */
   EffectiveSettings instance(RegionId region);
 
--- a/settings/src/main/java/org/gentianslip/settings/SettingsParser.java
+++ b/settings/src/main/java/org/gentianslip/settings/SettingsParser.java
@@ -76,6 +76,7 @@
     content.regions.forEach(r -> regions.add(r.value().id()));
     Set<RegionId> regionIds = Collections.unmodifiableSet(regions);
     var selector = new BranchSelector(tree);
+    new ReachChecker(findings).check(tree);
     var instances = new InstanceValuesBuilder(tree, selector, regionIds, findings).build();
     var checker = new ContradictionChecker(tree, regionIds, content.links, findings);
     var builder = new EffectiveTableBuilder(tree, selector, regionIds, instances, checker);
--- a/settings/src/main/java/org/gentianslip/settings/SettingsReference.java
+++ b/settings/src/main/java/org/gentianslip/settings/SettingsReference.java
@@ -45,8 +45,13 @@
       lines.add("- Unit: " + setting.unit());
     }
     lines.add("- Default: " + defaultText(setting));
-    if (setting.perInstance()) {
-      lines.add("- Holds for a whole instance: set it in branches of firms and regions only");
+    if (setting.reach() != SettingReach.REQUEST) {
+      lines.add(
+          "- Holds for "
+              + setting.reach().phrase()
+              + ": set it in "
+              + setting.reach().allowedBranches()
+              + " only");
     }
     lines.add("");
     return String.join("\n", lines);
--- a/settings/src/test/java/org/gentianslip/settings/SettingsParserTest.java
+++ b/settings/src/test/java/org/gentianslip/settings/SettingsParserTest.java
@@ -328,9 +328,12 @@
         delimiter = '|',
         quoteCharacter = '`',
         value = {
-          "otherFloorShare|1.01|a number from 0 to 1",
-          "otherFloorShare|-0.1|a number from 0 to 1",
-          "otherFloorShare|'half'|a number from 0 to 1",
+          "otherFloorShare|1.01|a number from 0 to 0.9",
+          "otherFloorShare|-0.1|a number from 0 to 0.9",
+          "otherFloorShare|'half'|a number from 0 to 0.9",
+          "otherFloorShare|1|a number from 0 to 0.9",
+          "maxQueueLength|0|a whole number from 1 to 100000",
+          "linkBudgetShare|0|a number from 0.01 to 1",
           "deadlineMillis|0|a whole number from 1 to 3600000",
           "deadlineMillis|3600001|a whole number from 1 to 3600000",
           "deadlineMillis|1.5|a whole number from 1 to 3600000",
@@ -429,8 +432,19 @@
               new Finding(
                   Documents.SOURCE,
                   "/branches/1/values/logLevel",
-                  "logLevel holds for a whole instance and must be set in a branch of a firm or"
-                      + " region, but \"a\" is for a kind")));
+                  "logLevel holds for a whole instance and must be set in branches of firms and"
+                      + " regions, but \"a\" is for a kind")));
+    }
+
+    @Test
+    void findsCustomerValuesInBranchesOfKinds() {
+      SettingsDocument document =
+          withBranches(
+              firm(""),
+              branch("a", "acme", "customer", "shop", "\"customerWeight\": 2"),
+              branch("a.k", "a", "kind", "k", "\"customerWeight\": 3"));
+      assertThat(
+          pointers(Documents.findings(document)), contains("/branches/2/values/customerWeight"));
     }
 
     @Test
