--- a/demo/src/main/java/org/gentianslip/demo/CurlCommands.java
+++ b/demo/src/main/java/org/gentianslip/demo/CurlCommands.java
@@ -41,7 +41,8 @@
   }
 
   private static String headers(WorkShare share) {
-    return "-H 'Authorization: Bearer %s' -H 'X-Kind: %s'".formatted(share.key(), share.kind());
+    return "-H 'Content-Type: application/json' -H 'Authorization: Bearer %s' -H 'X-Kind: %s'"
+        .formatted(share.key(), share.kind());
   }
 
   private static WorkShare first(Workload workload, ActionType action) {
--- a/entry/src/main/java/org/gentianslip/entry/process/EntryProcess.java
+++ b/entry/src/main/java/org/gentianslip/entry/process/EntryProcess.java
@@ -112,7 +112,6 @@
     process.watch();
     process.schedule();
     process.listen();
-    process.controlLogs();
     LOGGER.atInfo().log(
         "entry: %s %s listens on %s:%s.",
         place.instance(), process.state.incarnation(), place.host(), place.callerPort());
@@ -157,9 +156,6 @@
     every(HELLO_MILLIS, () -> hellos.round(System.nanoTime()));
     every(SWEEP_MILLIS, () -> ledger.sweep(System.nanoTime()));
     every(SHARE_MILLIS, () -> state.refreshShares(System.nanoTime()));
-  }
-
-  private void controlLogs() {
     every(SWEEP_MILLIS, this::applyLogSettings);
   }
 
