--- a/burn/src/main/java/org/gentianslip/burn/report/TextReport.java
+++ b/burn/src/main/java/org/gentianslip/burn/report/TextReport.java
@@ -15,6 +15,7 @@
 public final class TextReport {
 
   private static final double PERCENT = 100;
+  private static final int LEAST_PERCENT = -999;
 
   private TextReport() {}
 
@@ -66,7 +67,14 @@
       line.append(String.format(Locale.ROOT, "%9.2f", window.rate()));
     }
     double total = burn.windows().get(burn.windows().size() - 1).total();
-    line.append(String.format(Locale.ROOT, "%8.1f%%", PERCENT * burn.budgetLeft()));
+    line.append(String.format("%9s", left(burn)));
     return line.append(String.format(Locale.ROOT, "%10.0f", total)).toString();
   }
+
+  private static String left(ObjectiveBurn burn) {
+    double percent = PERCENT * burn.budgetLeft();
+    return percent < LEAST_PERCENT
+        ? "<" + LEAST_PERCENT + "%"
+        : String.format(Locale.ROOT, "%.1f%%", percent);
+  }
 }
