Declare the settings of orders by their reach

Change: the five settings are declared for a whole instance. Figures: `mvn -B -ntp -q verify -pl entry,ctl,standin -am` passes.

--- a/settings/src/main/java/org/gentianslip/settings/SettingCatalog.java
+++ b/settings/src/main/java/org/gentianslip/settings/SettingCatalog.java
@@ -244,7 +244,8 @@
 
   /** The models that the region's engines are to have loaded. */
   public static final Setting<Set<String>> ENGINE_MODELS =
-      declareForInstance(
+      declare(
+          SettingReach.INSTANCE,
           "engineModels",
           ValueType.names(),
           Set.of(),
@@ -252,7 +253,8 @@
 
   /** The adapters that the region's engines are to have loaded. */
   public static final Setting<Set<String>> ENGINE_ADAPTERS =
-      declareForInstance(
+      declare(
+          SettingReach.INSTANCE,
           "engineAdapters",
           ValueType.names(),
           Set.of(),
@@ -260,7 +262,8 @@
 
   /** The version of the weights that the region's engines are to have; empty for any. */
   public static final Setting<String> ENGINE_VERSION =
-      declareForInstance(
+      declare(
+          SettingReach.INSTANCE,
           "engineVersion",
           ValueType.name(),
           "",
@@ -268,7 +271,8 @@
 
   /** The role that the region's engines are to have; empty for any. */
   public static final Setting<String> ENGINE_ROLE =
-      declareForInstance(
+      declare(
+          SettingReach.INSTANCE,
           "engineRole",
           ValueType.name(),
           "",
@@ -276,7 +280,8 @@
 
   /** The rate of the weight store. */
   public static final Setting<Double> WEIGHT_STORE_RATE =
-      declareForInstance(
+      declare(
+          SettingReach.INSTANCE,
           "weightStoreLoadsPerMinute",
           ValueType.number("loads per minute", 0.01, 100_000),
           6.0,
