Close the config stand-in while its watchers go away

Cause: a config process that was told to end at the same moment as its readers never ended and kept its port. close() held the monitor while it waited for the event loops, and an event loop that saw a watcher go away waited for the monitor. Ruled out: more event loops; the wait only gets rarer. A test cancels 16 watches while the stand-in closes, 30 times.

--- a/standin/src/test/java/org/gentianslip/standin/config/ConfigStandinTest.java
+++ b/standin/src/test/java/org/gentianslip/standin/config/ConfigStandinTest.java
@@ -7,13 +7,17 @@
 import static org.hamcrest.Matchers.instanceOf;
 import static org.hamcrest.Matchers.is;
 import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTimeoutPreemptively;
 
 import java.io.IOException;
+import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalLong;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
+import okhttp3.Call;
 import org.gentianslip.standin.http.Digests;
 import org.gentianslip.standin.http.Json;
 import org.gentianslip.standin.http.TestClient;
@@ -26,6 +30,8 @@
 @Timeout(60)
 class ConfigStandinTest {
 
+  private static final String WATCH = "/v1/values/directory?after=1&waitMillis=60000";
+
   private ConfigStandin config =
       ConfigStandin.start(ConfigOptions.defaults(), Map.of("directory", "{\"version\":1}"));
   private final TestClient client = new TestClient(() -> config.port());
@@ -88,6 +94,21 @@
       assertThat(client.get("/v1/values/directory").status(), is(503));
     }
 
+    @Test
+    void closesWhileWatchersGoAway() {
+      for (int round = 0; round < 30; round++) {
+        var calls = new ArrayList<Call>();
+        for (int i = 0; i < 16; i++) {
+          calls.add(client.start("GET", WATCH, null, Map.of()));
+          client.enqueue(calls.get(i));
+        }
+        awaitWatches(16);
+        calls.forEach(Call::cancel);
+        assertTimeoutPreemptively(Duration.ofSeconds(20), config::close);
+        config = ConfigStandin.start(ConfigOptions.defaults(), Map.of("directory", "1"));
+      }
+    }
+
     private void awaitWatches(int number) {
       await().until(() -> config.calls().waiting() == number);
     }
