Refuse an endless body once it exceeds the limit

Cause: a trial sent 200 MB in chunks, without a length, with a valid key; the guard looked at the length in the head only, and the instance read on and never answered. Ruled out: the limit of the server library alone; it refused nothing in the trial. Change: RequestGuard counts the parts of a body, answers 413 and closes the connection. Conclusion: the guard refuses; that it stands in every connection of a process is not shown here.

--- a/entry/src/main/java/org/gentianslip/entry/http/RequestGuard.java
+++ b/entry/src/main/java/org/gentianslip/entry/http/RequestGuard.java
@@ -5,6 +5,7 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponseStatus;
@@ -31,6 +32,8 @@
   private final HeadCheck check;
   private final long maxBodyBytes;
   private boolean refused;
+  private HttpRequest current;
+  private long receivedBytes;
   private Future<?> deadline;
 
   RequestGuard(HeadCheck check, long maxBodyBytes) {
@@ -52,6 +55,13 @@
         return;
       }
       startDeadline(ctx);
+      current = request;
+      receivedBytes = 0;
+    }
+    if (msg instanceof HttpContent content && isTooMuch(content)) {
+      refuse(ctx, current, bodyTooLarge());
+      ReferenceCountUtil.release(msg);
+      return;
     }
     if (msg instanceof LastHttpContent) {
       stopDeadline();
@@ -64,14 +74,23 @@
       return Optional.of(malformed(request.decoderResult().cause()));
     }
     if (HttpUtil.getContentLength(request, 0L) > maxBodyBytes) {
-      return Optional.of(
-          ErrorReply.notRun(
-              ErrorCode.BODY_TOO_LARGE,
-              "The body is larger than the " + maxBodyBytes + " bytes that are read."));
+      return Optional.of(bodyTooLarge());
     }
     return check.refusal(request);
   }
 
+  /** Counts a part of a body, whose length its head need not tell. */
+  private boolean isTooMuch(HttpContent content) {
+    receivedBytes += content.content().readableBytes();
+    return current != null && receivedBytes > maxBodyBytes;
+  }
+
+  private ErrorReply bodyTooLarge() {
+    return ErrorReply.notRun(
+        ErrorCode.BODY_TOO_LARGE,
+        "The body is larger than the " + maxBodyBytes + " bytes that are read.");
+  }
+
   private static ErrorReply malformed(Throwable cause) {
     return cause instanceof TooLongHttpHeaderException
             || cause instanceof io.netty.handler.codec.http.TooLongHttpLineException
--- /dev/null
+++ b/entry/src/test/java/org/gentianslip/entry/http/RequestGuardTest.java
@@ -0,0 +1,51 @@
+package org.gentianslip.entry.http;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.nullValue;
+
+import io.netty.buffer.Unpooled;
+import io.netty.channel.embedded.EmbeddedChannel;
+import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.DefaultHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpVersion;
+import org.junit.jupiter.api.Test;
+
+class RequestGuardTest {
+
+  private static final int MAX_BYTES = 100;
+
+  private final EmbeddedChannel channel =
+      new EmbeddedChannel(new RequestGuard(HeadCheck.NONE, MAX_BYTES));
+
+  @Test
+  void refusesEndlessBodiesOnceTheyExceedTheLimit() {
+    begin();
+    send(MAX_BYTES);
+    assertThat(channel.readOutbound(), is(nullValue()));
+    send(1);
+    FullHttpResponse response = channel.readOutbound();
+    assertThat(response.status().code(), is(413));
+    assertThat(channel.isOpen(), is(false));
+    response.release();
+  }
+
+  @Test
+  void countsEachBodyOnItsOwn() {
+    begin();
+    send(MAX_BYTES);
+    begin();
+    send(MAX_BYTES);
+    assertThat(channel.readOutbound(), is(nullValue()));
+  }
+
+  private void begin() {
+    channel.writeInbound(new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST, "/"));
+  }
+
+  private void send(int bytes) {
+    channel.writeInbound(new DefaultHttpContent(Unpooled.wrappedBuffer(new byte[bytes])));
+  }
+}
