Put the guard where the server's handler is, and prove residency and adoption

Cause: tests of residency hung and then failed. Three causes. The config stand-in held its lock while it waited for connections that ask for the same lock to end. The guard was not in any connection: the network library offers the connection before the server has set it up, so there was no handler to stand before; the oversized-head case of BadInputTest saw the same. And the tests took ports that outgoing connections are given as well. Ruled out: the extension not being found (it was called); a lost wake-up in the stand-in (the thread dump shows who waits for whom). Change: the stand-in closes without its lock; the guard is inserted by an initializer of its own after the server's; tests take ports below the dynamic range.

--- a/entry/src/main/java/org/gentianslip/entry/http/GuardInstaller.java
+++ b/entry/src/main/java/org/gentianslip/entry/http/GuardInstaller.java
@@ -2,6 +2,7 @@
 
 import io.netty.bootstrap.ChannelInitializerExtension;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelInitializer;
 import java.net.InetSocketAddress;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
@@ -44,14 +45,28 @@
       return;
     }
     Guarded guarded = PORTS.get(local.getPort());
-    if (guarded == null || channel.pipeline().get(SERVER_HANDLER) == null) {
-      return;
+    if (guarded != null) {
+      channel.pipeline().addLast(new Insertion(guarded));
+    }
+  }
+
+  /** Inserts the guard once the server has set up the connection. Used once. */
+  private static final class Insertion extends ChannelInitializer<Channel> {
+
+    private final Guarded guarded;
+
+    private Insertion(Guarded guarded) {
+      this.guarded = guarded;
+    }
+
+    @Override
+    protected void initChannel(Channel channel) {
+      channel
+          .pipeline()
+          .addBefore(
+              SERVER_HANDLER,
+              "request-guard",
+              new RequestGuard(guarded.check(), guarded.maxBodyBytes()));
     }
-    channel
-        .pipeline()
-        .addBefore(
-            SERVER_HANDLER,
-            "request-guard",
-            new RequestGuard(guarded.check(), guarded.maxBodyBytes()));
   }
 }
--- /dev/null
+++ b/entry/src/test/java/org/gentianslip/entry/process/LoopbackFleet.java
@@ -0,0 +1,297 @@
+package org.gentianslip.entry.process;
+
+import static org.awaitility.Awaitility.await;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import okhttp3.ConnectionPool;
+import okhttp3.MediaType;
+import okhttp3.OkHttpClient;
+import okhttp3.Request;
+import okhttp3.RequestBody;
+import org.gentianslip.core.id.DataCentreId;
+import org.gentianslip.core.id.InstanceId;
+import org.gentianslip.core.id.RegionId;
+import org.gentianslip.entry.http.Sha256;
+import org.gentianslip.standin.config.ConfigOptions;
+import org.gentianslip.standin.config.ConfigStandin;
+import org.gentianslip.standin.engine.EngineOptions;
+import org.gentianslip.standin.engine.EngineStandin;
+import org.gentianslip.standin.relay.RelayOptions;
+import org.gentianslip.standin.relay.RelayRoute;
+import org.gentianslip.standin.relay.RelayStandin;
+
+/**
+ * Runs instances and engines of the regions north and south in this process.
+ *
+ * <p>Hellos and forwarded requests between the regions pass a relay that captures them. The
+ * customer {@code free} may be served anywhere, the customer {@code bound} in the south only. Not
+ * safe for use by several threads.
+ */
+final class LoopbackFleet implements AutoCloseable {
+
+  static final String NORTH = "north";
+  static final String SOUTH = "south";
+  static final String OPERATOR_KEY = "operator-key";
+  static final String PEER_KEY = "peer-key";
+
+  private static final ObjectMapper JSON = new ObjectMapper();
+  private static final Duration PATIENCE = Duration.ofSeconds(20);
+  private static final int CAPTURE_BYTES = 4 << 20;
+  private static final int PORTS = 3;
+  private static final AtomicInteger NEXT_PORT = new AtomicInteger(26_000);
+
+  final ConfigStandin config = ConfigStandin.start(ConfigOptions.defaults());
+  final RelayStandin relay;
+  final Map<String, EngineStandin> engines = new LinkedHashMap<>();
+  final Map<String, EntryProcess> entries = new LinkedHashMap<>();
+  final Map<String, EntryPlace> places = new LinkedHashMap<>();
+  private final Map<String, String> engineStates = new LinkedHashMap<>();
+  private final Map<String, Integer> relayPorts = new LinkedHashMap<>();
+  private final OkHttpClient client =
+      new OkHttpClient.Builder()
+          .retryOnConnectionFailure(false)
+          .connectionPool(new ConnectionPool(0, 1, TimeUnit.SECONDS))
+          .readTimeout(PATIENCE)
+          .build();
+  private int listVersion;
+
+  /**
+   * Holds an answer.
+   *
+   * @param status the status code
+   * @param outcome the header {@code X-Outcome}, or null
+   * @param served the header {@code X-Served-Region}, or null
+   * @param id the header {@code X-Request-Id}, or null
+   * @param body the body
+   */
+  record Answer(int status, String outcome, String served, String id, String body) {}
+
+  private LoopbackFleet(int perRegion, int slots) {
+    List<RelayRoute> routes = new ArrayList<>();
+    for (String region : List.of(NORTH, SOUTH)) {
+      engines.put(region, EngineStandin.start(engineOptions(region, slots)));
+      engineStates.put(region, "live");
+      for (int i = 0; i < perRegion; i++) {
+        EntryPlace place = place(region, i);
+        places.put(place.instance().value(), place);
+        routes.add(RelayRoute.to(place.peerPort(), "any/" + region));
+      }
+    }
+    relay =
+        RelayStandin.start(
+            RelayOptions.of(routes.toArray(RelayRoute[]::new)).withCaptureBytes(CAPTURE_BYTES));
+    int index = 0;
+    for (String id : places.keySet()) {
+      relayPorts.put(id, relay.routePort(index++));
+    }
+    publishList();
+  }
+
+  /** Starts a fleet whose instances are ready. */
+  static LoopbackFleet start(int perRegion, int slots) {
+    var fleet = new LoopbackFleet(perRegion, slots);
+    fleet.publishSettings(Map.of());
+    fleet.places.keySet().forEach(fleet::startEntry);
+    fleet.awaitReady();
+    return fleet;
+  }
+
+  private static EngineOptions engineOptions(String region, int slots) {
+    return EngineOptions.builder("engine-" + region)
+        .region(region)
+        .models(List.of("m"))
+        .slots(slots)
+        .build();
+  }
+
+  private EntryPlace place(String region, int number) {
+    List<Integer> ports = freePorts();
+    return new EntryPlace(
+        InstanceId.of(region + "-" + number),
+        RegionId.of(region),
+        DataCentreId.of(region + "-1"),
+        "127.0.0.1",
+        ports.get(0),
+        ports.get(1),
+        ports.get(2),
+        "127.0.0.1:" + config.port(),
+        PEER_KEY,
+        OPERATOR_KEY);
+  }
+
+  /** Returns free ports below those that outgoing connections are given. */
+  private static List<Integer> freePorts() {
+    List<Integer> ports = new ArrayList<>();
+    while (ports.size() < PORTS) {
+      int port = NEXT_PORT.getAndIncrement();
+      try (var socket = new ServerSocket(port, 1, InetAddress.getLoopbackAddress())) {
+        ports.add(socket.getLocalPort());
+      } catch (IOException e) {
+        continue;
+      }
+    }
+    return ports;
+  }
+
+  /** Starts an instance, or its successor at the same addresses. */
+  void startEntry(String id) {
+    entries.put(id, EntryProcess.start(places.get(id)));
+  }
+
+  void awaitReady() {
+    entries.values().forEach(e -> await().atMost(PATIENCE).until(e::ready));
+  }
+
+  /** Publishes the next revision of the settings with values at the root branch. */
+  void publishSettings(Map<String, Object> values) {
+    config.publishSettings(List.of(settings(values)));
+  }
+
+  /** Publishes a list in which the engine of a region has another state. */
+  void listEngine(String region, String state) {
+    engineStates.put(region, state);
+    publishList();
+  }
+
+  private void publishList() {
+    listVersion++;
+    config.put("instances/" + NORTH, list(NORTH).toString());
+    config.put("instances/" + SOUTH, list(SOUTH).toString());
+  }
+
+  private ObjectNode list(String viewer) {
+    ObjectNode root = JSON.createObjectNode().put("version", listVersion);
+    ArrayNode listed = root.putArray("entries");
+    places.forEach(
+        (id, p) -> {
+          boolean near = p.region().value().equals(viewer);
+          int peerPort = near ? p.peerPort() : relayPorts.get(id);
+          listed
+              .addObject()
+              .put("id", id)
+              .put("region", p.region().value())
+              .put("dataCentre", p.dataCentre().value())
+              .put("callerAddress", "127.0.0.1:" + p.callerPort())
+              .put("peerAddress", "127.0.0.1:" + peerPort)
+              .put("operatorAddress", "127.0.0.1:" + p.operatorPort())
+              .put("state", "live");
+        });
+    ArrayNode backends = root.putArray("backends");
+    engines.forEach(
+        (region, engine) ->
+            backends
+                .addObject()
+                .put("id", "engine-" + region)
+                .put("region", region)
+                .put("dataCentre", region + "-1")
+                .put("address", "127.0.0.1:" + engine.port())
+                .put("type", "model")
+                .put("slots", 2)
+                .put("state", engineStates.get(region))
+                .putArray("models")
+                .add("m"));
+    return root;
+  }
+
+  private static JsonNode settings(Map<String, Object> values) {
+    ObjectNode root = JSON.createObjectNode();
+    for (String region : List.of(NORTH, SOUTH)) {
+      root.withArray("regions")
+          .addObject()
+          .put("id", region)
+          .putArray("dataCentres")
+          .add(region + "-1");
+    }
+    ObjectNode link = root.withArray("links").addObject();
+    link.putArray("between").add(NORTH).add(SOUTH);
+    link.put("oneWayMillis", 1).put("megabitsPerSecond", 1000);
+    root.withArray("models").add("m");
+    for (String customer : List.of("free", "bound")) {
+      root.withArray("customers")
+          .addObject()
+          .put("id", customer)
+          .put("firm", "firm")
+          .put("keySha256", Sha256.hex(customer + "-key"));
+    }
+    ArrayNode branches = root.withArray("branches");
+    ObjectNode firm = branches.addObject().put("id", "firm").put("level", "firm");
+    firm.put("name", "firm").set("values", JSON.valueToTree(values));
+    branches
+        .addObject()
+        .put("id", "firm.ask")
+        .put("parent", "firm")
+        .put("level", "kind")
+        .put("name", "ask")
+        .putObject("values");
+    branches
+        .addObject()
+        .put("id", "firm.bound")
+        .put("parent", "firm")
+        .put("level", "customer")
+        .put("name", "bound")
+        .putObject("values")
+        .putArray("allowedRegions")
+        .add(SOUTH);
+    return root;
+  }
+
+  /** Asks a model through an instance. */
+  Answer ask(String entry, String customer, String prompt) throws IOException {
+    ObjectNode body = JSON.createObjectNode().put("model", "m").put("prompt", prompt);
+    body.put("max_tokens", 3);
+    return call(
+        new Request.Builder()
+            .url("http://127.0.0.1:" + places.get(entry).callerPort() + "/v1/completions")
+            .header("Authorization", "Bearer " + customer + "-key")
+            .header("X-Kind", "ask")
+            .post(RequestBody.create(body.toString(), MediaType.get("application/json")))
+            .build());
+  }
+
+  /** Reads a page of an instance's operator port. */
+  String operatorPage(String entry, String path) throws IOException {
+    return call(new Request.Builder()
+            .url("http://127.0.0.1:" + places.get(entry).operatorPort() + path)
+            .header("X-Operator-Key", OPERATOR_KEY)
+            .build())
+        .body();
+  }
+
+  /** Returns the settings revision in force at an instance. */
+  long revisionAt(String entry) throws IOException {
+    return JSON.readTree(operatorPage(entry, "/status")).path("settingsRevision").asLong();
+  }
+
+  /** Sends any request. */
+  Answer call(Request request) throws IOException {
+    try (var response = client.newCall(request).execute()) {
+      return new Answer(
+          response.code(),
+          response.header("X-Outcome"),
+          response.header("X-Served-Region"),
+          response.header("X-Request-Id"),
+          response.body().string());
+    }
+  }
+
+  @Override
+  public void close() {
+    entries.values().forEach(EntryProcess::close);
+    engines.values().forEach(EngineStandin::close);
+    relay.close();
+    config.close();
+  }
+}
--- /dev/null
+++ b/entry/src/test/java/org/gentianslip/entry/process/SettingsInForceTest.java
@@ -0,0 +1,128 @@
+package org.gentianslip.entry.process;
+
+import static org.awaitility.Awaitility.await;
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.containsString;
+import static org.hamcrest.Matchers.is;
+
+import java.io.IOException;
+import java.time.Duration;
+import java.util.Map;
+import org.gentianslip.standin.config.ConfigMode;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.DisplayName;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+@DisplayName("An accepted revision of the settings")
+class SettingsInForceTest {
+
+  private static final Duration PATIENCE = Duration.ofSeconds(15);
+  private static final Duration SETTLE = Duration.ofSeconds(3);
+
+  private LoopbackFleet fleet;
+
+  @BeforeEach
+  void start() {
+    fleet = LoopbackFleet.start(2, 2);
+  }
+
+  @AfterEach
+  void stop() {
+    fleet.close();
+  }
+
+  private void awaitEverywhere(long revision) {
+    for (String id : fleet.places.keySet()) {
+      await().atMost(PATIENCE).until(() -> fleet.revisionAt(id) == revision);
+    }
+  }
+
+  /** Fails if the revision is anything else at any time of a while. */
+  private void assertStays(String id, long revision) {
+    await()
+        .pollInterval(Duration.ofMillis(100))
+        .during(SETTLE)
+        .atMost(PATIENCE)
+        .until(() -> fleet.revisionAt(id) == revision);
+  }
+
+  @Test
+  void comesIntoForceEverywhere() {
+    fleet.publishSettings(Map.of("queueTimeoutMillis", 4000));
+    awaitEverywhere(2);
+  }
+
+  @Nested
+  @DisplayName("when the config service is down")
+  class ServiceDown {
+
+    @BeforeEach
+    void publishThenLose() {
+      fleet.publishSettings(Map.of("queueTimeoutMillis", 4000));
+      awaitEverywhere(2);
+      fleet.config.setMode(ConfigMode.DOWN, 0);
+    }
+
+    @Test
+    void staysInForce() {
+      assertStays("north-0", 2);
+    }
+  }
+
+  @Nested
+  @DisplayName("when the config service is restored to an older one")
+  class ServiceRestored {
+
+    @BeforeEach
+    void publishThenRestore() {
+      fleet.publishSettings(Map.of("queueTimeoutMillis", 4000));
+      awaitEverywhere(2);
+      fleet.config.restore(1);
+    }
+
+    @Test
+    void doesNotRevert() {
+      assertStays("south-0", 2);
+    }
+
+    @Test
+    void isTakenFromPeersByReplacedInstances() {
+      fleet.entries.get("north-1").close();
+      fleet.startEntry("north-1");
+      fleet.awaitReady();
+      assertStays("north-1", 2);
+    }
+  }
+
+  @Nested
+  @DisplayName("when an invalid one follows")
+  class InvalidFollows {
+
+    @BeforeEach
+    void publishInvalid() {
+      fleet.publishSettings(Map.of("queueTimeoutMillis", -1));
+    }
+
+    @Test
+    void staysInForce() {
+      assertStays("north-0", 1);
+    }
+
+    @Test
+    void isShownBesideTheFaultsOfTheOther() throws IOException {
+      await()
+          .atMost(PATIENCE)
+          .until(() -> fleet.operatorPage("south-1", "/status").contains("rejectedRevision"));
+      assertThat(fleet.operatorPage("south-1", "/status"), containsString("queueTimeoutMillis"));
+    }
+
+    @Test
+    void isFollowedByTheNextValidOne() throws IOException {
+      fleet.publishSettings(Map.of("queueTimeoutMillis", 3000));
+      awaitEverywhere(3);
+      assertThat(fleet.revisionAt("south-1"), is(3L));
+    }
+  }
+}
--- a/standin/src/main/java/org/gentianslip/standin/config/ConfigStandin.java
+++ b/standin/src/main/java/org/gentianslip/standin/config/ConfigStandin.java
@@ -171,9 +171,14 @@
     return budget.counts(watches.size());
   }
 
+  /** Stops serving; it holds no lock, since connections that end ask for it. */
   @Override
-  public synchronized void close() {
-    endpoint.close();
+  public void close() {
+    HttpEndpoint started;
+    synchronized (this) {
+      started = endpoint;
+    }
+    started.close();
   }
 
   boolean admit(long nowNanos) {
