--- a/demo/src/main/java/org/gentianslip/demo/fleet/Fleet.java
+++ b/demo/src/main/java/org/gentianslip/demo/fleet/Fleet.java
@@ -28,6 +28,9 @@
   /** The key of the operators of a fleet's instances. */
   public static final String OPERATOR_KEY = "demo-operator-key";
 
+  /** The number of bytes of each link that can be looked at later. */
+  public static final int CAPTURE_BYTES = 4 * 1024 * 1024;
+
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
   private static final ObjectMapper JSON = new ObjectMapper();
   private static final long READY_NANOS = TimeUnit.SECONDS.toNanos(60);
@@ -192,6 +195,16 @@
     }
   }
 
+  /**
+   * Returns the first bytes that crossed the link between two regions, a character each.
+   *
+   * @throws IOException if the relay does not answer
+   */
+  public String captured(String first, String second) throws IOException {
+    String relay = FleetLayout.LOOPBACK + ":" + layout.relayPort();
+    return control.latin1(relay, "/admin/capture?link=" + first + "/" + second);
+  }
+
   /**
    * Gives an order to a stand-in.
    *
--- a/demo/src/main/java/org/gentianslip/demo/fleet/HttpControl.java
+++ b/demo/src/main/java/org/gentianslip/demo/fleet/HttpControl.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import java.io.IOException;
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import okhttp3.Headers;
 import okhttp3.MediaType;
@@ -36,6 +37,13 @@
     }
   }
 
+  /** Returns the bytes of an answer, a character each. */
+  String latin1(String address, String path) throws IOException {
+    try (Response response = client.newCall(get(address, path, Headers.EMPTY)).execute()) {
+      return new String(response.body().bytes(), StandardCharsets.ISO_8859_1);
+    }
+  }
+
   JsonNode json(String address, String path, Headers headers) throws IOException {
     return JSON.readTree(text(address, path, headers));
   }
--- a/demo/src/main/java/org/gentianslip/demo/fleet/ProcessStarter.java
+++ b/demo/src/main/java/org/gentianslip/demo/fleet/ProcessStarter.java
@@ -61,7 +61,9 @@
         "--port",
         Integer.toString(layout.relayPort()),
         "--config",
-        file.toString());
+        file.toString(),
+        "--capture-bytes",
+        Integer.toString(Fleet.CAPTURE_BYTES));
   }
 
   ChildProcess backend(BackendNode backend) throws IOException {
--- a/demo/src/test/java/org/gentianslip/demo/TestCalls.java
+++ b/demo/src/test/java/org/gentianslip/demo/TestCalls.java
@@ -19,6 +19,18 @@
     return spec(ActionType.CHAT_STREAM, maxTokens);
   }
 
+  /** Returns a streamed chat of a customer of the fleet qadri whose prompt holds a mark. */
+  static CallSpec marked(String customer, String mark, int maxTokens) {
+    WorkShare base =
+        Workload.named("qadri").only(ActionType.CHAT_STREAM).shares().stream()
+            .filter(share -> share.customer().value().equals(customer))
+            .findFirst()
+            .orElseThrow();
+    String id = "marked-" + System.nanoTime() + "-" + COUNT.incrementAndGet();
+    WorkShare share = base.withAction(ActionType.CHAT_STREAM, maxTokens);
+    return new CallSpec(RequestId.of(id), share, mark + " " + id);
+  }
+
   /** Returns a booking of a shop of the fleet qadri. */
   static CallSpec booking() {
     return spec(ActionType.SERVICE_WRITE, 0);
