--- /dev/null
+++ b/entry/src/test/java/org/gentianslip/entry/service/CutRelay.java
@@ -0,0 +1,118 @@
+package org.gentianslip.entry.service;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.io.UncheckedIOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.Queue;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.atomic.AtomicLong;
+
+/**
+ * Passes bytes on between an instance and a service, up to a given byte of each direction.
+ *
+ * <p>Safe for use by several threads.
+ */
+final class CutRelay implements AutoCloseable {
+
+  /**
+   * Tells where the next connections break.
+   *
+   * @param requestBytes the bytes of the request that pass
+   * @param answerBytes the bytes of the answer that pass
+   * @param silent whether the connection stays open and silent; if not, it is closed
+   */
+  record Cut(long requestBytes, long answerBytes, boolean silent) {
+
+    static final Cut NONE = new Cut(Long.MAX_VALUE, Long.MAX_VALUE, false);
+  }
+
+  final AtomicLong requestBytes = new AtomicLong();
+  final AtomicLong answerBytes = new AtomicLong();
+  private final ServerSocket listener;
+  private final int target;
+  private final Queue<Socket> sockets = new ConcurrentLinkedQueue<>();
+  private volatile Cut cut = Cut.NONE;
+
+  CutRelay(int target) throws IOException {
+    this.target = target;
+    this.listener = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+    start(this::accept);
+  }
+
+  int port() {
+    return listener.getLocalPort();
+  }
+
+  void cutAt(Cut next) {
+    requestBytes.set(0);
+    answerBytes.set(0);
+    cut = next;
+  }
+
+  @Override
+  public void close() throws IOException {
+    listener.close();
+    for (Socket s : sockets) {
+      s.close();
+    }
+  }
+
+  private void accept() {
+    try {
+      while (true) {
+        Socket near = listener.accept();
+        Socket far = new Socket(InetAddress.getLoopbackAddress(), target);
+        sockets.add(near);
+        sockets.add(far);
+        Cut now = cut;
+        start(() -> pass(near, far, now.requestBytes(), requestBytes, now.silent()));
+        start(() -> pass(far, near, now.answerBytes(), answerBytes, now.silent()));
+      }
+    } catch (IOException e) {
+      // The relay was closed.
+    }
+  }
+
+  private static void pass(Socket from, Socket to, long limit, AtomicLong passed, boolean silent) {
+    try {
+      InputStream in = from.getInputStream();
+      OutputStream out = to.getOutputStream();
+      long left = limit;
+      byte[] buffer = new byte[8192];
+      while (left > 0) {
+        int n = in.read(buffer, 0, (int) Math.min(buffer.length, left));
+        if (n < 0) {
+          break;
+        }
+        out.write(buffer, 0, n);
+        passed.addAndGet(n);
+        left -= n;
+      }
+      if (left > 0 || !silent) {
+        from.close();
+        to.close();
+      }
+    } catch (IOException e) {
+      closeBoth(from, to);
+    }
+  }
+
+  private static void closeBoth(Socket a, Socket b) {
+    try {
+      a.close();
+      b.close();
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+  }
+
+  private static void start(Runnable task) {
+    Thread thread = new Thread(task, "cut-relay");
+    thread.setDaemon(true);
+    thread.start();
+  }
+}
--- a/standin/src/main/java/org/gentianslip/standin/config/ConfigStandin.java
+++ b/standin/src/main/java/org/gentianslip/standin/config/ConfigStandin.java
@@ -171,9 +171,14 @@
     return budget.counts(watches.size());
   }
 
+  /** Closes without the monitor, since watches that end with their connections need it. */
   @Override
-  public synchronized void close() {
-    endpoint.close();
+  public void close() {
+    HttpEndpoint open;
+    synchronized (this) {
+      open = endpoint;
+    }
+    open.close();
   }
 
   boolean admit(long nowNanos) {
