--- a/bench/src/main/java/org/gentianslip/bench/report/TextReport.java
+++ b/bench/src/main/java/org/gentianslip/bench/report/TextReport.java
@@ -36,14 +36,15 @@
   private static final String FLEET_HEADER =
       String.format(
           Locale.ROOT,
-          "%-16s %6s %8s %8s %6s %7s %7s %8s %8s %8s",
+          "%-16s %6s %8s %7s %6s %7s %6s %7s %7s %7s %7s",
           "policy",
           "away%",
           "link MB",
-          "c/1000",
+          "c/Mtok",
           "hit%",
           "retry%",
           "work%",
+          "other%",
           "keepU%",
           "keepO%",
           "after%");
@@ -60,8 +61,9 @@
         "and late; early%%: refused at arrival; waitd%%: refused after a wait; fail%%: broken");
     line(
         text,
-        "off; c/1000: cost of 1000 answers in time, cents; hit%%: prefix found in the cache;");
-    line(text, "work%%: work in time in the event window against the engines' capacity; keepU%%,");
+        "off; c/Mtok: cost of a million tokens in time, cents; hit%%: prefix found in the cache;");
+    line(text, "work%%: work in time in the event window against the engines' capacity;");
+    line(text, "other%%: the other rank's part of that work; keepU%%,");
     line(text, "keepO%%: least share in time of a customer outside the flood in the event window,");
     line(text, "by rank; after%%: urgent in time after the event window");
     String heading = "";
@@ -119,14 +121,15 @@
     RunResult run = result.run();
     line(
         text,
-        "%-16s %6.2f %8.1f %8.2f %6.1f %7.2f %7.1f %8.2f %8.2f %8.2f",
+        "%-16s %6.2f %8.1f %7.2f %6.1f %7.2f %6.1f %7.1f %7.2f %7.2f %7.2f",
         result.contender(),
         PERCENT * run.sentAwayShare(),
         run.linkBytes() / BYTES_PER_MEGABYTE,
-        run.centsPerThousand(),
+        run.centsPerMillionTokens(),
         PERCENT * run.prefixHitShare(),
         PERCENT * run.retryShare(),
         PERCENT * result.eventGoodput(),
+        PERCENT * result.otherWork() / Math.max(Double.MIN_NORMAL, result.eventGoodput()),
         PERCENT * run.leastCustomerShare(Rank.URGENT),
         PERCENT * run.leastCustomerShare(Rank.OTHER),
         PERCENT * run.afterEvent().rank(Rank.URGENT).goodShare());
--- a/core/src/main/java/org/gentianslip/core/queue/RequestQueue.java
+++ b/core/src/main/java/org/gentianslip/core/queue/RequestQueue.java
@@ -10,16 +10,17 @@
 import org.gentianslip.core.id.CustomerId;
 import org.gentianslip.core.id.Rank;
 import org.gentianslip.core.id.RequestId;
-import org.gentianslip.core.routing.BacklogWaits;
+import org.gentianslip.core.routing.QueueView.Backlog;
 import org.gentianslip.core.routing.RouteReason;
 import org.gentianslip.core.routing.RouteRequest;
 
 /**
  * Orders the requests of one model that wait in an instance.
  *
- * <p>The urgent rank goes first, but while both ranks wait the other one gets its floor of the
- * served work. Inside a rank, customers are served in proportion to their weights, and the requests
- * of a customer by deadline. The queue is bounded: when a rank is full, the customer with the most
+ * <p>The urgent rank goes first, but while the other one waits it gets its floor of the served
+ * work; what it got shortly before counts. Inside a rank, customers are served in proportion to
+ * their weights, with a credit for short bursts of a customer below its share, and the requests of
+ * a customer by deadline. The queue is bounded: when a rank is full, the customer with the most
  * waiting work for its weight loses its last request. A request that can't meet its deadline is
  * refused when it is offered if that shows, and is returned by {@link #expire} otherwise.
  *
@@ -34,7 +35,7 @@
 public final class RequestQueue {
 
   private static final long RETRY_AFTER_MILLIS = 1000;
-  private static final double MAX_CREDIT_REQUESTS = 2;
+  private static final double CREDIT_REQUESTS = 2;
 
   private final QueueLimits limits;
   private final Map<Rank, RankQueue> ranks = new EnumMap<>(Rank.class);
@@ -45,7 +46,7 @@
   private RequestQueue(QueueLimits limits, ToDoubleFunction<CustomerId> weights) {
     this.limits = limits;
     for (Rank rank : Rank.values()) {
-      ranks.put(rank, new RankQueue(weights));
+      ranks.put(rank, new RankQueue(weights, limits.burstWork()));
     }
   }
 
@@ -132,21 +133,22 @@
     if (queue.isEmpty()) {
       return Optional.empty();
     }
-    boolean bothWait = !ranks.get(Rank.URGENT).isEmpty() && !ranks.get(Rank.OTHER).isEmpty();
-    WaitingRequest request = queue.take();
-    byId.remove(request.request().id());
-    if (bothWait) {
-      chargeRank(rank, request.work());
-    } else {
-      otherCredit = 0;
-    }
-    return Optional.of(request.request());
+    return Optional.of(charge(rank, queue.take()));
+  }
+
+  /** Returns the first requests of the customers of a rank that come first, in their order. */
+  synchronized List<RouteRequest> candidates(long nowNanos, Rank rank, int max) {
+    advance(nowNanos);
+    return ranks.get(rank).candidates(max);
   }
 
-  /** Takes out the request if it is still the one of its rank that goes next. */
-  synchronized Optional<RouteRequest> takeIfNext(long nowNanos, RouteRequest request) {
-    Optional<RouteRequest> first = peek(nowNanos, request.rank());
-    return first.filter(request::equals).flatMap(r -> take(nowNanos, r.rank()));
+  /** Takes out a request that {@link #candidates} told, if it still is one. */
+  synchronized Optional<RouteRequest> takeIfFirst(long nowNanos, RouteRequest request) {
+    advance(nowNanos);
+    return ranks
+        .get(request.rank())
+        .takeIfFirst(request)
+        .map(taken -> charge(request.rank(), taken));
   }
 
   /** Takes out and returns the request that goes next: {@link #peek} and {@link #take} in one. */
@@ -165,11 +167,10 @@
     return true;
   }
 
-  /** Returns how long the waiting requests take to drain. */
-  public synchronized BacklogWaits waits(long nowNanos) {
+  /** Returns what waits of a rank. */
+  public synchronized Backlog backlog(long nowNanos, Rank rank) {
     advance(nowNanos);
-    return new BacklogWaits(
-        ranks.get(Rank.URGENT).drainNanos(), ranks.get(Rank.OTHER).drainNanos());
+    return ranks.get(rank).backlog();
   }
 
   /** Returns the number of waiting requests of a rank. */
@@ -177,18 +178,26 @@
     return ranks.get(rank).size();
   }
 
+  private RouteRequest charge(Rank rank, WaitingRequest taken) {
+    byId.remove(taken.request().id());
+    chargeRank(rank, taken.work());
+    return taken.request();
+  }
+
   private boolean isHopeless(long nowNanos, WaitingRequest waiting) {
     return nowNanos + limits.firstTokenNanos() > waiting.request().deadlineNanos();
   }
 
   private void chargeRank(Rank rank, double work) {
+    RankQueue other = ranks.get(Rank.OTHER);
     if (rank == Rank.OTHER) {
-      otherCredit = Math.max(0, otherCredit - work);
-      return;
+      otherCredit = Math.max(otherCredit - work, -CREDIT_REQUESTS * work);
+    } else if (other.isEmpty()) {
+      otherCredit = Math.min(otherCredit, 0);
+    } else {
+      double earned = work * limits.otherFloor() / (1 - limits.otherFloor());
+      otherCredit = Math.min(otherCredit + earned, CREDIT_REQUESTS * other.first().work());
     }
-    RankQueue other = ranks.get(Rank.OTHER);
-    double earned = work * limits.otherFloor() / (1 - limits.otherFloor());
-    otherCredit = Math.min(otherCredit + earned, MAX_CREDIT_REQUESTS * other.first().work());
   }
 
   private void add(RankQueue rank, WaitingRequest request) {
--- a/entry/src/main/java/org/gentianslip/entry/http/HttpServer.java
+++ b/entry/src/main/java/org/gentianslip/entry/http/HttpServer.java
@@ -23,8 +23,11 @@
 
   private final io.jooby.Server server;
 
-  private HttpServer(io.jooby.Server server) {
+  private final int port;
+
+  private HttpServer(io.jooby.Server server, int port) {
     this.server = server;
+    this.port = port;
   }
 
   /**
@@ -33,10 +36,13 @@
    * @param host the IP number to listen on
    * @param port the port to listen on
    * @param maxBodyBytes the greatest size of a body, in bytes
+   * @param check decides by the head of a request whether its body is read
    * @param routes adds the routes
    * @throws UncheckedIOException if another process listens on the port
    */
-  public static HttpServer start(String host, int port, int maxBodyBytes, Consumer<Jooby> routes) {
+  public static HttpServer start(
+      String host, int port, int maxBodyBytes, HeadCheck check, Consumer<Jooby> routes) {
+    GuardInstaller.guard(port, check, maxBodyBytes);
     requireFree(host, port);
     var options = new ServerOptions();
     options.setPort(port);
@@ -52,7 +58,7 @@
     routes.accept(app);
     var netty = new NettyServer();
     netty.setOptions(options);
-    return new HttpServer(netty.start(app));
+    return new HttpServer(netty.start(app), port);
   }
 
   /** Finds a port that is taken, since the server would share it with the other process. */
@@ -75,11 +81,10 @@
 
   private static ErrorReply toReply(io.jooby.Context ctx, StatusCode status) {
     if (ctx.getRequestPath().equals("/bad-request")) {
-      return ErrorReply.notRun(
-              ErrorCode.HEADERS_TOO_LARGE, "The request line or the headers are too large.")
-          .withHeader("Connection", "close");
+      return headersTooLarge();
     }
     return switch (status.value()) {
+      case 431 -> headersTooLarge();
       case 400 -> ErrorReply.notRun(ErrorCode.MALFORMED_REQUEST, "The request is malformed.");
       case 404 -> ErrorReply.notRun(ErrorCode.UNKNOWN_PATH, "Nothing is served at this path.");
       case 405 ->
@@ -95,9 +100,16 @@
     };
   }
 
+  private static ErrorReply headersTooLarge() {
+    return ErrorReply.notRun(
+            ErrorCode.HEADERS_TOO_LARGE, "The request line or the headers are too large.")
+        .withHeader("Connection", "close");
+  }
+
   /** Stops serving; a graceful shutdown has ended all exchanges before. */
   @Override
   public void close() {
     server.stop();
+    GuardInstaller.release(port);
   }
 }
--- a/entry/src/main/java/org/gentianslip/entry/process/EntryProcess.java
+++ b/entry/src/main/java/org/gentianslip/entry/process/EntryProcess.java
@@ -8,10 +8,10 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.logging.Logger;
 import okhttp3.OkHttpClient;
 import org.gentianslip.core.id.Incarnation;
 import org.gentianslip.core.membership.PauseDetector;
-import org.gentianslip.core.routing.LeastLoadedPolicy;
 import org.gentianslip.core.ticket.TicketLedger;
 import org.gentianslip.core.ticket.TicketMint;
 import org.gentianslip.entry.caller.AdmissionCheck;
@@ -19,8 +19,10 @@
 import org.gentianslip.entry.caller.EntryDirectory;
 import org.gentianslip.entry.caller.RequestIds;
 import org.gentianslip.entry.explain.DecisionLog;
+import org.gentianslip.entry.http.HeadCheck;
 import org.gentianslip.entry.http.HttpServer;
 import org.gentianslip.entry.http.Json;
+import org.gentianslip.entry.logging.LogControl;
 import org.gentianslip.entry.metrics.EntryMetrics;
 import org.gentianslip.entry.model.ModelRequests;
 import org.gentianslip.entry.operator.OperatorPort;
@@ -39,6 +41,7 @@
 import org.gentianslip.entry.service.ServiceRequests;
 import org.gentianslip.entry.state.FleetState;
 import org.gentianslip.entry.state.Membership;
+import org.gentianslip.settings.Settings;
 
 /**
  * Runs one instance.
@@ -57,12 +60,16 @@
   private static final long LOAD_MILLIS = 250;
   private static final long HELLO_MILLIS = Membership.TICK_NANOS / 1_000_000;
   private static final long SWEEP_MILLIS = 1_000;
+  private static final long SHARE_MILLIS = 250;
 
   private final EntryPlace place;
   private final FleetState state;
   private final EntryMetrics metrics = new EntryMetrics();
   private final DecisionLog decisions = new DecisionLog();
   private final InFlight inFlight = new InFlight(metrics);
+  private final LogControl logs =
+      LogControl.install(
+          Logger.getLogger(""), Logger.getLogger("org.gentianslip"), System::nanoTime);
   private final ScheduledExecutorService timer =
       Executors.newScheduledThreadPool(2, r -> daemon(r, "timer"));
   private final ExecutorService reads =
@@ -94,9 +101,7 @@
         new TicketLedger(mint, LEDGER_CAPACITY, LEDGER_RETENTION_NANOS, System.nanoTime());
     this.hellos = new HelloExchange(state, intake, control, metrics);
     intake.connect(new SettingsPull(state, control, metrics), hellos::announce);
-    this.models =
-        new ModelRequests(
-            state, directory, new LeastLoadedPolicy(), upstream, metrics, decisions, inFlight);
+    this.models = new ModelRequests(state, directory, upstream, metrics, decisions, inFlight);
     var report = new ServiceReport(place.region().value(), metrics, decisions, inFlight);
     this.services = new ServiceRequests(state, directory, upstream, mint, ledger, report);
     this.drain = new Drain(state, inFlight, hellos);
@@ -140,11 +145,26 @@
   }
 
   private void schedule() {
-    var poller = new LoadPoller(state.engines(), control, metrics, hellos::announce);
+    var poller =
+        new LoadPoller(
+            state.engines(),
+            control,
+            metrics,
+            hellos::announce,
+            () -> models.place(System.nanoTime()));
     every(TICK_MILLIS, () -> tick(System.nanoTime()));
     every(LOAD_MILLIS, poller::round);
     every(HELLO_MILLIS, () -> hellos.round(System.nanoTime()));
     every(SWEEP_MILLIS, () -> ledger.sweep(System.nanoTime()));
+    every(SHARE_MILLIS, () -> state.refreshShares(System.nanoTime()));
+    every(SWEEP_MILLIS, this::applyLogSettings);
+  }
+
+  private void applyLogSettings() {
+    Settings settings = state.settings();
+    if (settings != null) {
+      logs.apply(settings.instance(place.region()));
+    }
   }
 
   private void tick(long nowNanos) {
@@ -180,6 +200,7 @@
     var operatorKey = new SharedKey(place.operatorKey());
     serve(
         place.peerPort(),
+        HeadCheck.NONE,
         app -> {
           new PeerPort(hellos, intake, peerKey::matches).addTo(app);
           ports.addTo(app, "/peer/v1/forward", new PeerDoor(check, peerKey));
@@ -187,20 +208,23 @@
     var status = new StatusPage(state, intake, inFlight, models::waitingCount);
     serve(
         place.operatorPort(),
+        HeadCheck.NONE,
         app ->
             new OperatorPort(
                     state, metrics, decisions, status, operatorKey::matches, this::startDrain)
                 .addTo(app));
     serve(
         place.callerPort(),
+        new CallerHeadCheck(check, metrics),
         app -> {
           new EntriesPort(state, directory).addTo(app);
           ports.addTo(app, "", new CallerDoor(check));
         });
   }
 
-  private void serve(int port, java.util.function.Consumer<io.jooby.Jooby> routes) {
-    started.add(HttpServer.start(place.host(), port, MAX_BODY_BYTES, routes));
+  private void serve(
+      int port, HeadCheck check, java.util.function.Consumer<io.jooby.Jooby> routes) {
+    started.add(HttpServer.start(place.host(), port, MAX_BODY_BYTES, check, routes));
   }
 
   private void startDrain() {
