--- a/core/src/main/java/org/gentianslip/core/ticket/ForeignTicketDecision.java
+++ b/core/src/main/java/org/gentianslip/core/ticket/ForeignTicketDecision.java
@@ -44,8 +44,6 @@
   enum Reason {
     /** No instance of that name is known. */
     OWNER_NOT_KNOWN,
-    /** The instance of that name lives another life now. */
-    OWNER_REPLACED,
     /** The owner does not answer. */
     OWNER_NOT_REACHABLE,
     /** The call's payload may not go to the owner's region. */
--- a/core/src/main/java/org/gentianslip/core/ticket/ForeignTicketRule.java
+++ b/core/src/main/java/org/gentianslip/core/ticket/ForeignTicketRule.java
@@ -6,10 +6,12 @@
 /**
  * Decides what an instance does with a ticket that it did not mint.
  *
- * <p>The instance never runs such a call itself. It can't check the authentication code, and it
- * can't know whether the call ran already through the owner, so it claims "not run" only if the
- * ticket is bound to another call and so never can run this one. Stateless and safe for use by
- * several threads.
+ * <p>The instance passes the call to whoever answers at the owner's address, also if it believes
+ * another life there: incarnations have no order, so the belief may be the older one, and the
+ * receiver checks the ticket. The instance never runs such a call itself. It can't check the
+ * authentication code, and it can't know whether the call ran already through the owner, so it
+ * claims "not run" only if the ticket is bound to another call and so never can run this one.
+ * Stateless and safe for use by several threads.
  */
 public final class ForeignTicketRule {
 
@@ -34,10 +36,6 @@
     if (!owner.known()) {
       return unknown(ForeignTicketDecision.Reason.OWNER_NOT_KNOWN);
     }
-    if (owner.incarnation().isPresent()
-        && !owner.incarnation().get().equals(ticket.incarnation())) {
-      return unknown(ForeignTicketDecision.Reason.OWNER_REPLACED);
-    }
     if (!owner.regionAllowed()) {
       return unknown(ForeignTicketDecision.Reason.OWNER_REGION_NOT_ALLOWED);
     }
--- a/core/src/main/java/org/gentianslip/core/ticket/OwnerView.java
+++ b/core/src/main/java/org/gentianslip/core/ticket/OwnerView.java
@@ -1,9 +1,5 @@
 package org.gentianslip.core.ticket;
 
-import java.util.Objects;
-import java.util.Optional;
-import org.gentianslip.core.id.Incarnation;
-
 /**
  * Holds what an instance believes of the owner of a ticket.
  *
@@ -11,18 +7,11 @@
  * several threads.
  *
  * @param known whether an instance of that name is listed or was heard of
- * @param incarnation the last incarnation heard of, if any
  * @param reachable whether the instance is believed to answer
  * @param regionAllowed whether the call's payload may go to the instance's region
  */
-public record OwnerView(
-    boolean known, Optional<Incarnation> incarnation, boolean reachable, boolean regionAllowed) {
+public record OwnerView(boolean known, boolean reachable, boolean regionAllowed) {
 
   /** The view of an instance that was never heard of. */
-  public static final OwnerView NOT_KNOWN = new OwnerView(false, Optional.empty(), false, false);
-
-  /** Checks the parts. */
-  public OwnerView {
-    Objects.requireNonNull(incarnation);
-  }
+  public static final OwnerView NOT_KNOWN = new OwnerView(false, false, false);
 }
--- a/entry/src/main/java/org/gentianslip/entry/service/TicketedCalls.java
+++ b/entry/src/main/java/org/gentianslip/entry/service/TicketedCalls.java
@@ -268,7 +268,7 @@
     InstanceId id = InstanceId.of(owner.get().id());
     boolean allowed = call.settings().allowedRegions().contains(RegionId.of(owner.get().region()));
     boolean reachable = state.membership().table().isReachable(nowNanos, id);
-    return new OwnerView(true, state.incarnationOf(id), reachable, allowed);
+    return new OwnerView(true, reachable, allowed);
   }
 
   private void passed(ServiceExchange exchange, String region, UpstreamResult result) {
--- a/entry/src/main/java/org/gentianslip/entry/state/FleetState.java
+++ b/entry/src/main/java/org/gentianslip/entry/state/FleetState.java
@@ -2,7 +2,6 @@
 
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Optional;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Predicate;
@@ -12,8 +11,6 @@
 import org.gentianslip.core.id.RegionId;
 import org.gentianslip.core.limit.EngineShare;
 import org.gentianslip.core.membership.InstanceState;
-import org.gentianslip.core.membership.Life;
-import org.gentianslip.core.membership.Member;
 import org.gentianslip.core.membership.MembershipTable;
 import org.gentianslip.core.membership.RegionBackoff;
 import org.gentianslip.core.routing.EngineView;
@@ -109,11 +106,6 @@
     return regions;
   }
 
-  /** Returns the incarnation that is believed to live at an instance, if any was heard of. */
-  public Optional<Incarnation> incarnationOf(InstanceId id) {
-    return membership.table().member(id).flatMap(Member::life).map(Life::incarnation);
-  }
-
   /** Returns which regions get a smaller share of requests for now. */
   public RegionBackoff backoff() {
     return backoff;
