Notice what is published after the config service was restored

Cause: a watch asks for a revision greater than the last one seen. Ruled out: asking without a number always (a read storm); an order by the service's number (it goes back). Change: a watch ends after 4 s, and one without a change is followed by a plain read. The fleet of the tests moves to a package of its own.

--- a/entry/src/main/java/org/gentianslip/entry/platform/KeyWatcher.java
+++ b/entry/src/main/java/org/gentianslip/entry/platform/KeyWatcher.java
@@ -8,13 +8,15 @@
  * Watches one key of the config service on a thread of its own.
  *
  * <p>It hands on every value that the service shows, also one with an older revision than before;
- * the receiver decides. While the service gives no answer, it asks again with growing pauses. Safe
- * for use by several threads.
+ * the receiver decides. A wait that ends without a change is followed by a plain read: a service
+ * that was restored counts its revisions from an earlier one, and a wait for a greater one would
+ * miss what is published next. While the service gives no answer, it asks again with growing
+ * pauses. Safe for use by several threads.
  */
 public final class KeyWatcher implements AutoCloseable {
 
   private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
-  private static final Duration WAIT = Duration.ofSeconds(20);
+  private static final Duration WAIT = Duration.ofSeconds(4);
   private static final long MIN_PAUSE_MILLIS = 100;
   private static final long MAX_PAUSE_MILLIS = 2_000;
 
@@ -61,6 +63,7 @@
         continue;
       }
       if (result instanceof ReadResult.Unchanged && after > 0) {
+        after = 0;
         pause = MIN_PAUSE_MILLIS;
         continue;
       }
--- a/entry/src/test/java/org/gentianslip/entry/service/CutRelay.java
+++ b/entry/src/test/java/org/gentianslip/entry/testing/CutRelay.java
@@ -1,4 +1,4 @@
-package org.gentianslip.entry.service;
+package org.gentianslip.entry.testing;
 
 import java.io.IOException;
 import java.io.InputStream;
@@ -16,7 +16,7 @@
  *
  * <p>Safe for use by several threads.
  */
-final class CutRelay implements AutoCloseable {
+public final class CutRelay implements AutoCloseable {
 
   /**
    * Tells where the next connections break.
@@ -25,13 +25,18 @@
    * @param answerBytes the bytes of the answer that pass
    * @param silent whether the connection stays open and silent; if not, it is closed
    */
-  record Cut(long requestBytes, long answerBytes, boolean silent) {
+  public record Cut(long requestBytes, long answerBytes, boolean silent) {
 
-    static final Cut NONE = new Cut(Long.MAX_VALUE, Long.MAX_VALUE, false);
+    /** Passes everything. */
+    public static final Cut NONE = new Cut(Long.MAX_VALUE, Long.MAX_VALUE, false);
   }
 
-  final AtomicLong requestBytes = new AtomicLong();
-  final AtomicLong answerBytes = new AtomicLong();
+  /** The bytes of requests that passed since the last change. */
+  public final AtomicLong requestBytes = new AtomicLong();
+
+  /** The bytes of answers that passed since the last change. */
+  public final AtomicLong answerBytes = new AtomicLong();
+
   private final ServerSocket listener;
   private final int target;
   private final Queue<Socket> sockets = new ConcurrentLinkedQueue<>();
@@ -47,7 +52,8 @@
     return listener.getLocalPort();
   }
 
-  void cutAt(Cut next) {
+  /** Sets where connections break that begin from now on. */
+  public void cutAt(Cut next) {
     requestBytes.set(0);
     answerBytes.set(0);
     cut = next;
--- a/entry/src/test/java/org/gentianslip/entry/service/ServiceFleet.java
+++ b/entry/src/test/java/org/gentianslip/entry/testing/ServiceFleet.java
@@ -1,4 +1,4 @@
-package org.gentianslip.entry.service;
+package org.gentianslip.entry.testing;
 
 import static org.awaitility.Awaitility.await;
 
@@ -31,19 +31,26 @@
 import org.gentianslip.standin.service.ServiceStandin;
 
 /** Runs instances of one region before one service, all in this process. Not thread-safe. */
-final class ServiceFleet implements AutoCloseable {
+public final class ServiceFleet implements AutoCloseable {
 
   private static final ObjectMapper JSON = new ObjectMapper();
   private static final String KEY = "shop-key";
   private static final Duration PATIENCE = Duration.ofSeconds(20);
   private static final int PORTS_OF_INSTANCE = 3;
 
-  final ServiceStandin service = ServiceStandin.start(ServiceOptions.of("booking-1", "booking"));
-  final CutRelay relay;
-  final List<EntryProcess> entries = new ArrayList<>();
+  /** The service. */
+  public final ServiceStandin service =
+      ServiceStandin.start(ServiceOptions.of("booking-1", "booking"));
+
+  /** The relay before the service. */
+  public final CutRelay relay;
+
+  /** The config service. */
+  public final ConfigStandin config;
+
+  private final List<EntryProcess> entries = new ArrayList<>();
   private final List<EntryPlace> places = new ArrayList<>();
   private final AtomicLong calls = new AtomicLong();
-  private final ConfigStandin config;
   private final OkHttpClient client =
       new OkHttpClient.Builder().retryOnConnectionFailure(false).readTimeout(PATIENCE).build();
 
@@ -54,9 +61,15 @@
    * @param outcome the header {@code X-Outcome}
    * @param ticket the header {@code X-Ticket}, or null
    */
-  record Told(int status, String outcome, String ticket) {}
+  public record Told(int status, String outcome, String ticket) {}
 
-  ServiceFleet(int size, int deadlineMillis) throws IOException {
+  /**
+   * Starts a fleet and waits until all of its instances serve.
+   *
+   * @param size the number of instances
+   * @param deadlineMillis the time that a call may take, in milliseconds
+   */
+  public ServiceFleet(int size, int deadlineMillis) throws IOException {
     relay = new CutRelay(service.port());
     config = ConfigStandin.start(ConfigOptions.defaults());
     List<Integer> ports = freePorts(size * PORTS_OF_INSTANCE);
@@ -70,12 +83,12 @@
   }
 
   /** Returns the id of a call that was not made before. */
-  String newCall() {
+  public String newCall() {
     return "call-" + calls.incrementAndGet();
   }
 
   /** Makes a call through an instance, with a ticket or null. */
-  Told call(int entry, String callId, String ticket) throws IOException {
+  public Told call(int entry, String callId, String ticket) throws IOException {
     var builder =
         new Request.Builder()
             .url("http://127.0.0.1:" + places.get(entry).callerPort() + "/services/booking/slots")
@@ -93,16 +106,45 @@
   }
 
   /** Returns how often the service executed a call. */
-  long executions(String callId) {
+  public long executions(String callId) {
     return service.executions().stream().filter(e -> e.callId().equals(callId)).count();
   }
 
   /** Ends an instance at once and starts its successor at the same addresses. */
-  void replace(int entry) {
+  public void replace(int entry) {
+    replaceWithoutWaiting(entry);
+    await().atMost(PATIENCE).until(() -> isReady(entry));
+  }
+
+  /** Ends an instance at once and starts its successor, which may not serve yet. */
+  public void replaceWithoutWaiting(int entry) {
     entries.get(entry).close();
     client.connectionPool().evictAll();
     entries.set(entry, EntryProcess.start(places.get(entry)));
-    await().atMost(PATIENCE).until(() -> entries.get(entry).ready());
+  }
+
+  /** Returns whether an instance serves. */
+  public boolean isReady(int entry) {
+    return entries.get(entry).ready();
+  }
+
+  /** Returns what an instance tells its operators of itself. */
+  public JsonNode status(int entry) throws IOException {
+    Request request =
+        new Request.Builder()
+            .url("http://127.0.0.1:" + places.get(entry).operatorPort() + "/status")
+            .header("X-Operator-Key", "operator-key")
+            .build();
+    try (Response r = client.newCall(request).execute()) {
+      return JSON.readTree(r.body().bytes());
+    }
+  }
+
+  /** Waits until an instance has a revision of the settings in force. */
+  public void awaitRevision(int entry, long revision) {
+    await()
+        .atMost(PATIENCE)
+        .until(() -> status(entry).path("settingsRevision").asLong() == revision);
   }
 
   @Override
@@ -153,7 +195,8 @@
     return root;
   }
 
-  private static JsonNode settings(int deadlineMillis) throws IOException {
+  /** Returns settings with a time that a call may take, in milliseconds. */
+  public static JsonNode settings(int deadlineMillis) throws IOException {
     String text =
         """
         {"regions": [{"id": "home", "dataCentres": ["home-1"]}],
--- /dev/null
+++ b/entry/src/test/java/org/gentianslip/entry/testing/package-info.java
@@ -0,0 +1,2 @@
+/** Fakes and fleets of the tests. */
+package org.gentianslip.entry.testing;
