Prove that an owner which ends in the middle of a passed call is unknown

Cause: a mutant that told the owner's silence as not run survived all tests. Ruled out: a service that hangs, since owner and passing instance then end at the same deadline and the verdict depends on which comes first. Change: a test that ends the owner while the service still runs the call.

--- a/entry/src/test/java/org/gentianslip/entry/service/AtMostOnceTest.java
+++ b/entry/src/test/java/org/gentianslip/entry/service/AtMostOnceTest.java
@@ -1,5 +1,6 @@
 package org.gentianslip.entry.service;
 
+import static org.awaitility.Awaitility.await;
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.everyItem;
 import static org.hamcrest.Matchers.is;
@@ -12,6 +13,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.Callable;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.Future;
@@ -212,4 +214,18 @@
       assertThat(replaced.executions("unused"), is(0L));
     }
   }
+
+  @Test
+  void isUnknownWhenTheOwnerEndsWhileItRunsThePassedCall() throws Exception {
+    try (ServiceFleet ended = new ServiceFleet(2, 5 * DEADLINE_MILLIS)) {
+      ended.service.setFault(new ServiceFault(FaultType.DELAY, Long.MAX_VALUE, DEADLINE_MILLIS));
+      String ticket = ended.call(OWNER, "call", null).ticket();
+      CompletableFuture<Told> told =
+          CompletableFuture.supplyAsync(() -> ended.callUnchecked(OTHER, "call", ticket));
+      await().until(() -> ended.service.stats().seen() == 1);
+      ended.replaceWithoutWaiting(OWNER);
+      assertThat(told.get().outcome(), is("unknown"));
+      await().until(() -> ended.executions("call") == 1);
+    }
+  }
 }
--- a/entry/src/test/java/org/gentianslip/entry/testing/ServiceFleet.java
+++ b/entry/src/test/java/org/gentianslip/entry/testing/ServiceFleet.java
@@ -7,6 +7,7 @@
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.nio.charset.StandardCharsets;
@@ -105,6 +106,15 @@
     }
   }
 
+  /** Makes a call as {@link #call} does; a failure to reach the instance is unchecked. */
+  public Told callUnchecked(int entry, String callId, String ticket) {
+    try {
+      return call(entry, callId, ticket);
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+  }
+
   /** Returns how often the service executed a call. */
   public long executions(String callId) {
     return service.executions().stream().filter(e -> e.callId().equals(callId)).count();
