--- a/entry/src/test/java/org/gentianslip/entry/testing/package-info.java
+++ b/entry/src/test/java/org/gentianslip/entry/testing/package-info.java
@@ -1,2 +1,2 @@
-/** Helpers of the tests. */
+/** Fakes and fleets of the tests. */
 package org.gentianslip.entry.testing;
