Measure what entries spend on control

Ruled out: counting on the loopback interface, which other processes share.

Change: bin/demo control starts fleets of idle entries in three regions and tells bytes, messages, processor time, memory and config calls a node from the entries' own counters.

--- a/demo/src/main/java/org/gentianslip/demo/DemoMain.java
+++ b/demo/src/main/java/org/gentianslip/demo/DemoMain.java
@@ -36,7 +36,7 @@
     mixinStandardHelpOptions = true,
     versionProvider = DemoMain.Version.class,
     sortOptions = false,
-    subcommands = OverheadCommand.class,
+    subcommands = {OverheadCommand.class, ControlCommand.class},
     description = "Starts a fleet on loopback, sends it a mix of calls and checks the outcomes.")
 public final class DemoMain implements Callable<Integer> {
 
--- a/demo/src/main/java/org/gentianslip/demo/fleet/ChildProcess.java
+++ b/demo/src/main/java/org/gentianslip/demo/fleet/ChildProcess.java
@@ -5,6 +5,7 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.time.Duration;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 
@@ -16,6 +17,7 @@
 public final class ChildProcess {
 
   private static final long SIGNAL_SECONDS = 5;
+  private static final long BYTES_PER_KILOBYTE = 1024;
   private static final int LOG_TAIL_CHARACTERS = 2_000;
 
   private final String name;
@@ -53,6 +55,26 @@
     return process.isAlive();
   }
 
+  /** Returns the processor time that the process has used. */
+  public Duration processorTime() {
+    return process.info().totalCpuDuration().orElse(Duration.ZERO);
+  }
+
+  /**
+   * Returns the memory that the process holds, in bytes.
+   *
+   * @throws IOException if the system does not tell
+   */
+  public long residentBytes() throws IOException {
+    Path status = Path.of("/proc", Long.toString(process.pid()), "status");
+    for (String line : Files.readAllLines(status, StandardCharsets.UTF_8)) {
+      if (line.startsWith("VmRSS:")) {
+        return Long.parseLong(line.replaceAll("\\D", "")) * BYTES_PER_KILOBYTE;
+      }
+    }
+    throw new IOException(status + " does not tell the resident memory");
+  }
+
   /** Stops the process from running until {@link #resume}. */
   public void freeze() {
     signal("STOP");
--- a/demo/src/main/java/org/gentianslip/demo/fleet/Fleet.java
+++ b/demo/src/main/java/org/gentianslip/demo/fleet/Fleet.java
@@ -272,6 +272,15 @@
         .sum();
   }
 
+  /**
+   * Returns the number of calls that the config service has admitted from readers.
+   *
+   * @throws IOException if the config service does not answer
+   */
+  public long configCalls() throws IOException {
+    return control.json(configAddress(), "/admin/calls", Headers.EMPTY).path("admitted").asLong();
+  }
+
   /** Tells whether an entry instance says that it serves. */
   public boolean isReady(String entry) {
     return control.status(entry(entry).operatorAddress(), "/ready") == 200;
