--- a/bench/src/main/java/org/gentianslip/bench/run/Contenders.java
+++ b/bench/src/main/java/org/gentianslip/bench/run/Contenders.java
@@ -8,6 +8,7 @@
 import org.gentianslip.bench.fleet.Fleets;
 import org.gentianslip.bench.fleet.KindSpec;
 import org.gentianslip.core.id.KindId;
+import org.gentianslip.core.limit.RecoveryRamp;
 import org.gentianslip.core.queue.QueueLimits;
 import org.gentianslip.core.routing.ExpectedCostPolicy;
 import org.gentianslip.core.routing.LeastLoadedPolicy;
@@ -30,6 +31,7 @@
   private static final QueueLimits FIRST_QUEUE = new QueueLimits(512, OTHER_FLOOR, 50_000_000, 0);
   private static final QueueLimits QUEUE = new QueueLimits(512, OTHER_FLOOR, 300_000_000, 1600);
 
+  private static final RecoveryRamp RAMP = new RecoveryRamp(0.25, 10_000_000_000L);
   private static final PolicyTuning VENTURE =
       PolicyTuning.DEFAULT.withDemandMargin(1.5).withOtherCharge(15_000_000_000L);
   private static final Set<KindId> VENTURE_KINDS =
@@ -68,9 +70,14 @@
     return queued("expected-cost", s -> ExpectedCostPolicy.of(s, r -> tuning));
   }
 
-  /** Returns the same with a reserve by demand, tuned by branch: our present policy. */
+  /** Returns the same with a reserve by demand, tuned by branch, and a ramp: our present policy. */
   public static Contender demandReserve() {
-    return queued("demand-reserve", s -> ExpectedCostPolicy.of(s, Contenders::tuning));
+    return new Contender(
+        "demand-reserve",
+        s -> ExpectedCostPolicy.of(s, Contenders::tuning),
+        Optional.of(QUEUE),
+        true,
+        Optional.of(RAMP));
   }
 
   /** Returns the tuning of the branch of a kind of work. */
