--- a/demo/src/main/java/org/gentianslip/demo/fleet/Fleet.java
+++ b/demo/src/main/java/org/gentianslip/demo/fleet/Fleet.java
@@ -28,6 +28,9 @@
   /** The key of the operators of a fleet's instances. */
   public static final String OPERATOR_KEY = "demo-operator-key";
 
+  /** The number of bytes of each link that can be looked at later. */
+  public static final int CAPTURE_BYTES = 4 * 1024 * 1024;
+
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
   private static final ObjectMapper JSON = new ObjectMapper();
   private static final long READY_NANOS = TimeUnit.SECONDS.toNanos(60);
@@ -192,6 +195,16 @@
     }
   }
 
+  /**
+   * Returns the first bytes that crossed the link between two regions, a character each.
+   *
+   * @throws IOException if the relay does not answer
+   */
+  public String captured(String first, String second) throws IOException {
+    String relay = FleetLayout.LOOPBACK + ":" + layout.relayPort();
+    return control.latin1(relay, "/admin/capture?link=" + first + "/" + second);
+  }
+
   /**
    * Gives an order to a stand-in.
    *
@@ -217,6 +230,18 @@
     control.send("POST", configAddress(), "/admin/settings", Headers.EMPTY, body);
   }
 
+  /**
+   * Returns the revision of the settings that the config service answers with.
+   *
+   * @throws IOException if the config service does not answer
+   */
+  public long publishedRevision() throws IOException {
+    return control
+        .json(configAddress(), "/v1/values/settings/manifest", Headers.EMPTY)
+        .path("revision")
+        .asLong();
+  }
+
   /**
    * Returns what the services of all regions executed.
    *
--- a/entry/src/test/java/org/gentianslip/entry/testing/package-info.java
+++ b/entry/src/test/java/org/gentianslip/entry/testing/package-info.java
@@ -1,2 +1,2 @@
-/** Fakes and fleets of the tests. */
+/** Helpers of the tests. */
 package org.gentianslip.entry.testing;
--- a/standin/src/main/java/org/gentianslip/standin/config/ConfigStandin.java
+++ b/standin/src/main/java/org/gentianslip/standin/config/ConfigStandin.java
@@ -171,14 +171,14 @@
     return budget.counts(watches.size());
   }
 
-  /** Closes without the monitor, since watches that end with their connections need it. */
+  /** Stops serving; it holds no lock, since connections that end ask for it. */
   @Override
   public void close() {
-    HttpEndpoint open;
+    HttpEndpoint started;
     synchronized (this) {
-      open = endpoint;
+      started = endpoint;
     }
-    open.close();
+    started.close();
   }
 
   boolean admit(long nowNanos) {
