--- a/entry/src/main/java/org/gentianslip/entry/platform/KeyWatcher.java
+++ b/entry/src/main/java/org/gentianslip/entry/platform/KeyWatcher.java
@@ -72,7 +72,6 @@
         continue;
       }
       if (result instanceof ReadResult.Unchanged && after > 0) {
-        listener.confirmed(sentNanos);
         after = 0;
         pause = MIN_PAUSE_MILLIS;
         continue;
