--- a/entry/src/main/java/org/gentianslip/entry/service/RepeatableCalls.java
+++ b/entry/src/main/java/org/gentianslip/entry/service/RepeatableCalls.java
@@ -4,12 +4,11 @@
 import java.util.Optional;
 import org.gentianslip.core.outcome.AttemptJournal;
 import org.gentianslip.core.outcome.Outcome;
-import org.gentianslip.core.outcome.RetryBudget;
 import org.gentianslip.core.outcome.RetryDecision;
-import org.gentianslip.core.outcome.RetryRule;
 import org.gentianslip.entry.http.ErrorCode;
 import org.gentianslip.entry.http.ErrorReply;
 import org.gentianslip.entry.platform.BackendRecord;
+import org.gentianslip.entry.relay.RetryRules;
 import org.gentianslip.entry.relay.UpstreamClient;
 import org.gentianslip.entry.relay.UpstreamResult;
 import org.gentianslip.entry.relay.WholeBody;
@@ -25,23 +24,21 @@
 
   private static final int MAX_ATTEMPTS = 3;
   private static final long LEAST_USEFUL_NANOS = 5_000_000L;
-  private static final double RETRY_SHARE = 0.1;
-  private static final int RETRY_BURST = 20;
 
   private final FleetState state;
   private final UpstreamClient client;
   private final ServiceBackends backends;
-  private final RetryBudget budget = RetryBudget.of(RETRY_SHARE, RETRY_BURST);
-  private final RetryRule rule = new RetryRule(MAX_ATTEMPTS, LEAST_USEFUL_NANOS, budget);
+  private final RetryRules retries;
 
   RepeatableCalls(FleetState state, UpstreamClient client) {
+    this.retries = new RetryRules(state, MAX_ATTEMPTS, LEAST_USEFUL_NANOS);
     this.state = state;
     this.client = client;
     this.backends = new ServiceBackends(state);
   }
 
   void run(long nowNanos, ServiceExchange exchange) {
-    budget.requestStarted();
+    retries.requestStarted();
     attempt(nowNanos, exchange);
   }
 
@@ -94,7 +91,9 @@
   private void again(ServiceExchange exchange, Outcome outcome) {
     long now = System.nanoTime();
     RetryDecision decision =
-        rule.decide(now, exchange.call().endNanos(), exchange.attempts(), true, false, outcome);
+        retries
+            .rule()
+            .decide(now, exchange.call().endNanos(), exchange.attempts(), true, false, outcome);
     exchange.step(now, "retry", "", decision.name());
     if (decision.isRetry()) {
       attempt(now, exchange);
