--- a/entry/src/main/java/org/gentianslip/entry/http/ErrorReply.java
+++ b/entry/src/main/java/org/gentianslip/entry/http/ErrorReply.java
@@ -1,5 +1,6 @@
 package org.gentianslip.entry.http;
 
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
@@ -48,7 +49,7 @@
 
   /** Returns this failure with one more header. */
   public ErrorReply withHeader(String name, String value) {
-    var all = new java.util.HashMap<>(headers);
+    var all = new HashMap<>(headers);
     all.put(name, value);
     return new ErrorReply(code, message, outcome, entries, all);
   }
--- a/entry/src/main/java/org/gentianslip/entry/http/HttpServer.java
+++ b/entry/src/main/java/org/gentianslip/entry/http/HttpServer.java
@@ -1,7 +1,9 @@
 package org.gentianslip.entry.http;
 
+import io.jooby.Context;
 import io.jooby.ExecutionMode;
 import io.jooby.Jooby;
+import io.jooby.Server;
 import io.jooby.ServerOptions;
 import io.jooby.StatusCode;
 import io.jooby.netty.NettyServer;
@@ -9,6 +11,7 @@
 import java.io.UncheckedIOException;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
+import java.util.List;
 import java.util.Map;
 import java.util.function.Consumer;
 
@@ -24,11 +27,11 @@
  */
 public final class HttpServer implements AutoCloseable {
 
-  private final io.jooby.Server server;
+  private final Server server;
 
   private final int port;
 
-  private HttpServer(io.jooby.Server server, int port) {
+  private HttpServer(Server server, int port) {
     this.server = server;
     this.port = port;
   }
@@ -57,7 +60,7 @@
     var app = new Jooby();
     app.setServerOptions(options);
     app.setExecutionMode(ExecutionMode.WORKER);
-    app.setStartupSummary(java.util.List.of());
+    app.setStartupSummary(List.of());
     app.error((ctx, cause, status) -> answerFault(ctx, cause, status));
     routes.accept(app);
     var netty = new NettyServer();
@@ -74,7 +77,7 @@
     }
   }
 
-  private static void answerFault(io.jooby.Context ctx, Throwable cause, StatusCode status) {
+  private static void answerFault(Context ctx, Throwable cause, StatusCode status) {
     ErrorReply reply = toReply(ctx, status);
     ctx.setResponseCode(reply.code().status());
     ctx.setResponseType("application/json");
@@ -83,7 +86,7 @@
     ctx.send(reply.toJson());
   }
 
-  private static ErrorReply toReply(io.jooby.Context ctx, StatusCode status) {
+  private static ErrorReply toReply(Context ctx, StatusCode status) {
     if (ctx.getRequestPath().equals("/bad-request")) {
       return headersTooLarge();
     }
@@ -98,7 +101,7 @@
               ErrorCode.BODY_TOO_LARGE,
               "The body is larger than this instance reads.",
               OutcomeName.NOT_RUN,
-              java.util.List.of(),
+              List.of(),
               Map.of("Connection", "close"));
       default -> ErrorReply.unknown(ErrorCode.INTERNAL, "This instance failed.");
     };
--- a/entry/src/main/java/org/gentianslip/entry/http/RequestGuard.java
+++ b/entry/src/main/java/org/gentianslip/entry/http/RequestGuard.java
@@ -13,6 +13,7 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.handler.codec.http.TooLongHttpHeaderException;
+import io.netty.handler.codec.http.TooLongHttpLineException;
 import io.netty.util.ReferenceCountUtil;
 import java.util.Optional;
 import java.util.concurrent.Future;
@@ -92,8 +93,7 @@
   }
 
   private static ErrorReply malformed(Throwable cause) {
-    return cause instanceof TooLongHttpHeaderException
-            || cause instanceof io.netty.handler.codec.http.TooLongHttpLineException
+    return cause instanceof TooLongHttpHeaderException || cause instanceof TooLongHttpLineException
         ? ErrorReply.notRun(
             ErrorCode.HEADERS_TOO_LARGE, "The request line or the headers are too large.")
         : ErrorReply.notRun(ErrorCode.MALFORMED_REQUEST, "The request is malformed.");
--- a/entry/src/main/java/org/gentianslip/entry/operator/EffectiveView.java
+++ b/entry/src/main/java/org/gentianslip/entry/operator/EffectiveView.java
@@ -1,6 +1,8 @@
 package org.gentianslip.entry.operator;
 
 import java.time.Duration;
+import java.util.Collection;
+import java.util.Locale;
 import org.gentianslip.core.id.Revision;
 import org.gentianslip.entry.http.Json;
 import org.gentianslip.settings.EffectiveSettings;
@@ -28,11 +30,11 @@
     if (value instanceof Duration duration) {
       return duration.toMillis();
     }
-    if (value instanceof java.util.Collection<?> all) {
+    if (value instanceof Collection<?> all) {
       return all.stream().map(Object::toString).sorted().toList();
     }
     if (value instanceof Enum<?> name) {
-      return name.name().toLowerCase(java.util.Locale.ROOT);
+      return name.name().toLowerCase(Locale.ROOT);
     }
     return value;
   }
--- a/entry/src/main/java/org/gentianslip/entry/process/EntryProcess.java
+++ b/entry/src/main/java/org/gentianslip/entry/process/EntryProcess.java
@@ -1,17 +1,22 @@
 package org.gentianslip.entry.process;
 
 import com.google.common.flogger.FluentLogger;
+import io.jooby.Jooby;
 import java.security.SecureRandom;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import java.util.logging.Logger;
 import okhttp3.OkHttpClient;
 import org.gentianslip.core.id.Incarnation;
 import org.gentianslip.core.membership.PauseDetector;
 import org.gentianslip.core.order.OrderTimes;
+import org.gentianslip.core.queue.Dispatcher;
 import org.gentianslip.core.ticket.TicketLedger;
 import org.gentianslip.core.ticket.TicketMint;
 import org.gentianslip.entry.caller.AdmissionCheck;
@@ -56,7 +61,7 @@
   private static final int LEDGER_CAPACITY = 100_000;
   private static final long LEDGER_RETENTION_NANOS = TimeUnit.MINUTES.toNanos(2);
   private static final long MAX_GAP_NANOS = TimeUnit.SECONDS.toNanos(2);
-  private static final long TICK_MILLIS = 10;
+  private static final long TICK_MILLIS = Dispatcher.POLL_MILLIS;
   private static final long LOAD_MILLIS = 250;
   private static final long HELLO_MILLIS = Membership.TICK_NANOS / 1_000_000;
   private static final long SWEEP_MILLIS = 1_000;
@@ -89,7 +94,7 @@
   private final EntryDirectory directory;
   private final EngineOrders orders;
   private final Drain drain;
-  private final java.util.List<AutoCloseable> started = new java.util.ArrayList<>();
+  private final List<AutoCloseable> started = new ArrayList<>();
 
   private EntryProcess(EntryPlace place) {
     var random = new SecureRandom();
@@ -220,8 +225,7 @@
         });
   }
 
-  private void serve(
-      int port, HeadCheck check, java.util.function.Consumer<io.jooby.Jooby> routes) {
+  private void serve(int port, HeadCheck check, Consumer<Jooby> routes) {
     started.add(HttpServer.start(place.host(), port, MAX_BODY_BYTES, check, routes));
   }
 
--- a/load/src/main/java/org/gentianslip/load/call/FailureReader.java
+++ b/load/src/main/java/org/gentianslip/load/call/FailureReader.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import java.io.IOException;
+import java.util.List;
 import okhttp3.Response;
 
 /**
@@ -38,7 +39,7 @@
     if (mark.isSent()) {
       return new Reply.Unknown("broken", detail);
     }
-    return new Reply.NotRun("unreachable", detail, java.util.List.of());
+    return new Reply.NotRun("unreachable", detail, List.of());
   }
 
   private static JsonNode parse(byte[] body) {
