--- a/entry/src/main/java/org/gentianslip/entry/operator/StatusPage.java
+++ b/entry/src/main/java/org/gentianslip/entry/operator/StatusPage.java
@@ -7,6 +7,7 @@
 import java.util.function.IntSupplier;
 import java.util.function.Supplier;
 import org.gentianslip.core.id.InstanceId;
+import org.gentianslip.core.membership.InstanceState;
 import org.gentianslip.core.membership.Life;
 import org.gentianslip.core.membership.Member;
 import org.gentianslip.core.membership.MembershipTable;
@@ -88,11 +89,18 @@
         node.put("state", state.leaving() ? "leaving" : "live");
         continue;
       }
-      node.put("state", table.stateOf(nowNanos, id).name().toLowerCase(Locale.ROOT));
+      InstanceState believed = table.stateOf(nowNanos, id);
+      node.put("state", believed.name().toLowerCase(Locale.ROOT));
+      node.put("heard", isHeard(believed) && table.member(id).flatMap(Member::life).isPresent());
+      intake.toldBy(id).ifPresent(r -> node.put("settingsRevision", r.value()));
       table.member(id).flatMap(Member::life).ifPresent(life -> addLife(node, life));
     }
   }
 
+  private static boolean isHeard(InstanceState believed) {
+    return believed == InstanceState.LIVE || believed == InstanceState.LEAVING;
+  }
+
   private static void addLife(ObjectNode node, Life life) {
     node.put("incarnation", life.incarnation().toString());
     node.put("leaving", life.leaving());
--- a/entry/src/main/java/org/gentianslip/entry/platform/SettingsIntake.java
+++ b/entry/src/main/java/org/gentianslip/entry/platform/SettingsIntake.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.Executor;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicReference;
@@ -52,6 +53,7 @@
   private final AtomicReference<ManifestRef> shownByService = new AtomicReference<>();
   private final AtomicReference<ManifestRef> latestOfPeers =
       new AtomicReference<>(ManifestRef.NONE);
+  private final Map<InstanceId, Revision> toldByPeers = new ConcurrentHashMap<>();
   private volatile PeerSource peers = (peer, ref) -> Optional.empty();
   private volatile Runnable announce = () -> {};
 
@@ -143,6 +145,7 @@
 
   /** Takes that a peer has accepted a revision; it is read from the peer if it is needed. */
   public void peerAnnounces(long nowNanos, InstanceId peer, ManifestRef ref) {
+    toldByPeers.put(peer, ref.revision());
     latestOfPeers.accumulateAndGet(ref, (a, b) -> b.isAfter(a) ? b : a);
     RevisionDecision decision = take(nowNanos, new RevisionEvent.PeerAnnounces(peer, ref));
     if (decision instanceof RevisionDecision.PullFromPeer pull) {
@@ -273,6 +276,11 @@
             latestOfPeers.get()));
   }
 
+  /** Returns the revision that a peer last told, if it told one. */
+  public Optional<Revision> toldBy(InstanceId peer) {
+    return Optional.ofNullable(toldByPeers.get(peer));
+  }
+
   /** Returns the state in force. */
   public ManifestRef accepted() {
     return adoption.get().accepted();
