Write values in force by the one class that both sides share

Ruled out: moving the entry's form to settings (it was the same form). Change: EffectiveView is gone; allowed regions are taken as the settings give them. Conclusion: one place decides what an unset residency means.

--- a/entry/src/main/java/org/gentianslip/entry/caller/RequestSettings.java
+++ b/entry/src/main/java/org/gentianslip/entry/caller/RequestSettings.java
@@ -2,14 +2,12 @@
 
 import java.time.Duration;
 import java.util.Set;
-import java.util.stream.Collectors;
 import org.gentianslip.core.id.CustomerId;
 import org.gentianslip.core.id.KindId;
 import org.gentianslip.core.id.Rank;
 import org.gentianslip.core.id.RegionId;
 import org.gentianslip.entry.relay.UpstreamTimeouts;
 import org.gentianslip.settings.EffectiveSettings;
-import org.gentianslip.settings.Region;
 import org.gentianslip.settings.SettingCatalog;
 import org.gentianslip.settings.Settings;
 
@@ -30,15 +28,8 @@
   public static RequestSettings of(
       Settings settings, CustomerId customer, RegionId region, KindId kind) {
     EffectiveSettings effective = settings.effective(customer, region, kind);
-    return new RequestSettings(customer, kind, effective, allowed(settings, effective));
-  }
-
-  private static Set<RegionId> allowed(Settings settings, EffectiveSettings effective) {
-    boolean restricted = !effective.origin(SettingCatalog.ALLOWED_REGIONS).equals("default");
-    if (restricted) {
-      return effective.get(SettingCatalog.ALLOWED_REGIONS);
-    }
-    return settings.regions().stream().map(Region::id).collect(Collectors.toUnmodifiableSet());
+    return new RequestSettings(
+        customer, kind, effective, effective.get(SettingCatalog.ALLOWED_REGIONS));
   }
 
   /** Returns the rank. */
--- a/entry/src/main/java/org/gentianslip/entry/operator/OperatorPort.java
+++ b/entry/src/main/java/org/gentianslip/entry/operator/OperatorPort.java
@@ -14,6 +14,7 @@
 import org.gentianslip.entry.http.Json;
 import org.gentianslip.entry.metrics.EntryMetrics;
 import org.gentianslip.entry.state.FleetState;
+import org.gentianslip.settings.EffectiveReport;
 
 /**
  * Adds the operators' routes.
@@ -97,7 +98,9 @@
     try {
       var effective =
           settings.effective(CustomerId.of(customer), RegionId.of(region), KindId.of(kind));
-      return send(ctx, 200, EffectiveView.json(settings.revision(), effective));
+      var body = Json.object().put("revision", settings.revision().value());
+      body.set("values", EffectiveReport.values(effective));
+      return send(ctx, 200, Json.bytes(body));
     } catch (IllegalArgumentException e) {
       return fail(ctx, ErrorCode.MALFORMED_REQUEST, e.getMessage());
     }
