Serve the users' platform by a second edge: routes, gateway, fleet hellos, platform module

Cause: the product served nothing on the users' platform: it knew one caller's edge, a published list of instances and its own config service. Ruled out: callers' port on Jooby's handlers (a caller that leaves is seen only at the next write, forms lose their bytes); OkHttp towards engines (it uses idle connections that the other side has closed, and cannot tell whether a byte was written); one agreed owner of anything. Change: core gets routes, published items, event streams and the choice of a backend server by expected time; entry gets the gateway (Netty on both sides, one loop for a request), the intake of published items and the hellos between instances; platform/ translates settings, store and headers.

--- /dev/null
+++ b/core/src/main/java/org/gentianslip/core/load/BackendChoice.java
@@ -0,0 +1,145 @@
+package org.gentianslip.core.load;
+
+import java.util.List;
+import org.gentianslip.core.membership.RendezvousHash;
+import org.gentianslip.core.route.Route;
+
+/**
+ * Chooses where a request goes: the place with the least expected time, with a charge for prompts
+ * that are read again and for bytes that leave the region. Stateless and safe for use by several
+ * threads.
+ */
+public final class BackendChoice {
+
+  /**
+   * The charge for a shared token that is read again, in milliseconds: reading it again takes an
+   * engine's time from others.
+   */
+  private static final double MILLIS_PER_SHARED_TOKEN = 0.02;
+
+  /** How much longer the preferred engine of an unknown prompt may take, in milliseconds. */
+  private static final double PREFERENCE_MILLIS = 60;
+
+  /** The charge for a server that fails, in milliseconds at a share of 1. */
+  private static final double FAILURE_MILLIS = 3_000;
+
+  /** How much sooner another region must be expected to answer, in milliseconds. */
+  private static final double AWAY_MARGIN_MILLIS = 60;
+
+  /** The greatest number of requests at a backend server, in multiples of its slots. */
+  private static final int MAX_FILL = 3;
+
+  /** The parts of a route's objective within which urgent and other work must be expected. */
+  private static final double URGENT_LIMIT = 1.5;
+
+  private static final double OTHER_LIMIT = 0.9;
+
+  /** The part of the remaining time within which an answer must be expected. */
+  private static final double REMAINING_SHARE = 0.8;
+
+  /** The least and the greatest time that a refused caller is asked to wait. */
+  private static final long MIN_RETRY_MILLIS = 150;
+
+  private static final long MAX_RETRY_MILLIS = 1_500;
+
+  private BackendChoice() {}
+
+  /**
+   * Chooses.
+   *
+   * @param remainingMillis how long the caller waits, in milliseconds
+   * @param options the backend servers of this region that may get the request
+   * @param regions the regions that may get it
+   */
+  public static Choice choose(
+      long nowNanos,
+      Route route,
+      RequestSize size,
+      long remainingMillis,
+      List<BackendOption> options,
+      List<RegionOption> regions) {
+    BackendOption best = null;
+    Estimate bestEstimate = null;
+    double bestCost = Double.MAX_VALUE;
+    boolean urgent = route.rank() == 0;
+    String key = size.sharedPart().map(PromptPart::id).orElse("");
+    String preferred = key.isEmpty() ? "" : preferred(key, options);
+    double least = Double.MAX_VALUE;
+    for (BackendOption option : options) {
+      Estimate e = option.load().estimate(nowNanos, urgent, size);
+      least = Math.min(least, e.totalMillis());
+      if (e.running() >= e.slots() * MAX_FILL) {
+        continue;
+      }
+      double cost = cost(size, e);
+      cost -= option.backend().id().value().equals(preferred) ? PREFERENCE_MILLIS : 0;
+      if (cost < bestCost) {
+        best = option;
+        bestEstimate = e;
+        bestCost = cost;
+      }
+    }
+    RegionOption away = null;
+    double awayCost = Double.MAX_VALUE;
+    for (RegionOption region : regions) {
+      double cost = awayCost(size, region);
+      least = Math.min(least, awayMillis(size, region));
+      if (cost < awayCost) {
+        away = region;
+        awayCost = cost;
+      }
+    }
+    double limit = limitMillis(route, remainingMillis);
+    boolean hereInTime = best != null && bestEstimate.totalMillis() <= limit;
+    if (hereInTime && (away == null || bestCost <= awayCost + AWAY_MARGIN_MILLIS)) {
+      return new Choice.ToBackend(best, bestEstimate);
+    }
+    if (away != null && awayMillis(size, away) <= limit) {
+      return new Choice.ToRegion(away.region(), awayMillis(size, away));
+    }
+    if (hereInTime) {
+      return new Choice.ToBackend(best, bestEstimate);
+    }
+    boolean nowhere = options.isEmpty() && regions.isEmpty();
+    double excess = nowhere ? 0 : least - limit;
+    return new Choice.Refuse(nowhere ? "no-backend" : "too-late", retryMillis(excess));
+  }
+
+  private static double limitMillis(Route route, long remainingMillis) {
+    double share = route.rank() == 0 ? URGENT_LIMIT : OTHER_LIMIT;
+    return Math.min(share * route.objectiveMillis(), REMAINING_SHARE * remainingMillis);
+  }
+
+  private static double cost(RequestSize size, Estimate e) {
+    long again = Math.min(e.missingTokens(), size.sharedTokens());
+    return e.totalMillis() + again * MILLIS_PER_SHARED_TOKEN + e.failureShare() * FAILURE_MILLIS;
+  }
+
+  private static double awayMillis(RequestSize size, RegionOption region) {
+    double reading = size.promptTokens() / BackendLoad.TOKENS_PER_MILLI;
+    return region.roundTripMillis() + region.waitMillis() + reading;
+  }
+
+  private static double awayCost(RequestSize size, RegionOption region) {
+    return awayMillis(size, region) + size.sharedTokens() * MILLIS_PER_SHARED_TOKEN;
+  }
+
+  private static String preferred(String key, List<BackendOption> options) {
+    String best = "";
+    double bestWeight = -1;
+    for (BackendOption option : options) {
+      String id = option.backend().id().value();
+      double weight = RendezvousHash.weight(key, id, option.backend().slots());
+      if (weight > bestWeight) {
+        best = id;
+        bestWeight = weight;
+      }
+    }
+    return best;
+  }
+
+  private static long retryMillis(double excessMillis) {
+    long wanted = (long) excessMillis;
+    return Math.max(MIN_RETRY_MILLIS, Math.min(MAX_RETRY_MILLIS, wanted));
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/gentianslip/core/load/BackendLoad.java
@@ -0,0 +1,195 @@
+package org.gentianslip.core.load;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import org.gentianslip.core.id.InstanceId;
+import org.gentianslip.core.route.EngineProfile;
+
+/**
+ * Holds what this instance knows of the load and the health of one backend server.
+ *
+ * <p>Own requests count at once; those of other instances count as they were heard, until the news
+ * is too old. Safe for use by several threads: its lock guards all state.
+ */
+public final class BackendLoad {
+
+  /** The tokens that an engine reads in a millisecond; a cautious figure of today's engines. */
+  static final double TOKENS_PER_MILLI = 50;
+
+  /** How long news of another instance's load counts: several rounds of the exchange. */
+  private static final long PEER_LOAD_NANOS = TimeUnit.MILLISECONDS.toNanos(1_500);
+
+  /** The first and the longest time without new work after a failed connection. */
+  private static final long FIRST_BLOCK_NANOS = TimeUnit.MILLISECONDS.toNanos(200);
+
+  private static final long LONGEST_BLOCK_NANOS = TimeUnit.MILLISECONDS.toNanos(1_600);
+
+  /** How long a backend server that refused as full gets no new work. */
+  private static final long FULL_BLOCK_NANOS = TimeUnit.MILLISECONDS.toNanos(50);
+
+  /** The part of an engine's memory that is taken to hold cached prompts. */
+  private static final double CACHE_SHARE = 0.8;
+
+  /** The weight of a new observation in a mean. */
+  private static final double GAIN = 0.1;
+
+  /** The service time that is assumed before the first answer, in milliseconds. */
+  private static final double FIRST_SERVICE_MILLIS = 30;
+
+  private final int slots;
+  private final boolean engine;
+  private final PromptCache cache;
+  private final Map<InstanceId, PeerLoad> peers = new HashMap<>();
+  private final Deque<Long> coldSends = new ArrayDeque<>();
+  private int running;
+  private double urgentMillis;
+  private double otherMillis;
+  private double failureShare;
+  private double serviceMillis = FIRST_SERVICE_MILLIS;
+  private int unreachableInRow;
+  private long blockedUntilNanos = Long.MIN_VALUE;
+  private long coldUntilNanos = Long.MIN_VALUE;
+  private boolean coldOnReturn;
+
+  /**
+   * Creates the load of an idle backend server.
+   *
+   * @param slots the requests that it runs at once
+   * @param engine what is special to a model engine, or null for a plain service
+   */
+  public BackendLoad(int slots, EngineProfile engine) {
+    this.slots = Math.max(1, slots);
+    this.engine = engine != null;
+    this.cache = new PromptCache(engine == null ? 0 : (long) (CACHE_SHARE * engine.cacheTokens()));
+  }
+
+  /** Counts a request that is about to be sent. */
+  public synchronized Reservation begin(long nowNanos, boolean urgent, RequestSize size) {
+    double reading = engine ? cache.missingTokens(size.prompt()) / TOKENS_PER_MILLI : 0;
+    cache.note(size.prompt());
+    running++;
+    if (urgent) {
+      urgentMillis += reading;
+    } else {
+      otherMillis += reading;
+    }
+    if (isCold(nowNanos)) {
+      coldSends.addLast(nowNanos);
+    }
+    return new Reservation(this, urgent, reading, nowNanos);
+  }
+
+  synchronized void read(boolean urgent, double millis) {
+    if (urgent) {
+      urgentMillis = Math.max(0, urgentMillis - millis);
+    } else {
+      otherMillis = Math.max(0, otherMillis - millis);
+    }
+  }
+
+  synchronized void left() {
+    running--;
+  }
+
+  synchronized void succeeded(double millis) {
+    failureShare *= 1 - GAIN;
+    serviceMillis += GAIN * (Math.min(millis, 10 * serviceMillis) - serviceMillis);
+    unreachableInRow = 0;
+  }
+
+  synchronized void erred() {
+    unreachableInRow = 0;
+    failureShare += GAIN / 2 * (1 - failureShare);
+  }
+
+  synchronized void failed(long nowNanos) {
+    failureShare += 2 * GAIN * (1 - failureShare);
+  }
+
+  synchronized void unreachable(long nowNanos) {
+    long block = FIRST_BLOCK_NANOS << Math.min(unreachableInRow, 3);
+    unreachableInRow++;
+    blockedUntilNanos = nowNanos + Math.min(block, LONGEST_BLOCK_NANOS);
+    coldOnReturn = true;
+    cache.clear();
+  }
+
+  synchronized void refusedAsFull(long nowNanos) {
+    blockedUntilNanos = Math.max(blockedUntilNanos, nowNanos + FULL_BLOCK_NANOS);
+  }
+
+  /** Takes that the backend server is cold until a time. */
+  public synchronized void coldUntil(long untilNanos) {
+    coldUntilNanos = Math.max(coldUntilNanos, untilNanos);
+  }
+
+  /** Returns whether it answered after it could not be reached, and forgets that. */
+  public synchronized boolean takeReturn() {
+    boolean returned = coldOnReturn && unreachableInRow == 0;
+    coldOnReturn = coldOnReturn && !returned;
+    return returned;
+  }
+
+  private boolean isCold(long nowNanos) {
+    return coldUntilNanos != Long.MIN_VALUE && nowNanos - coldUntilNanos < 0;
+  }
+
+  /**
+   * Returns whether a request may be sent now.
+   *
+   * @param coldPerSecond the requests that this instance may send to it in a second while it is
+   *     cold
+   */
+  public synchronized boolean mayGetWork(long nowNanos, double coldPerSecond) {
+    if (blockedUntilNanos != Long.MIN_VALUE && nowNanos - blockedUntilNanos < 0) {
+      return false;
+    }
+    boolean unproved = isCold(nowNanos) || coldOnReturn;
+    if (!unproved || coldPerSecond <= 0) {
+      return true;
+    }
+    long second = TimeUnit.SECONDS.toNanos(1);
+    while (!coldSends.isEmpty() && nowNanos - coldSends.peekFirst() >= second) {
+      coldSends.removeFirst();
+    }
+    return coldSends.size() < Math.max(1, Math.floor(coldPerSecond));
+  }
+
+  /** Takes another instance's load on this backend server. */
+  public synchronized void heard(InstanceId peer, PeerLoad load) {
+    peers.put(peer, load);
+  }
+
+  /** Returns the load of this instance alone, to be told to others. */
+  public synchronized PeerLoad own(long nowNanos) {
+    return new PeerLoad(running, urgentMillis, otherMillis, nowNanos);
+  }
+
+  /**
+   * Returns the estimate for one more request.
+   *
+   * @param urgent whether it goes before other requests
+   * @param size its size
+   */
+  public synchronized Estimate estimate(long nowNanos, boolean urgent, RequestSize size) {
+    int all = running;
+    double before = urgentMillis + (urgent ? 0 : otherMillis);
+    double after = urgent ? otherMillis : 0;
+    for (PeerLoad p : peers.values()) {
+      if (nowNanos - p.seenNanos() > PEER_LOAD_NANOS) {
+        continue;
+      }
+      all += p.running();
+      before += p.urgentMillis() + (urgent ? 0 : p.otherMillis());
+      after += urgent ? p.otherMillis() : 0;
+    }
+    long missing = engine ? cache.missingTokens(size.prompt()) : 0;
+    double wait = engine ? before + after / 2 : 0;
+    double slotWait = Math.max(0, all + 1 - slots) * serviceMillis / slots;
+    double work = engine ? missing / TOKENS_PER_MILLI : serviceMillis;
+    return new Estimate(wait + slotWait, work, missing, all, slots, failureShare);
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/gentianslip/core/load/Choice.java
@@ -0,0 +1,31 @@
+package org.gentianslip.core.load;
+
+import org.gentianslip.core.id.RegionId;
+
+/** Tells where a request goes. Immutable. */
+public sealed interface Choice {
+
+  /**
+   * It goes to a backend server of this region.
+   *
+   * @param option the backend server
+   * @param estimate what is expected of it
+   */
+  record ToBackend(BackendOption option, Estimate estimate) implements Choice {}
+
+  /**
+   * It goes to an instance of another region.
+   *
+   * @param region the region
+   * @param expectedMillis the time to the first part of the answer, in milliseconds
+   */
+  record ToRegion(RegionId region, double expectedMillis) implements Choice {}
+
+  /**
+   * It cannot be served in time.
+   *
+   * @param reason why, for logs and metrics
+   * @param afterMillis when a new attempt may succeed, in milliseconds from now
+   */
+  record Refuse(String reason, long afterMillis) implements Choice {}
+}
--- /dev/null
+++ b/core/src/main/java/org/gentianslip/core/load/PeerLoad.java
@@ -0,0 +1,12 @@
+package org.gentianslip.core.load;
+
+/**
+ * Tells the load that another instance puts on a backend server. Immutable and safe for use by
+ * several threads.
+ *
+ * @param running its requests there that have not ended
+ * @param urgentMillis the reading of urgent prompts that has not ended, in milliseconds
+ * @param otherMillis the reading of other prompts that has not ended, in milliseconds
+ * @param seenNanos when this was heard, in nanoseconds of the monotonic clock
+ */
+public record PeerLoad(int running, double urgentMillis, double otherMillis, long seenNanos) {}
--- /dev/null
+++ b/core/src/main/java/org/gentianslip/core/load/PromptCache.java
@@ -0,0 +1,50 @@
+package org.gentianslip.core.load;
+
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * Guesses which parts of prompts an engine keeps, from the prompts that were sent to it.
+ *
+ * <p>The least recently used parts yield. Not safe for use by several threads.
+ */
+final class PromptCache {
+
+  private final Map<String, Long> parts = new LinkedHashMap<>(16, 0.75f, true);
+  private final long capacityTokens;
+  private long tokens;
+
+  PromptCache(long capacityTokens) {
+    this.capacityTokens = capacityTokens;
+  }
+
+  /** Returns the tokens of a prompt that the engine would have to read. */
+  long missingTokens(List<PromptPart> prompt) {
+    long missing = 0;
+    boolean reading = false;
+    for (PromptPart part : prompt) {
+      reading = reading || !parts.containsKey(part.id());
+      missing += reading ? part.tokens() : 0;
+    }
+    return missing;
+  }
+
+  void note(List<PromptPart> prompt) {
+    for (PromptPart part : prompt) {
+      Long before = parts.put(part.id(), part.tokens());
+      tokens += part.tokens() - (before == null ? 0 : before);
+    }
+    Iterator<Long> oldest = parts.values().iterator();
+    while (tokens > capacityTokens && oldest.hasNext()) {
+      tokens -= oldest.next();
+      oldest.remove();
+    }
+  }
+
+  void clear() {
+    parts.clear();
+    tokens = 0;
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/gentianslip/core/published/ItemChange.java
@@ -0,0 +1,36 @@
+package org.gentianslip.core.published;
+
+/** Tells a change of a published item. Immutable. */
+public sealed interface ItemChange {
+
+  /** Returns the key of the item. */
+  String key();
+
+  /** Returns the revision of the change. */
+  long revision();
+
+  /**
+   * The item was written.
+   *
+   * @param item the item as it is now
+   */
+  record Written(PublishedItem item) implements ItemChange {
+    @Override
+    public String key() {
+      return item.key();
+    }
+
+    @Override
+    public long revision() {
+      return item.revision();
+    }
+  }
+
+  /**
+   * The item was removed.
+   *
+   * @param key its key
+   * @param revision the revision of the removal
+   */
+  record Removed(String key, long revision) implements ItemChange {}
+}
--- /dev/null
+++ b/core/src/main/java/org/gentianslip/core/route/RouteTable.java
@@ -0,0 +1,78 @@
+package org.gentianslip.core.route;
+
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import org.gentianslip.core.id.ServiceId;
+
+/**
+ * Holds all routes and services of one version of the configuration.
+ *
+ * <p>Of the routes of a host, the one with the longest prefix of the path serves it. Immutable and
+ * safe for use by several threads.
+ */
+public final class RouteTable {
+
+  private final long version;
+  private final Map<String, Map<String, Route>> routes = new HashMap<>();
+  private final Map<ServiceId, ServiceProfile> services = new HashMap<>();
+  private final CallerLimits limits;
+
+  private RouteTable(long version, CallerLimits limits) {
+    this.version = version;
+    this.limits = limits;
+  }
+
+  /** Returns a table; of two routes with the same host and prefix the first one counts. */
+  public static RouteTable of(
+      long version,
+      Collection<Route> routes,
+      Collection<ServiceProfile> services,
+      CallerLimits limits) {
+    var table = new RouteTable(version, limits);
+    for (Route route : routes) {
+      table
+          .routes
+          .computeIfAbsent(route.host(), h -> new HashMap<>())
+          .putIfAbsent(route.prefix(), route);
+    }
+    services.forEach(s -> table.services.put(s.service(), s));
+    return table;
+  }
+
+  /** Returns the version, which only grows. */
+  public long version() {
+    return version;
+  }
+
+  /** Returns the bounds for callers. */
+  public CallerLimits limits() {
+    return limits;
+  }
+
+  /** Returns the number of routes. */
+  public int size() {
+    return routes.values().stream().mapToInt(Map::size).sum();
+  }
+
+  /** Returns the route of a request. */
+  public Optional<Route> find(String host, String path) {
+    Map<String, Route> ofHost = routes.get(host);
+    if (ofHost == null) {
+      return Optional.empty();
+    }
+    for (int end = path.lastIndexOf('/'); end >= 0; end = path.lastIndexOf('/', end - 1)) {
+      Route route = ofHost.get(path.substring(0, end + 1));
+      if (route != null) {
+        return Optional.of(route);
+      }
+    }
+    return Optional.empty();
+  }
+
+  /** Returns what is known of a service. */
+  public Optional<ServiceProfile> service(ServiceId service) {
+    return Optional.ofNullable(services.get(service));
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/gentianslip/core/route/package-info.java
@@ -0,0 +1,2 @@
+/** Routes: which requests go to which service, and under which conditions. */
+package org.gentianslip.core.route;
--- /dev/null
+++ b/core/src/main/java/org/gentianslip/core/stream/package-info.java
@@ -0,0 +1,2 @@
+/** Streams of server-sent events, cut at whole events. */
+package org.gentianslip.core.stream;
--- /dev/null
+++ b/entry/src/main/java/org/gentianslip/entry/fleet/package-info.java
@@ -0,0 +1,2 @@
+/** Exchanges between instances that know each other only from some seed addresses. */
+package org.gentianslip.entry.fleet;
--- /dev/null
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/CallerServer.java
@@ -0,0 +1,119 @@
+package org.gentianslip.entry.gateway;
+
+import com.google.common.flogger.FluentLogger;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.group.ChannelGroup;
+import io.netty.channel.group.DefaultChannelGroup;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.util.concurrent.GlobalEventExecutor;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+import java.util.function.Supplier;
+import org.gentianslip.core.route.CallerLimits;
+
+/**
+ * Serves one port for callers or for forwarding instances.
+ *
+ * <p>It reads HTTP without a server framework, since answers must keep the backend server's bytes,
+ * a caller that leaves must be seen at once, and a broken answer must not look whole. Safe for use
+ * by several threads.
+ */
+final class CallerServer implements AutoCloseable {
+
+  private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+  private static final int BACKLOG = 1_024;
+  private static final int MAX_LINE_BYTES = 16_384;
+  private static final int MAX_HEADER_BYTES = 65_536;
+  private static final int CHUNK_BYTES = 65_536;
+  private static final long SWEEP_MILLIS = 500;
+
+  private final EventLoopGroup loops;
+  private final Supplier<CallerLimits> limits;
+  private final BooleanSupplier leaving;
+  private final RequestReceiver receiver;
+  private final ChannelGroup connections =
+      new DefaultChannelGroup("callers", GlobalEventExecutor.INSTANCE);
+  private Channel listener;
+
+  /**
+   * Creates a server that does not listen yet.
+   *
+   * @param limits tells the bounds in force
+   * @param leaving tells whether connections are to be closed after their next answer
+   * @param receiver takes the requests
+   */
+  CallerServer(
+      EventLoopGroup loops,
+      Supplier<CallerLimits> limits,
+      BooleanSupplier leaving,
+      RequestReceiver receiver) {
+    this.loops = loops;
+    this.limits = limits;
+    this.leaving = leaving;
+    this.receiver = receiver;
+  }
+
+  /** Starts to listen. */
+  void listen(String host, int port) throws InterruptedException {
+    listener =
+        new ServerBootstrap()
+            .group(loops)
+            .channel(NioServerSocketChannel.class)
+            .option(ChannelOption.SO_BACKLOG, BACKLOG)
+            .option(ChannelOption.SO_REUSEADDR, true)
+            .childOption(ChannelOption.TCP_NODELAY, true)
+            .childHandler(
+                new ChannelInitializer<SocketChannel>() {
+                  @Override
+                  protected void initChannel(SocketChannel channel) {
+                    connections.add(channel);
+                    channel
+                        .pipeline()
+                        .addLast(
+                            new HttpServerCodec(MAX_LINE_BYTES, MAX_HEADER_BYTES, CHUNK_BYTES),
+                            new CallerConnection(limits, leaving, receiver));
+                  }
+                })
+            .bind(host, port)
+            .sync()
+            .channel();
+    loops.scheduleWithFixedDelay(this::sweep, SWEEP_MILLIS, SWEEP_MILLIS, TimeUnit.MILLISECONDS);
+    LOGGER.atInfo().log("gateway: event=listen address=%s:%s", host, port);
+  }
+
+  private void sweep() {
+    long now = System.nanoTime();
+    for (Channel channel : connections) {
+      CallerConnection connection = channel.pipeline().get(CallerConnection.class);
+      if (connection != null) {
+        channel.eventLoop().execute(() -> connection.sweep(now));
+      }
+    }
+  }
+
+  /** Takes no new connections and closes those that are idle. */
+  void stopAccepting() {
+    listener.close();
+    for (Channel channel : connections) {
+      CallerConnection connection = channel.pipeline().get(CallerConnection.class);
+      if (connection != null) {
+        channel.eventLoop().execute(connection::closeIfIdle);
+      }
+    }
+  }
+
+  /** Closes all connections at once. */
+  @Override
+  public void close() {
+    if (listener != null) {
+      listener.close();
+    }
+    connections.close();
+  }
+}
--- /dev/null
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/RequestRun.java
@@ -0,0 +1,489 @@
+package org.gentianslip.entry.gateway;
+
+import com.google.common.flogger.FluentLogger;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.util.concurrent.ScheduledFuture;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Locale;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import org.gentianslip.core.id.EngineId;
+import org.gentianslip.core.id.RegionId;
+import org.gentianslip.core.id.ServiceId;
+import org.gentianslip.core.load.BackendChoice;
+import org.gentianslip.core.load.BackendOption;
+import org.gentianslip.core.load.Choice;
+import org.gentianslip.core.load.RegionOption;
+import org.gentianslip.core.load.RequestSize;
+import org.gentianslip.core.membership.PeerRecord;
+import org.gentianslip.core.route.Route;
+
+/**
+ * Serves one request from its arrival to its final answer.
+ *
+ * <p>Every request ends exactly once: by the backend server's answer, by an answer of the gateway's
+ * own, by a break of a streamed answer that had begun, or since its caller left. "Not run" is
+ * answered only while no backend server may have run it. Used on one event loop only.
+ */
+final class RequestRun implements CallerEvents {
+
+  private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+
+  /** The least time in which an attempt is worth to be made, in milliseconds. */
+  private static final long LEAST_MILLIS = 15;
+
+  /** The time to connect to a backend server of the region, in milliseconds. */
+  private static final int CONNECT_MILLIS = 350;
+
+  /** The time to connect to an instance of another region, in milliseconds. */
+  private static final int AWAY_CONNECT_MILLIS = 800;
+
+  /**
+   * The silence after which a repeatable request is tried elsewhere: the least, in milliseconds.
+   */
+  private static final long LEAST_SILENCE_MILLIS = 250;
+
+  /** The same for a stream, in milliseconds: between two events. */
+  private static final long STREAM_SILENCE_MILLIS = 900;
+
+  /** The silence in multiples of what was expected. */
+  private static final double SILENCE_FACTOR = 3;
+
+  private static final int MAX_FORWARDS = 2;
+  private static final long RETRY_UNKNOWN_MILLIS = 300;
+
+  private final Gateway gateway;
+  private final IncomingRequest request;
+  private final CallerSink sink;
+  private final Route route;
+  private final ServiceId service;
+  private final RequestSize size;
+  private final boolean forwarded;
+  private final String id;
+  private final long endNanos;
+  private final Set<EngineId> ran = new HashSet<>();
+  private final Set<EngineId> excluded = new HashSet<>();
+  private final StringBuilder trail = new StringBuilder();
+  private AttemptBase current;
+  private ScheduledFuture<?> endTimer;
+  private int arrivals;
+  private int forwards;
+  private boolean mayHaveRun;
+  private boolean repeatGranted;
+  private boolean begun;
+  private boolean ended;
+  private Optional<String> lastEvent = Optional.empty();
+  private HttpHeaders firstHead;
+
+  RequestRun(
+      Gateway gateway,
+      IncomingRequest request,
+      CallerSink sink,
+      Route route,
+      boolean forwarded,
+      long remainingMillis) {
+    this.gateway = gateway;
+    this.request = request;
+    this.sink = sink;
+    this.route = route;
+    this.forwarded = forwarded;
+    this.id = request.headers().get(gateway.edge().requestId(), "");
+    this.service = route.serviceFor(gateway.fractionOf(id));
+    this.size = gateway.edge().sizeOf(request.headers(), request.body().length);
+    this.endNanos = request.receivedNanos() + TimeUnit.MILLISECONDS.toNanos(remainingMillis);
+  }
+
+  void start() {
+    sink.listen(this);
+    long left = endNanos - System.nanoTime();
+    endTimer = sink.loop().schedule(this::timeOut, left, TimeUnit.NANOSECONDS);
+    if (!forwarded) {
+      gateway.state().repeats(service).request(System.nanoTime());
+    }
+    next();
+  }
+
+  Gateway gateway() {
+    return gateway;
+  }
+
+  IncomingRequest request() {
+    return request;
+  }
+
+  CallerSink sink() {
+    return sink;
+  }
+
+  Route route() {
+    return route;
+  }
+
+  RequestSize size() {
+    return size;
+  }
+
+  String id() {
+    return id;
+  }
+
+  boolean hasEnded() {
+    return ended;
+  }
+
+  Optional<String> lastEvent() {
+    return lastEvent;
+  }
+
+  long remainingMillis(long nowNanos) {
+    return TimeUnit.NANOSECONDS.toMillis(endNanos - nowNanos);
+  }
+
+  private void next() {
+    if (ended) {
+      return;
+    }
+    long now = System.nanoTime();
+    long left = remainingMillis(now);
+    if (left < LEAST_MILLIS) {
+      giveUp("no-time", RETRY_UNKNOWN_MILLIS);
+      return;
+    }
+    if (arrivals > 0 && !repeatGranted && !mayRepeat(now)) {
+      giveUp("no-repeat", RETRY_UNKNOWN_MILLIS);
+      return;
+    }
+    repeatGranted = false;
+    Choice choice = choose(now, left);
+    if (choice instanceof Choice.ToBackend to) {
+      send(now, to);
+    } else if (choice instanceof Choice.ToRegion to) {
+      forward(now, to);
+    } else if (choice instanceof Choice.Refuse no) {
+      giveUp(no.reason(), no.afterMillis());
+    }
+  }
+
+  private Choice choose(long now, long left) {
+    List<BackendOption> options =
+        route.allows(gateway.state().place().region())
+            ? gateway.state().options(now, service).stream()
+                .filter(o -> mayUse(o.backend().id()))
+                .toList()
+            : List.of();
+    List<RegionOption> regions =
+        forwarded || forwards >= MAX_FORWARDS || (ran.size() >= route.maxBackends())
+            ? List.of()
+            : gateway.state().regions(now, route, service);
+    return BackendChoice.choose(now, route, size, left, options, regions);
+  }
+
+  private boolean mayUse(EngineId backend) {
+    return !excluded.contains(backend)
+        && (ran.contains(backend) || ran.size() < route.maxBackends());
+  }
+
+  private boolean mayRepeat(long now) {
+    return gateway.state().repeats(service).tryTake(now, gateway.state().extraRepeats());
+  }
+
+  private void send(long now, Choice.ToBackend to) {
+    var backend = to.option().backend();
+    var attempt = new BackendAttempt(this, to);
+    current = attempt;
+    note("backend=" + backend.id() + " wait=" + Math.round(to.estimate().totalMillis()));
+    attempt.start(now, CONNECT_MILLIS);
+    watchSilence(attempt, to.estimate().totalMillis());
+  }
+
+  private void forward(long now, Choice.ToRegion to) {
+    Optional<PeerRecord> peer = gateway.state().instanceIn(now, to.region());
+    if (peer.isEmpty()) {
+      gateway.state().pauseRegion(now, to.region());
+      next();
+      return;
+    }
+    forwards++;
+    var attempt = new ForwardAttempt(this, peer.get());
+    current = attempt;
+    note("instance=" + peer.get().id() + " wait=" + Math.round(to.expectedMillis()));
+    attempt.start(now, AWAY_CONNECT_MILLIS);
+    watchSilence(attempt, to.expectedMillis());
+  }
+
+  private void watchSilence(AttemptBase attempt, double expectedMillis) {
+    if (!route.repeatability().allowsSecondRun()) {
+      return;
+    }
+    long least = route.streaming() ? STREAM_SILENCE_MILLIS : LEAST_SILENCE_MILLIS;
+    long first = Math.max(least, (long) (SILENCE_FACTOR * expectedMillis));
+    long bound = Math.min(first, route.objectiveMillis() + least);
+    sink.loop().schedule(() -> checkSilence(attempt, bound), bound, TimeUnit.MILLISECONDS);
+  }
+
+  private void checkSilence(AttemptBase attempt, long boundMillis) {
+    if (ended || current != attempt) {
+      return;
+    }
+    long now = System.nanoTime();
+    long silent = TimeUnit.NANOSECONDS.toMillis(now - attempt.lastHeardNanos());
+    if (silent < boundMillis) {
+      long rest = boundMillis - silent + 1;
+      sink.loop().schedule(() -> checkSilence(attempt, boundMillis), rest, TimeUnit.MILLISECONDS);
+      return;
+    }
+    if (!sink.isWritable() || !mayTryElsewhere(now, attempt)) {
+      return;
+    }
+    repeatGranted = true;
+    attempt.noteFailure(now);
+    attempt.cancel();
+    attemptFailed(attempt, true, "silent for " + silent + " ms");
+  }
+
+  /** Returns whether the request can be run elsewhere, and takes a repeat for it. */
+  private boolean mayTryElsewhere(long now, AttemptBase attempt) {
+    if (ran.size() + 1 >= route.maxBackends() || (begun && lastEvent.isEmpty())) {
+      return false;
+    }
+    Set<EngineId> before = Set.copyOf(excluded);
+    attempt.exclude();
+    Choice choice = choose(now, remainingMillis(now));
+    excluded.retainAll(before);
+    return !(choice instanceof Choice.Refuse) && mayRepeat(now);
+  }
+
+  /** An answer other than a success came; it proves that the request did not run there. */
+  void attemptNotRun(AttemptBase attempt, String why) {
+    if (ended || current != attempt) {
+      return;
+    }
+    note(why);
+    attempt.exclude();
+    next();
+  }
+
+  /** An attempt ended without an answer. */
+  void attemptFailed(AttemptBase attempt, boolean written, String why) {
+    if (ended || current != attempt) {
+      return;
+    }
+    note(why);
+    attempt.exclude();
+    if (written) {
+      attempt.noteRan();
+      mayHaveRun = true;
+      if (!route.repeatability().allowsSecondRun()) {
+        breakOff("unknown");
+        return;
+      }
+      if (begun && lastEvent.isEmpty()) {
+        breakOff("no-event-id");
+        return;
+      }
+    }
+    next();
+  }
+
+  /** Counts a backend server that may have run the request. */
+  void ranAt(EngineId backend) {
+    ran.add(backend);
+  }
+
+  void excludeBackend(EngineId backend) {
+    excluded.add(backend);
+  }
+
+  void arrived() {
+    arrivals++;
+  }
+
+  /** Returns whether a failure that a backend server answered is better hidden by another run. */
+  boolean retriesAfterError(int status) {
+    return status >= 500
+        && route.repeatability().allowsSecondRun()
+        && !begun
+        && remainingMillis(System.nanoTime()) > LEAST_MILLIS * 4;
+  }
+
+  /** Tries again after a failure that a backend server answered, or gives that answer. */
+  void retryOrAnswer(AttemptBase attempt, int status, HttpHeaders headers, byte[] body) {
+    long now = System.nanoTime();
+    attempt.noteRan();
+    mayHaveRun = true;
+    Choice choice = choose(now, remainingMillis(now));
+    boolean possible = choice instanceof Choice.ToBackend || choice instanceof Choice.ToRegion;
+    if (!possible || !mayRepeat(now)) {
+      answer(status, headers, body);
+      return;
+    }
+    note("status=" + status);
+    if (choice instanceof Choice.ToBackend to) {
+      send(now, to);
+    } else if (choice instanceof Choice.ToRegion to) {
+      forward(now, to);
+    }
+  }
+
+  /** Sends the backend server's answer. */
+  void answer(int status, HttpHeaders headers, byte[] body) {
+    if (begun) {
+      breakOff("status=" + status);
+      return;
+    }
+    if (finish("answered status=" + status)) {
+      sink.answer(status, headers, body);
+    }
+  }
+
+  /** Sends whole events; the head goes before the first. */
+  void events(HttpHeaders headers, byte[] whole, Optional<String> lastId) {
+    if (ended) {
+      return;
+    }
+    if (!begun) {
+      begun = true;
+      firstHead = headers;
+      sink.begin(200, firstHead);
+    }
+    lastId.ifPresent(l -> lastEvent = Optional.of(l));
+    sink.write(whole);
+  }
+
+  /** Ends the stream as complete. */
+  void streamComplete(HttpHeaders headers) {
+    if (ended) {
+      return;
+    }
+    if (!begun) {
+      begun = true;
+      sink.begin(200, headers);
+    }
+    if (finish("streamed")) {
+      sink.end();
+    }
+  }
+
+  private void giveUp(String why, long afterMillis) {
+    if (mayHaveRun || begun) {
+      breakOff(why);
+      return;
+    }
+    if (finish("refused reason=" + why)) {
+      sink.answer(503, gateway.notRunHeaders(id, afterMillis), new byte[0]);
+    }
+  }
+
+  private void breakOff(String why) {
+    if (!finish("broken reason=" + why)) {
+      return;
+    }
+    if (begun) {
+      sink.abort();
+    } else {
+      sink.answer(502, gateway.failureHeaders(id), new byte[0]);
+    }
+  }
+
+  private void timeOut() {
+    if (ended) {
+      return;
+    }
+    cancelCurrent();
+    boolean nothingSent = !mayHaveRun && arrivals == 0;
+    if (!finish("timeout")) {
+      return;
+    }
+    if (begun) {
+      sink.abort();
+    } else if (nothingSent) {
+      sink.answer(503, gateway.notRunHeaders(id, RETRY_UNKNOWN_MILLIS), new byte[0]);
+    } else {
+      sink.answer(504, gateway.failureHeaders(id), new byte[0]);
+    }
+  }
+
+  private void cancelCurrent() {
+    if (current != null) {
+      current.cancel();
+    }
+  }
+
+  private boolean finish(String outcome) {
+    if (ended) {
+      return false;
+    }
+    ended = true;
+    endTimer.cancel(false);
+    long millis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - request.receivedNanos());
+    gateway.ended(route, outcome);
+    LOGGER.atInfo().log(
+        "gateway: event=request id=%s route=%s rank=%s version=%s forwarded=%s millis=%s trail=[%s]"
+            + " outcome=%s",
+        id, route.name(), route.rank(), gateway.version(), forwarded, millis, trail, outcome);
+    return true;
+  }
+
+  private void note(String step) {
+    trail.append(trail.length() == 0 ? "" : "; ").append(step);
+  }
+
+  @Override
+  public void gone() {
+    if (!ended) {
+      cancelCurrent();
+      finish("caller-left");
+    }
+  }
+
+  @Override
+  public void writabilityChanged(boolean writable) {
+    if (!ended && current != null) {
+      current.setReading(writable);
+    }
+  }
+
+  /** Returns the headers of a backend server's answer that go on to the caller. */
+  HttpHeaders toCaller(HttpHeaders headers) {
+    var copy = new DefaultHttpHeaders(false);
+    copy.add(headers);
+    Headers.removeConnectionHeaders(copy);
+    copy.remove(Gateway.OUTCOME);
+    if (!copy.contains(gateway.edge().requestId())) {
+      copy.set(gateway.edge().requestId(), id);
+    }
+    return copy;
+  }
+
+  /** Returns the caller's headers that go on to a backend server or another instance. */
+  HttpHeaders toBackend(long nowNanos) {
+    var copy = new DefaultHttpHeaders(false);
+    Set<String> named = Headers.namedByConnection(request.headers());
+    for (var h : request.headers()) {
+      String name = h.getKey().toLowerCase(Locale.ROOT);
+      boolean dropped =
+          Headers.isConnectionHeader(name)
+              || gateway.edge().isReserved(name)
+              || name.startsWith(Gateway.OWN_PREFIX)
+              || (named.contains(name) && !gateway.edge().isKept(name));
+      if (!dropped) {
+        copy.add(h.getKey(), h.getValue());
+      }
+    }
+    copy.set(gateway.edge().deadlineMillis(), Long.toString(remainingMillis(nowNanos)));
+    lastEvent.ifPresent(l -> copy.set(gateway.edge().lastEventId(), l));
+    if (request.body().length > 0 || request.headers().contains(HttpHeaderNames.CONTENT_LENGTH)) {
+      copy.set(HttpHeaderNames.CONTENT_LENGTH, request.body().length);
+    }
+    return copy;
+  }
+
+  /** Returns the region of this instance. */
+  RegionId region() {
+    return gateway.state().place().region();
+  }
+}
--- a/entry/src/main/java/org/gentianslip/entry/http/HttpServer.java
+++ b/entry/src/main/java/org/gentianslip/entry/http/HttpServer.java
@@ -11,6 +11,7 @@
 import java.io.UncheckedIOException;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
+import java.nio.file.Path;
 import java.util.List;
 import java.util.Map;
 import java.util.function.Consumer;
@@ -58,6 +59,8 @@
     options.setDefaultHeaders(false);
     options.setServer("netty");
     var app = new Jooby();
+    // The working directory may be read-only; nothing is written here, since bodies stay in memory.
+    app.setTmpdir(Path.of(System.getProperty("java.io.tmpdir")));
     app.setServerOptions(options);
     app.setExecutionMode(ExecutionMode.WORKER);
     app.setStartupSummary(List.of());
--- /dev/null
+++ b/entry/src/main/java/org/gentianslip/entry/logging/LineLog.java
@@ -0,0 +1,114 @@
+package org.gentianslip.entry.logging;
+
+import java.io.FileDescriptor;
+import java.io.FileOutputStream;
+import java.io.IOException;
+import java.io.OutputStream;
+import java.io.PrintWriter;
+import java.io.StringWriter;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.ArrayBlockingQueue;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.logging.Handler;
+import java.util.logging.Level;
+import java.util.logging.LogRecord;
+import java.util.logging.Logger;
+
+/**
+ * Writes log records to standard output, one line each.
+ *
+ * <p>A thread of its own writes; a record that finds the queue full is counted and left out, so no
+ * caller ever waits for a reader. Safe for use by several threads.
+ */
+public final class LineLog extends Handler {
+
+  /** The records that may wait: some seconds of a busy instance. */
+  private static final int CAPACITY = 4_096;
+
+  private static final int BATCH = 256;
+  private static final long FLUSH_MILLIS = 300;
+
+  private static LineLog installed;
+
+  private final BlockingQueue<String> lines = new ArrayBlockingQueue<>(CAPACITY);
+  private final AtomicLong dropped = new AtomicLong();
+  private final OutputStream out;
+
+  LineLog(OutputStream out) {
+    this.out = out;
+    var writer = new Thread(this::write, "log");
+    writer.setDaemon(true);
+    writer.start();
+  }
+
+  /** Makes this the only handler of the process's log records. */
+  public static void install() {
+    Logger root = Logger.getLogger("");
+    for (Handler handler : root.getHandlers()) {
+      root.removeHandler(handler);
+    }
+    root.setLevel(Level.INFO);
+    installed = new LineLog(new FileOutputStream(FileDescriptor.out));
+    root.addHandler(installed);
+  }
+
+  /** Waits for a moment until the lines so far are written. */
+  public static void drain() throws InterruptedException {
+    long end = System.nanoTime() + FLUSH_MILLIS * 1_000_000;
+    while (installed != null && !installed.lines.isEmpty() && System.nanoTime() - end < 0) {
+      Thread.sleep(5);
+    }
+  }
+
+  @Override
+  public void publish(LogRecord record) {
+    if (!isLoggable(record)) {
+      return;
+    }
+    if (!lines.offer(format(record))) {
+      dropped.incrementAndGet();
+    }
+  }
+
+  private static String format(LogRecord record) {
+    var line = new StringBuilder(160);
+    line.append(record.getInstant()).append(' ').append(record.getLevel()).append(' ');
+    line.append(record.getMessage());
+    if (record.getThrown() != null) {
+      var trace = new StringWriter();
+      record.getThrown().printStackTrace(new PrintWriter(trace));
+      line.append(" trace=").append(trace.toString().replace("\n", " | "));
+    }
+    return line.append('\n').toString();
+  }
+
+  private void write() {
+    List<String> batch = new ArrayList<>();
+    try {
+      while (true) {
+        batch.add(lines.take());
+        lines.drainTo(batch, BATCH);
+        long lost = dropped.getAndSet(0);
+        if (lost > 0) {
+          batch.add("log: event=dropped lines=" + lost + "\n");
+        }
+        out.write(String.join("", batch).getBytes(StandardCharsets.UTF_8));
+        batch.clear();
+      }
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    } catch (IOException e) {
+      // Nobody reads the log any more, so there is nowhere to tell it.
+      dropped.incrementAndGet();
+    }
+  }
+
+  @Override
+  public void flush() {}
+
+  @Override
+  public void close() {}
+}
