--- a/core/src/main/java/org/gentianslip/core/load/BackendLoad.java
+++ b/core/src/main/java/org/gentianslip/core/load/BackendLoad.java
@@ -76,7 +76,7 @@
     } else {
       otherMillis += reading;
     }
-    if (isCold(nowNanos)) {
+    if (isCold(nowNanos) || coldOnReturn) {
       coldSends.addLast(nowNanos);
     }
     return new Reservation(this, urgent, reading, nowNanos);
--- a/core/src/main/java/org/gentianslip/core/stream/EventSplitter.java
+++ b/core/src/main/java/org/gentianslip/core/stream/EventSplitter.java
@@ -24,7 +24,6 @@
   /** Returns the bytes of the events that the given bytes complete; empty if there is none. */
   public byte[] take(byte[] bytes) {
     int wholeUpTo = 0;
-    int before = pending.size();
     for (int i = 0; i < bytes.length; i++) {
       if (bytes[i] == '\r') {
         continue;
@@ -36,6 +35,7 @@
       }
       lineEmpty = lineEnds;
     }
+    int before = pending.size();
     pending.write(bytes, 0, bytes.length);
     if (wholeUpTo == 0) {
       return new byte[0];
--- /dev/null
+++ b/core/src/test/java/org/gentianslip/core/limit/RepeatWindowTest.java
@@ -0,0 +1,67 @@
+package org.gentianslip.core.limit;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import org.junit.jupiter.api.DisplayName;
+import org.junit.jupiter.api.Test;
+
+@DisplayName("A repeat window")
+class RepeatWindowTest {
+
+  private static final long WINDOW = 1_000;
+
+  @Test
+  void allowsTheExtraRepeatsWithoutRequests() {
+    var window = new RepeatWindow(WINDOW, 0.2);
+    assertThat(window.tryTake(0, 2), is(true));
+    assertThat(window.tryTake(0, 2), is(true));
+    assertThat(window.tryTake(0, 2), is(false));
+  }
+
+  @Test
+  void allowsShareOfTheRequests() {
+    var window = new RepeatWindow(WINDOW, 0.2);
+    for (int i = 0; i < 10; i++) {
+      window.request(0);
+    }
+    assertThat(window.tryTake(0, 0), is(true));
+    assertThat(window.tryTake(0, 0), is(true));
+    assertThat(window.tryTake(0, 0), is(false));
+  }
+
+  @Test
+  void forgetsRequestsThatLeftTheWindow() {
+    var window = new RepeatWindow(WINDOW, 0.2);
+    for (int i = 0; i < 10; i++) {
+      window.request(0);
+    }
+    assertThat(window.tryTake(WINDOW, 0), is(false));
+  }
+
+  @Test
+  void keepsTheBoundInEveryWindow() {
+    var random = new Random(7);
+    var window = new RepeatWindow(WINDOW, 0.2);
+    List<Long> requests = new ArrayList<>();
+    List<Long> repeats = new ArrayList<>();
+    long now = 0;
+    for (int i = 0; i < 5_000; i++) {
+      now += random.nextInt(20);
+      if (random.nextInt(3) > 0) {
+        window.request(now);
+        requests.add(now);
+      } else if (window.tryTake(now, 3)) {
+        repeats.add(now);
+        long start = now - WINDOW;
+        long of = requests.stream().filter(t -> t > start).count();
+        long taken = repeats.stream().filter(t -> t > start).count();
+        assertThat((double) taken, lessThanOrEqualTo(0.2 * of + 3));
+      }
+    }
+  }
+}
--- /dev/null
+++ b/core/src/test/java/org/gentianslip/core/load/BackendChoiceTest.java
@@ -0,0 +1,162 @@
+package org.gentianslip.core.load;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.instanceOf;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.not;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import org.gentianslip.core.id.DataCentreId;
+import org.gentianslip.core.id.EngineId;
+import org.gentianslip.core.id.RegionId;
+import org.gentianslip.core.id.ServiceId;
+import org.gentianslip.core.published.Backend;
+import org.gentianslip.core.route.EngineProfile;
+import org.gentianslip.core.route.Repeatability;
+import org.gentianslip.core.route.Route;
+import org.gentianslip.core.route.WeightedService;
+import org.junit.jupiter.api.DisplayName;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+@DisplayName("The choice of a backend server")
+class BackendChoiceTest {
+
+  private static final EngineProfile ENGINE = new EngineProfile(64, 350_000, 7);
+  private static final RequestSize LONG =
+      new RequestSize(
+          List.of(new PromptPart("shared", 13_000), new PromptPart("own", 3_700)), 100, 34_000);
+  private static final RequestSize SHORT =
+      new RequestSize(List.of(new PromptPart("a", 90), new PromptPart("b", 290)), 40, 770);
+
+  private static Route route(int rank, long objectiveMillis) {
+    return new Route(
+        "r",
+        "host",
+        "/",
+        Repeatability.RESUMABLE,
+        true,
+        8_000,
+        objectiveMillis,
+        2,
+        rank,
+        List.of(new WeightedService(ServiceId.of("s"), 1)),
+        Set.of());
+  }
+
+  private static List<BackendOption> engines(int count) {
+    List<BackendOption> options = new ArrayList<>();
+    for (int i = 0; i < count; i++) {
+      var backend =
+          new Backend(
+              EngineId.of("e" + i),
+              ServiceId.of("s"),
+              "10.0.0." + i + ":80",
+              DataCentreId.of("z"),
+              64,
+              false,
+              0,
+              0);
+      options.add(new BackendOption(backend, new BackendLoad(64, ENGINE)));
+    }
+    return options;
+  }
+
+  private static Choice choose(
+      RequestSize size, List<BackendOption> options, List<RegionOption> regions) {
+    return BackendChoice.choose(0, route(0, 1_000), size, 8_000, options, regions);
+  }
+
+  private static String chosen(Choice choice) {
+    return ((Choice.ToBackend) choice).option().backend().id().value();
+  }
+
+  @Nested
+  @DisplayName("for a long shared prompt")
+  class LongPrompt {
+
+    @Test
+    void staysWhereThePromptIsCached() {
+      List<BackendOption> options = engines(4);
+      options.get(2).load().begin(0, true, LONG).answerBegun();
+      assertThat(chosen(choose(LONG, options, List.of())), is("e2"));
+    }
+
+    @Test
+    void isTheSameAtEveryInstanceWhileNothingIsKnown() {
+      assertThat(
+          chosen(choose(LONG, engines(4), List.of())),
+          is(chosen(choose(LONG, engines(4), List.of()))));
+    }
+
+    @Test
+    void leavesAnEngineThatHasTooMuchToRead() {
+      List<BackendOption> options = engines(2);
+      options.get(0).load().begin(0, true, LONG).answerBegun();
+      for (int i = 0; i < 10; i++) {
+        var other = new RequestSize(List.of(new PromptPart("x" + i, 10_000)), 10, 0);
+        options.get(0).load().begin(0, true, other);
+      }
+      assertThat(chosen(choose(LONG, options, List.of())), is("e1"));
+    }
+
+    @Test
+    void staysInItsRegionWhileTheWaitIsShort() {
+      var away = new RegionOption(RegionId.of("far"), 0, 110);
+      assertThat(choose(LONG, engines(2), List.of(away)), instanceOf(Choice.ToBackend.class));
+    }
+  }
+
+  @Nested
+  @DisplayName("under load")
+  class UnderLoad {
+
+    private final List<BackendOption> busy = engines(1);
+
+    private void fill(int prompts) {
+      for (int i = 0; i < prompts; i++) {
+        var size = new RequestSize(List.of(new PromptPart("p" + i, 10_000)), 10, 0);
+        busy.get(0).load().begin(0, false, size);
+      }
+    }
+
+    @Test
+    void goesToAnotherRegionIfThatIsSooner() {
+      fill(4);
+      var away = new RegionOption(RegionId.of("far"), 0, 110);
+      Choice choice = BackendChoice.choose(0, route(2, 3_000), SHORT, 4_000, busy, List.of(away));
+      assertThat(choice, is(new Choice.ToRegion(RegionId.of("far"), 110 + 380 / 50.0)));
+    }
+
+    @Test
+    void refusesWhatCannotBeServedInTime() {
+      fill(30);
+      Choice choice = BackendChoice.choose(0, route(2, 3_000), SHORT, 4_000, busy, List.of());
+      assertThat(choice, instanceOf(Choice.Refuse.class));
+    }
+
+    @Test
+    void stillServesUrgentWorkThatGoesBeforeTheRest() {
+      fill(30);
+      Choice choice = BackendChoice.choose(0, route(0, 6_000), SHORT, 8_000, busy, List.of());
+      assertThat(choice, not(instanceOf(Choice.Refuse.class)));
+    }
+  }
+
+  @Test
+  void refusesIfThereIsNothing() {
+    assertThat(choose(SHORT, List.of(), List.of()), instanceOf(Choice.Refuse.class));
+  }
+
+  @Test
+  void leavesAnEngineThatFails() {
+    List<BackendOption> options = engines(2);
+    for (int i = 0; i < 5; i++) {
+      options.get(0).load().begin(0, false, SHORT).failed(0);
+    }
+    options.get(1).load().begin(0, false, SHORT);
+    assertThat(chosen(choose(SHORT, options, List.of())), is("e1"));
+  }
+}
--- /dev/null
+++ b/core/src/test/java/org/gentianslip/core/load/BackendLoadTest.java
@@ -0,0 +1,106 @@
+package org.gentianslip.core.load;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+
+import org.gentianslip.core.id.InstanceId;
+import org.junit.jupiter.api.DisplayName;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+@DisplayName("The load of a backend server")
+class BackendLoadTest {
+
+  private static final long SECOND = 1_000_000_000L;
+
+  private final BackendLoad load = new BackendLoad(6, null);
+
+  private Reservation begin(long now) {
+    return load.begin(now, false, RequestSize.UNKNOWN);
+  }
+
+  private int running(long now) {
+    return load.estimate(now, false, RequestSize.UNKNOWN).running();
+  }
+
+  @Test
+  void countsRequestUntilItsEnd() {
+    Reservation one = begin(0);
+    assertThat(running(0), is(1));
+    one.succeeded(1);
+    assertThat(running(0), is(0));
+  }
+
+  @Test
+  void countsTheEndOnce() {
+    Reservation one = begin(0);
+    one.succeeded(1);
+    one.released();
+    assertThat(running(0), is(0));
+  }
+
+  @Test
+  void countsOtherInstancesUntilTheirNewsIsOld() {
+    load.heard(InstanceId.of("a"), new PeerLoad(4, 0, 0, 0));
+    assertThat(running(SECOND), is(4));
+    assertThat(running(2 * SECOND), is(0));
+  }
+
+  @Nested
+  @DisplayName("that cannot be reached")
+  class Unreachable {
+
+    @Test
+    void getsNoWorkForMoment() {
+      begin(0).unreachable(0);
+      assertThat(load.mayGetWork(SECOND / 10, 0), is(false));
+      assertThat(load.mayGetWork(SECOND, 0), is(true));
+    }
+
+    @Test
+    void tellsItsReturnOnce() {
+      begin(0).unreachable(0);
+      assertThat(load.takeReturn(), is(false));
+      begin(SECOND).succeeded(SECOND);
+      assertThat(load.takeReturn(), is(true));
+      assertThat(load.takeReturn(), is(false));
+    }
+
+    @Test
+    void getsOnlyThePaceOfColdOneUntilItAnswers() {
+      begin(0).unreachable(0);
+      load.coldUntil(5 * SECOND);
+      begin(SECOND);
+      begin(SECOND);
+      assertThat(load.mayGetWork(SECOND, 2), is(false));
+    }
+  }
+
+  @Nested
+  @DisplayName("that is cold")
+  class Cold {
+
+    @Test
+    void getsAtMostThePaceInEverySecond() {
+      load.coldUntil(10 * SECOND);
+      int sent = 0;
+      for (long now = 0; now < SECOND; now += SECOND / 100) {
+        if (load.mayGetWork(now, 5)) {
+          begin(now);
+          sent++;
+        }
+      }
+      assertThat(sent, is(5));
+      assertThat(load.mayGetWork(SECOND, 5), is(true));
+    }
+
+    @Test
+    void isFreeOnceItIsWarm() {
+      load.coldUntil(SECOND);
+      for (int i = 0; i < 6; i++) {
+        begin(0);
+      }
+      assertThat(load.mayGetWork(SECOND, 5), is(true));
+    }
+  }
+}
--- /dev/null
+++ b/core/src/test/java/org/gentianslip/core/route/RouteTableTest.java
@@ -0,0 +1,117 @@
+package org.gentianslip.core.route;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.closeTo;
+import static org.hamcrest.Matchers.is;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import org.gentianslip.core.id.RegionId;
+import org.gentianslip.core.id.ServiceId;
+import org.junit.jupiter.api.DisplayName;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+@DisplayName("A route table")
+class RouteTableTest {
+
+  private static Route route(String name, String prefix) {
+    return new Route(
+        name,
+        "host",
+        prefix,
+        Repeatability.ONCE,
+        false,
+        1_000,
+        300,
+        1,
+        0,
+        List.of(new WeightedService(ServiceId.of("s"), 1)),
+        Set.of());
+  }
+
+  private static RouteTable table(Route... routes) {
+    return RouteTable.of(3, List.of(routes), List.of(), CallerLimits.DEFAULT);
+  }
+
+  private static Optional<String> found(RouteTable table, String host, String path) {
+    return table.find(host, path).map(Route::name);
+  }
+
+  @Nested
+  @DisplayName("finds a route")
+  class Finding {
+
+    private final RouteTable table = table(route("short", "/a/"), route("long", "/a/b/"));
+
+    @Test
+    void byTheLongestPrefix() {
+      assertThat(found(table, "host", "/a/b/c"), is(Optional.of("long")));
+    }
+
+    @Test
+    void byShorterPrefixIfTheLongerOneDoesNotBeginThePath() {
+      assertThat(found(table, "host", "/a/bc"), is(Optional.of("short")));
+    }
+
+    @Test
+    void ofTheHostOnly() {
+      assertThat(found(table, "other", "/a/b/c"), is(Optional.empty()));
+    }
+
+    @Test
+    void notForPathOutsideAllPrefixes() {
+      assertThat(found(table, "host", "/b/"), is(Optional.empty()));
+    }
+  }
+
+  @Test
+  void splitsRequestsByWeight() {
+    var split =
+        new Route(
+            "split",
+            "host",
+            "/",
+            Repeatability.REPEATABLE,
+            false,
+            1_000,
+            300,
+            1,
+            0,
+            List.of(
+                new WeightedService(ServiceId.of("a"), 90),
+                new WeightedService(ServiceId.of("b"), 10)),
+            Set.of());
+    int toB = 0;
+    for (int i = 0; i < 1_000; i++) {
+      toB += split.serviceFor(i / 1_000.0).value().equals("b") ? 1 : 0;
+    }
+    assertThat((double) toB, closeTo(100, 1));
+  }
+
+  @Test
+  void allowsOnlyTheRegionsThatItNames() {
+    var home =
+        new Route(
+            "home",
+            "host",
+            "/",
+            Repeatability.ONCE,
+            true,
+            1_000,
+            300,
+            1,
+            0,
+            List.of(new WeightedService(ServiceId.of("a"), 1)),
+            Set.of(RegionId.of("north")));
+    assertThat(home.allows(RegionId.of("north")), is(true));
+    assertThat(home.allows(RegionId.of("south")), is(false));
+  }
+
+  @Test
+  void refusesPrefixWithoutSlashes() {
+    assertThrows(IllegalArgumentException.class, () -> route("bad", "/a"));
+  }
+}
--- a/entry/src/main/java/org/gentianslip/entry/gateway/CallerConnection.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/CallerConnection.java
@@ -148,16 +148,18 @@
   }
 
   private void handOn() {
-    HttpRequest request = head;
-    byte[] bytes = body == null ? new byte[0] : ByteBufUtil.getBytes(body);
+    IncomingRequest request = takeRequest();
+    receiver.take(request, sink);
+  }
+
+  private IncomingRequest takeRequest() {
+    final byte[] bytes = body == null ? new byte[0] : ByteBufUtil.getBytes(body);
+    HttpRequest read = head;
+    sink = new NettyCallerSink(ctx, read, leaving, this::answered);
     head = null;
     body = null;
     partial = false;
-    sink = new NettyCallerSink(ctx, request, leaving, this::answered);
-    receiver.take(
-        new IncomingRequest(
-            request.method(), request.uri(), request.headers(), bytes, System.nanoTime()),
-        sink);
+    return new IncomingRequest(read.method(), read.uri(), read.headers(), bytes, System.nanoTime());
   }
 
   private void answered(boolean keepAlive) {
--- a/entry/src/main/java/org/gentianslip/entry/gateway/GatewayProcess.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/GatewayProcess.java
@@ -106,8 +106,8 @@
     if (!left.compareAndSet(false, true)) {
       return;
     }
-    long start = System.nanoTime();
-    long grace = state.place().bounds().graceMillis();
+    final long start = System.nanoTime();
+    final long grace = state.place().bounds().graceMillis();
     state.leave();
     LOGGER.atInfo().log("gateway: event=leaving in-flight=%s grace=%s", gateway.inFlight(), grace);
     announce.run();
--- a/entry/src/main/java/org/gentianslip/entry/published/PublishedIntake.java
+++ b/entry/src/main/java/org/gentianslip/entry/published/PublishedIntake.java
@@ -75,7 +75,7 @@
     long pause = FIRST_PAUSE_MILLIS;
     while (!closed) {
       try {
-        long before = System.nanoTime();
+        final long before = System.nanoTime();
         step();
         regained();
         pause = FIRST_PAUSE_MILLIS;
