Take silence for load unless another place can serve, and charge only unusual failures

Ruled out: lost packets and slow instances; the same forwards ended in time when left alone. Change: the other place is chosen before the cancel, and a stream may be silent for 1.5 s; failures below a tenth are not charged, and waits told to other regions hold the same charge.

--- a/core/src/main/java/org/gentianslip/core/load/BackendChoice.java
+++ b/core/src/main/java/org/gentianslip/core/load/BackendChoice.java
@@ -20,9 +20,6 @@
   /** How much longer the preferred engine of an unknown prompt may take, in milliseconds. */
   private static final double PREFERENCE_MILLIS = 60;
 
-  /** The charge for a server that fails, in milliseconds at a share of 1. */
-  private static final double FAILURE_MILLIS = 3_000;
-
   /** How much sooner another region must be expected to answer, in milliseconds. */
   private static final double AWAY_MARGIN_MILLIS = 60;
 
@@ -112,7 +109,7 @@
 
   private static double cost(RequestSize size, Estimate e) {
     long again = Math.min(e.missingTokens(), size.sharedTokens());
-    return e.totalMillis() + again * MILLIS_PER_SHARED_TOKEN + e.failureShare() * FAILURE_MILLIS;
+    return e.totalMillis() + again * MILLIS_PER_SHARED_TOKEN + e.failureMillis();
   }
 
   private static double awayMillis(RequestSize size, RegionOption region) {
--- a/core/src/main/java/org/gentianslip/core/load/Estimate.java
+++ b/core/src/main/java/org/gentianslip/core/load/Estimate.java
@@ -19,6 +19,17 @@
     int slots,
     double failureShare) {
 
+  /** The charge for a server that fails, in milliseconds at a share of 1. */
+  private static final double FAILURE_MILLIS = 1_500;
+
+  /** The share of failures that sound servers answer too, and that is not charged. */
+  private static final double USUAL_FAILURES = 0.1;
+
+  /** Returns the charge for the failures of the backend server, in milliseconds. */
+  public double failureMillis() {
+    return FAILURE_MILLIS * Math.max(0, failureShare - USUAL_FAILURES);
+  }
+
   /** Returns the time to the first part of the answer, in milliseconds. */
   public double totalMillis() {
     return waitMillis + workMillis;
--- a/entry/src/main/java/org/gentianslip/entry/gateway/AttemptBase.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/AttemptBase.java
@@ -41,6 +41,9 @@
   /** Notes in the books that the other side failed. */
   abstract void noteFailure(long nowNanos);
 
+  /** Notes in the books that the other side gave no sign for long, which may be load only. */
+  abstract void noteSilence(long nowNanos);
+
   /** Notes in the books that no connection could be made. */
   abstract void noteUnreachable(long nowNanos);
 
--- a/entry/src/main/java/org/gentianslip/entry/gateway/BackendAttempt.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/BackendAttempt.java
@@ -47,6 +47,11 @@
     reservation.failed(nowNanos);
   }
 
+  @Override
+  void noteSilence(long nowNanos) {
+    reservation.failed(nowNanos);
+  }
+
   @Override
   void noteUnreachable(long nowNanos) {
     reservation.unreachable(nowNanos);
--- a/entry/src/main/java/org/gentianslip/entry/gateway/ForwardAttempt.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/ForwardAttempt.java
@@ -40,6 +40,9 @@
     run().gateway().state().pauseRegion(nowNanos, peer.region());
   }
 
+  @Override
+  void noteSilence(long nowNanos) {}
+
   @Override
   void noteUnreachable(long nowNanos) {
     run().gateway().state().pauseRegion(nowNanos, peer.region());
--- a/entry/src/main/java/org/gentianslip/entry/gateway/GatewayState.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/GatewayState.java
@@ -16,7 +16,6 @@
 import org.gentianslip.core.limit.RepeatWindow;
 import org.gentianslip.core.load.BackendLoad;
 import org.gentianslip.core.load.BackendOption;
-import org.gentianslip.core.load.Estimate;
 import org.gentianslip.core.load.RegionOption;
 import org.gentianslip.core.load.RequestSize;
 import org.gentianslip.core.membership.PeerBook;
@@ -217,7 +216,7 @@
       }
       options(nowNanos, b.service()).stream()
           .map(o -> o.load().estimate(nowNanos, false, RequestSize.UNKNOWN))
-          .mapToDouble(Estimate::waitMillis)
+          .mapToDouble(e -> e.waitMillis() + e.failureMillis())
           .min()
           .ifPresent(w -> waits.put(b.service(), w));
     }
--- a/entry/src/main/java/org/gentianslip/entry/gateway/RequestRun.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/RequestRun.java
@@ -48,7 +48,7 @@
   private static final long LEAST_SILENCE_MILLIS = 250;
 
   /** The same for a stream, in milliseconds: between two events. */
-  private static final long STREAM_SILENCE_MILLIS = 900;
+  private static final long STREAM_SILENCE_MILLIS = 1_500;
 
   /** The silence in multiples of what was expected. */
   private static final double SILENCE_FACTOR = 3;
@@ -73,7 +73,6 @@
   private int arrivals;
   private int forwards;
   private boolean mayHaveRun;
-  private boolean repeatGranted;
   private boolean begun;
   private boolean ended;
   private Optional<String> lastEvent = Optional.empty();
@@ -153,12 +152,14 @@
       giveUp("no-time", RETRY_UNKNOWN_MILLIS);
       return;
     }
-    if (arrivals > 0 && !repeatGranted && !mayRepeat(now)) {
+    if (arrivals > 0 && !mayRepeat(now)) {
       giveUp("no-repeat", RETRY_UNKNOWN_MILLIS);
       return;
     }
-    repeatGranted = false;
-    Choice choice = choose(now, left);
+    carryOut(now, choose(now, left));
+  }
+
+  private void carryOut(long now, Choice choice) {
     if (choice instanceof Choice.ToBackend to) {
       send(now, to);
     } else if (choice instanceof Choice.ToRegion to) {
@@ -236,25 +237,29 @@
       sink.loop().schedule(() -> checkSilence(attempt, boundMillis), rest, TimeUnit.MILLISECONDS);
       return;
     }
-    if (!sink.isWritable() || !mayTryElsewhere(now, attempt)) {
+    if (!sink.isWritable() || !mayRunElsewhere(attempt)) {
+      return;
+    }
+    Choice elsewhere = chooseWithout(now, attempt);
+    if (elsewhere instanceof Choice.Refuse || !mayRepeat(now)) {
       return;
     }
-    repeatGranted = true;
-    attempt.noteFailure(now);
+    attempt.noteSilence(now);
     attempt.cancel();
-    attemptFailed(attempt, true, "silent for " + silent + " ms");
+    attempt.noteRan();
+    mayHaveRun = true;
+    note("silent for " + silent + " ms");
+    carryOut(now, elsewhere);
   }
 
-  /** Returns whether the request can be run elsewhere, and takes a repeat for it. */
-  private boolean mayTryElsewhere(long now, AttemptBase attempt) {
-    if (ran.size() + 1 >= route.maxBackends() || (begun && lastEvent.isEmpty())) {
-      return false;
-    }
-    Set<EngineId> before = Set.copyOf(excluded);
+  private boolean mayRunElsewhere(AttemptBase attempt) {
+    return ran.size() + 1 < route.maxBackends() && (!begun || lastEvent.isPresent());
+  }
+
+  /** Chooses as if the request had been tried in vain where it is now. */
+  private Choice chooseWithout(long now, AttemptBase attempt) {
     attempt.exclude();
-    Choice choice = choose(now, remainingMillis(now));
-    excluded.retainAll(before);
-    return !(choice instanceof Choice.Refuse) && mayRepeat(now);
+    return choose(now, remainingMillis(now));
   }
 
   /** An answer other than a success came; it proves that the request did not run there. */
@@ -322,11 +327,7 @@
       return;
     }
     note("status=" + status);
-    if (choice instanceof Choice.ToBackend to) {
-      send(now, to);
-    } else if (choice instanceof Choice.ToRegion to) {
-      forward(now, to);
-    }
+    carryOut(now, choice);
   }
 
   /** Sends the backend server's answer. */
