--- a/core/src/main/java/org/gentianslip/core/load/BackendChoice.java
+++ b/core/src/main/java/org/gentianslip/core/load/BackendChoice.java
@@ -17,6 +17,9 @@
    */
   private static final double MILLIS_PER_SHARED_TOKEN = 0.02;
 
+  /** The same for a shared token that is copied from another engine. */
+  private static final double MILLIS_PER_FETCHED_TOKEN = 0.003;
+
   /** How much longer the preferred engine of an unknown prompt may take, in milliseconds. */
   private static final double PREFERENCE_MILLIS = 60;
 
@@ -63,12 +66,12 @@
     String preferred = key.isEmpty() ? "" : preferred(key, options);
     double least = Double.MAX_VALUE;
     for (BackendOption option : options) {
-      Estimate e = option.load().estimate(nowNanos, urgent, size);
+      Estimate e = option.load().estimate(nowNanos, urgent, size, option.fetch());
       least = Math.min(least, e.totalMillis());
       if (e.running() >= e.slots() * MAX_FILL) {
         continue;
       }
-      double cost = cost(size, e);
+      double cost = cost(e);
       cost -= option.backend().id().value().equals(preferred) ? PREFERENCE_MILLIS : 0;
       if (cost < bestCost) {
         best = option;
@@ -107,9 +110,11 @@
     return Math.min(share * route.objectiveMillis(), REMAINING_SHARE * remainingMillis);
   }
 
-  private static double cost(RequestSize size, Estimate e) {
-    long again = Math.min(e.missingTokens(), size.sharedTokens());
-    return e.totalMillis() + again * MILLIS_PER_SHARED_TOKEN + e.failureMillis();
+  private static double cost(Estimate e) {
+    return e.totalMillis()
+        + e.readTokens() * MILLIS_PER_SHARED_TOKEN
+        + e.fetchTokens() * MILLIS_PER_FETCHED_TOKEN
+        + e.failureMillis();
   }
 
   private static double awayMillis(RequestSize size, RegionOption region) {
--- a/core/src/main/java/org/gentianslip/core/load/BackendLoad.java
+++ b/core/src/main/java/org/gentianslip/core/load/BackendLoad.java
@@ -3,7 +3,9 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.gentianslip.core.id.InstanceId;
 import org.gentianslip.core.route.EngineProfile;
@@ -67,8 +69,9 @@
   }
 
   /** Counts a request that is about to be sent. */
-  public synchronized Reservation begin(long nowNanos, boolean urgent, RequestSize size) {
-    double reading = engine ? cache.missingTokens(size.prompt()) / TOKENS_PER_MILLI : 0;
+  public synchronized Reservation begin(
+      long nowNanos, boolean urgent, RequestSize size, Estimate estimate) {
+    double reading = estimate.readMillis();
     cache.note(size.prompt());
     running++;
     if (urgent) {
@@ -158,6 +161,13 @@
     return coldSends.size() < Math.max(1, Math.floor(coldPerSecond));
   }
 
+  /** Takes that the engine has read a part of a prompt for another instance. */
+  public synchronized void hasRead(PromptPart part) {
+    if (engine) {
+      cache.note(List.of(part));
+    }
+  }
+
   /** Takes another instance's load on this backend server. */
   public synchronized void heard(InstanceId peer, PeerLoad load) {
     peers.put(peer, load);
@@ -173,8 +183,10 @@
    *
    * @param urgent whether it goes before other requests
    * @param size its size
+   * @param fetch from where the shared part of its prompt may be copied
    */
-  public synchronized Estimate estimate(long nowNanos, boolean urgent, RequestSize size) {
+  public synchronized Estimate estimate(
+      long nowNanos, boolean urgent, RequestSize size, Optional<PromptFetch> fetch) {
     int all = running;
     double before = urgentMillis + (urgent ? 0 : otherMillis);
     double after = urgent ? otherMillis : 0;
@@ -189,7 +201,12 @@
     long missing = engine ? cache.missingTokens(size.prompt()) : 0;
     double wait = engine ? before + after / 2 : 0;
     double slotWait = Math.max(0, all + 1 - slots) * serviceMillis / slots;
-    double work = engine ? missing / TOKENS_PER_MILLI : serviceMillis;
-    return new Estimate(wait + slotWait, work, missing, all, slots, failureShare);
+    long shared = Math.max(0, missing - (size.promptTokens() - size.sharedTokens()));
+    long fetched = fetch.isPresent() && shared >= PromptDirectory.LEAST_TOKENS ? shared : 0;
+    double reading = (missing - fetched) / TOKENS_PER_MILLI;
+    double copying = fetch.map(f -> fetched * f.millisPerToken()).orElse(0.0);
+    double work = engine ? reading + copying : serviceMillis;
+    return new Estimate(
+        wait + slotWait, work, shared - fetched, fetched, reading, all, slots, failureShare);
   }
 }
--- a/core/src/main/java/org/gentianslip/core/load/BackendOption.java
+++ b/core/src/main/java/org/gentianslip/core/load/BackendOption.java
@@ -1,5 +1,6 @@
 package org.gentianslip.core.load;
 
+import java.util.Optional;
 import org.gentianslip.core.published.Backend;
 
 /**
@@ -7,5 +8,6 @@
  *
  * @param backend the backend server
  * @param load its load
+ * @param fetch from where it may copy the shared part of the prompt, if from anywhere
  */
-public record BackendOption(Backend backend, BackendLoad load) {}
+public record BackendOption(Backend backend, BackendLoad load, Optional<PromptFetch> fetch) {}
--- a/core/src/test/java/org/gentianslip/core/load/BackendChoiceTest.java
+++ b/core/src/test/java/org/gentianslip/core/load/BackendChoiceTest.java
@@ -7,6 +7,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import org.gentianslip.core.id.DataCentreId;
 import org.gentianslip.core.id.EngineId;
@@ -24,7 +25,7 @@
 @DisplayName("The choice of a backend server")
 class BackendChoiceTest {
 
-  private static final EngineProfile ENGINE = new EngineProfile(64, 350_000, 7);
+  private static final EngineProfile ENGINE = new EngineProfile(64, 350_000, 7, 327_680, 260_000);
   private static final RequestSize LONG =
       new RequestSize(
           List.of(new PromptPart("shared", 13_000), new PromptPart("own", 3_700)), 100, 34_000);
@@ -59,7 +60,7 @@
               false,
               0,
               0);
-      options.add(new BackendOption(backend, new BackendLoad(64, ENGINE)));
+      options.add(new BackendOption(backend, new BackendLoad(64, ENGINE), Optional.empty()));
     }
     return options;
   }
@@ -69,6 +70,11 @@
     return BackendChoice.choose(0, route(0, 1_000), size, 8_000, options, regions);
   }
 
+  private static Reservation begin(BackendOption option, boolean urgent, RequestSize size) {
+    Estimate estimate = option.load().estimate(0, urgent, size, option.fetch());
+    return option.load().begin(0, urgent, size, estimate);
+  }
+
   private static String chosen(Choice choice) {
     return ((Choice.ToBackend) choice).option().backend().id().value();
   }
@@ -80,7 +86,7 @@
     @Test
     void staysWhereThePromptIsCached() {
       List<BackendOption> options = engines(4);
-      options.get(2).load().begin(0, true, LONG).answerBegun();
+      begin(options.get(2), true, LONG).answerBegun();
       assertThat(chosen(choose(LONG, options, List.of())), is("e2"));
     }
 
@@ -94,14 +100,28 @@
     @Test
     void leavesAnEngineThatHasTooMuchToRead() {
       List<BackendOption> options = engines(2);
-      options.get(0).load().begin(0, true, LONG).answerBegun();
+      begin(options.get(0), true, LONG).answerBegun();
       for (int i = 0; i < 10; i++) {
         var other = new RequestSize(List.of(new PromptPart("x" + i, 10_000)), 10, 0);
-        options.get(0).load().begin(0, true, other);
+        begin(options.get(0), true, other);
       }
       assertThat(chosen(choose(LONG, options, List.of())), is("e1"));
     }
 
+    @Test
+    void isCopiedFromAnEngineThatHasReadIt() {
+      List<BackendOption> options = engines(2);
+      Backend far = options.get(1).backend();
+      var copying =
+          new BackendOption(
+              options.get(0).backend(),
+              options.get(0).load(),
+              Optional.of(new PromptFetch(far, ENGINE.copyMillisPerToken())));
+      var choice = (Choice.ToBackend) choose(LONG, List.of(copying), List.of());
+      assertThat(choice.estimate().fetchTokens(), is(13_000L));
+      assertThat(choice.estimate().readMillis(), is(3_700 / BackendLoad.TOKENS_PER_MILLI));
+    }
+
     @Test
     void staysInItsRegionWhileTheWaitIsShort() {
       var away = new RegionOption(RegionId.of("far"), 0, 110);
@@ -118,7 +138,7 @@
     private void fill(int prompts) {
       for (int i = 0; i < prompts; i++) {
         var size = new RequestSize(List.of(new PromptPart("p" + i, 10_000)), 10, 0);
-        busy.get(0).load().begin(0, false, size);
+        begin(busy.get(0), false, size);
       }
     }
 
@@ -154,9 +174,9 @@
   void leavesAnEngineThatFails() {
     List<BackendOption> options = engines(2);
     for (int i = 0; i < 5; i++) {
-      options.get(0).load().begin(0, false, SHORT).failed(0);
+      begin(options.get(0), false, SHORT).failed(0);
     }
-    options.get(1).load().begin(0, false, SHORT);
+    begin(options.get(1), false, SHORT);
     assertThat(chosen(choose(SHORT, options, List.of())), is("e1"));
   }
 }
--- a/core/src/test/java/org/gentianslip/core/load/BackendLoadTest.java
+++ b/core/src/test/java/org/gentianslip/core/load/BackendLoadTest.java
@@ -3,6 +3,7 @@
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.is;
 
+import java.util.Optional;
 import org.gentianslip.core.id.InstanceId;
 import org.junit.jupiter.api.DisplayName;
 import org.junit.jupiter.api.Nested;
@@ -16,11 +17,15 @@
   private final BackendLoad load = new BackendLoad(6, null);
 
   private Reservation begin(long now) {
-    return load.begin(now, false, RequestSize.UNKNOWN);
+    return load.begin(now, false, RequestSize.UNKNOWN, estimate(now));
+  }
+
+  private Estimate estimate(long now) {
+    return load.estimate(now, false, RequestSize.UNKNOWN, Optional.empty());
   }
 
   private int running(long now) {
-    return load.estimate(now, false, RequestSize.UNKNOWN).running();
+    return estimate(now).running();
   }
 
   @Test
--- /dev/null
+++ b/core/src/test/java/org/gentianslip/core/load/PromptDirectoryTest.java
@@ -0,0 +1,57 @@
+package org.gentianslip.core.load;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.contains;
+import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.hasSize;
+import static org.hamcrest.Matchers.is;
+
+import org.gentianslip.core.id.EngineId;
+import org.junit.jupiter.api.DisplayName;
+import org.junit.jupiter.api.Test;
+
+@DisplayName("A prompt directory")
+class PromptDirectoryTest {
+
+  private static final long SECOND = 1_000_000_000L;
+
+  private final PromptDirectory directory = new PromptDirectory();
+
+  private static PromptHolder holder(String part, String engine, long readNanos) {
+    return new PromptHolder(new PromptPart(part, 5_000), EngineId.of(engine), readNanos);
+  }
+
+  @Test
+  void namesTheLatestReaderFirst() {
+    directory.note(0, holder("p", "a", 0));
+    directory.note(SECOND, holder("p", "b", SECOND));
+    assertThat(directory.holders(SECOND, "p"), contains(EngineId.of("b"), EngineId.of("a")));
+  }
+
+  @Test
+  void doesNotRememberShortParts() {
+    directory.note(0, new PromptHolder(new PromptPart("p", 90), EngineId.of("a"), 0));
+    assertThat(directory.holders(0, "p"), is(empty()));
+  }
+
+  @Test
+  void forgetsOldReadings() {
+    directory.note(0, holder("p", "a", 0));
+    assertThat(directory.holders(60 * SECOND, "p"), is(empty()));
+  }
+
+  @Test
+  void forgetsAnEngine() {
+    directory.note(0, holder("p", "a", 0));
+    directory.forget(EngineId.of("a"));
+    assertThat(directory.holders(0, "p"), is(empty()));
+  }
+
+  @Test
+  void tellsNewsOnce() {
+    assertThat(directory.note(0, holder("p", "a", 0)), is(true));
+    assertThat(directory.note(1, holder("p", "a", 1)), is(false));
+    assertThat(directory.learnedWithin(SECOND, 2 * SECOND), hasSize(1));
+    assertThat(directory.learnedWithin(3 * SECOND, 2 * SECOND), is(empty()));
+  }
+}
--- a/entry/src/main/java/org/gentianslip/entry/fleet/FleetExchange.java
+++ b/entry/src/main/java/org/gentianslip/entry/fleet/FleetExchange.java
@@ -66,6 +66,11 @@
   /** How old the own news may be before another instance is asked for its. */
   private static final long STALE_NANOS = TimeUnit.MILLISECONDS.toNanos(900);
 
+  /** How long news of prompts is told near and far: some rounds. */
+  private static final long NEAR_NEWS_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
+
+  private static final long FAR_NEWS_NANOS = TimeUnit.MILLISECONDS.toNanos(2_500);
+
   private final GatewayState state;
   private final PublishedIntake intake;
   private final OkHttpClient client;
@@ -239,6 +244,7 @@
                     .load(EngineId.of(id))
                     .ifPresent(
                         b -> b.heard(peer.id(), new PeerLoad((int) l[0], l[1], l[2], nowNanos))));
+    hello.prompts().forEach(p -> state.heardPrompt(nowNanos, p.toHolder(nowNanos)));
     long version = state.published().routes().map(RouteTable::version).orElse(0L);
     boolean behind = hello.version() > version || state.published().routes().isEmpty();
     boolean stale = state.ageNanos(nowNanos) > STALE_NANOS && hello.revision() > intake.revision();
@@ -308,8 +314,12 @@
               });
     }
     long version = state.published().routes().map(RouteTable::version).orElse(0L);
+    List<FleetHello.Prompt> prompts =
+        state.prompts().learnedWithin(nowNanos, near ? NEAR_NEWS_NANOS : FAR_NEWS_NANOS).stream()
+            .map(h -> FleetHello.Prompt.of(nowNanos, h))
+            .toList();
     return new FleetHello(
-        FleetHello.Instance.of(self(nowNanos)), intake.revision(), version, others, loads);
+        FleetHello.Instance.of(self(nowNanos)), intake.revision(), version, others, loads, prompts);
   }
 
   private PeerRecord self(long nowNanos) {
--- a/entry/src/main/java/org/gentianslip/entry/fleet/FleetHello.java
+++ b/entry/src/main/java/org/gentianslip/entry/fleet/FleetHello.java
@@ -3,10 +3,14 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.TimeUnit;
 import org.gentianslip.core.id.DataCentreId;
+import org.gentianslip.core.id.EngineId;
 import org.gentianslip.core.id.InstanceId;
 import org.gentianslip.core.id.RegionId;
 import org.gentianslip.core.id.ServiceId;
+import org.gentianslip.core.load.PromptHolder;
+import org.gentianslip.core.load.PromptPart;
 import org.gentianslip.core.membership.PeerRecord;
 
 /**
@@ -18,19 +22,48 @@
  * @param others the live instances that the sender has heard of
  * @param loads the sender's load on the backend servers of its region, told inside it only: the
  *     requests, and the urgent and other reading in milliseconds
+ * @param prompts the engines that have read shared parts of prompts lately
  */
 record FleetHello(
     Instance self,
     long revision,
     long version,
     List<Instance> others,
-    Map<String, double[]> loads) {
+    Map<String, double[]> loads,
+    List<Prompt> prompts) {
 
   FleetHello {
+    prompts = prompts == null ? List.of() : List.copyOf(prompts);
     others = others == null ? List.of() : List.copyOf(others);
     loads = loads == null ? Map.of() : Map.copyOf(loads);
   }
 
+  /**
+   * The JSON form of a {@link PromptHolder}; an age stands for a time, since clocks differ.
+   *
+   * @param part the part of a prompt
+   * @param tokens its length, in tokens
+   * @param engine the engine that has read it
+   * @param age how long ago, in milliseconds
+   */
+  record Prompt(String part, long tokens, String engine, long age) {
+
+    static Prompt of(long nowNanos, PromptHolder holder) {
+      return new Prompt(
+          holder.part().id(),
+          holder.part().tokens(),
+          holder.engine().value(),
+          TimeUnit.NANOSECONDS.toMillis(nowNanos - holder.readNanos()));
+    }
+
+    PromptHolder toHolder(long nowNanos) {
+      return new PromptHolder(
+          new PromptPart(part, tokens),
+          EngineId.of(engine),
+          nowNanos - TimeUnit.MILLISECONDS.toNanos(Math.max(0, age)));
+    }
+  }
+
   /**
    * The JSON form of a {@link PeerRecord}; names are short since it is told often.
    *
--- a/entry/src/main/java/org/gentianslip/entry/gateway/BackendAttempt.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/BackendAttempt.java
@@ -1,8 +1,10 @@
 package org.gentianslip.entry.gateway;
 
 import io.netty.handler.codec.http.HttpHeaders;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.gentianslip.core.load.Choice;
+import org.gentianslip.core.load.PromptFetch;
 import org.gentianslip.core.load.Reservation;
 import org.gentianslip.core.published.Backend;
 import org.gentianslip.core.route.Repeatability;
@@ -23,10 +25,10 @@
   @Override
   void start(long nowNanos, int connectMillis) {
     boolean urgent = run().route().rank() == 0;
-    reservation = choice.option().load().begin(nowNanos, urgent, run().size());
+    reservation = choice.option().load().begin(nowNanos, urgent, run().size(), choice.estimate());
     run().arrived();
     HttpHeaders headers = run().toBackend(nowNanos);
-    run().gateway().edge().addForBackend(headers, backend, run().route().rank());
+    run().gateway().edge().addForBackend(headers, backend, run().route().rank(), source());
     boolean fresh =
         run().route().repeatability() == Repeatability.ONCE && !run().route().streaming();
     send(
@@ -42,6 +44,12 @@
             (int) Math.min(connectMillis, Math.max(1, run().remainingMillis(nowNanos)))));
   }
 
+  private Optional<Backend> source() {
+    return choice.estimate().fetchTokens() > 0
+        ? choice.option().fetch().map(PromptFetch::source)
+        : Optional.empty();
+  }
+
   @Override
   void noteFailure(long nowNanos) {
     reservation.failed(nowNanos);
@@ -75,6 +83,7 @@
   @Override
   void firstEvent() {
     reservation.answerBegun();
+    run().gateway().state().promptRead(System.nanoTime(), backend.id(), run().size());
   }
 
   @Override
--- a/entry/src/main/java/org/gentianslip/entry/gateway/EdgeHeaders.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/EdgeHeaders.java
@@ -34,8 +34,9 @@
    * Sets what a backend server is told beside the caller's headers.
    *
    * @param rank the rank of the request; 0 is the most urgent
+   * @param source the engine from which the shared part of the prompt is copied, if from one
    */
-  void addForBackend(HttpHeaders headers, Backend backend, int rank);
+  void addForBackend(HttpHeaders headers, Backend backend, int rank, Optional<Backend> source);
 
   /** Returns whether an answer proves that the request did not run and will not. */
   boolean isNotRun(int status, HttpHeaders headers);
--- a/entry/src/main/java/org/gentianslip/entry/gateway/ForwardAttempt.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/ForwardAttempt.java
@@ -37,7 +37,7 @@
 
   @Override
   void noteFailure(long nowNanos) {
-    run().gateway().state().pauseRegion(nowNanos, peer.region());
+    run().gateway().state().pauseInstance(nowNanos, peer.id());
   }
 
   @Override
@@ -45,7 +45,7 @@
 
   @Override
   void noteUnreachable(long nowNanos) {
-    run().gateway().state().pauseRegion(nowNanos, peer.region());
+    run().gateway().state().pauseInstance(nowNanos, peer.id());
   }
 
   @Override
--- a/entry/src/main/java/org/gentianslip/entry/gateway/GatewayState.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/GatewayState.java
@@ -11,11 +11,16 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicReference;
 import org.gentianslip.core.id.EngineId;
+import org.gentianslip.core.id.InstanceId;
 import org.gentianslip.core.id.RegionId;
 import org.gentianslip.core.id.ServiceId;
 import org.gentianslip.core.limit.RepeatWindow;
 import org.gentianslip.core.load.BackendLoad;
 import org.gentianslip.core.load.BackendOption;
+import org.gentianslip.core.load.PromptDirectory;
+import org.gentianslip.core.load.PromptFetch;
+import org.gentianslip.core.load.PromptHolder;
+import org.gentianslip.core.load.PromptPart;
 import org.gentianslip.core.load.RegionOption;
 import org.gentianslip.core.load.RequestSize;
 import org.gentianslip.core.membership.PeerBook;
@@ -44,7 +49,13 @@
   private static final int ASSUMED_ALL = 8;
 
   /** How long a region that refused is left alone. */
-  private static final long REGION_PAUSE_NANOS = TimeUnit.MILLISECONDS.toNanos(250);
+  private static final long REGION_PAUSE_NANOS = TimeUnit.MILLISECONDS.toNanos(60);
+
+  /** How long an instance that could not be reached is left alone. */
+  private static final long INSTANCE_PAUSE_NANOS = TimeUnit.MILLISECONDS.toNanos(1_000);
+
+  /** The factor by which copying between data centres takes longer. */
+  private static final double FAR_COPY_FACTOR = 2;
 
   /** The round trip to an instance of another region, in milliseconds, while none was measured. */
   private static final double AWAY_MILLIS = 112;
@@ -58,6 +69,8 @@
   private final Map<EngineId, BackendLoad> loads = new ConcurrentHashMap<>();
   private final Map<ServiceId, RepeatWindow> repeats = new ConcurrentHashMap<>();
   private final Map<RegionId, Long> pausedRegions = new ConcurrentHashMap<>();
+  private final Map<InstanceId, Long> pausedInstances = new ConcurrentHashMap<>();
+  private final PromptDirectory prompts = new PromptDirectory();
   private final PeerBook peers;
   private volatile boolean leaving;
   private volatile boolean refusing;
@@ -106,6 +119,9 @@
     published.set(after);
     noteCold(nowNanos, before, after);
     loads.keySet().retainAll(after.backends().keySet());
+    before.backends().keySet().stream()
+        .filter(id -> !after.backends().containsKey(id))
+        .forEach(prompts::forget);
     report(before, after);
   }
 
@@ -180,7 +196,81 @@
   }
 
   /** Returns the backend servers of this region that may get a request now. */
-  public List<BackendOption> options(long nowNanos, ServiceId service) {
+  public List<BackendOption> options(
+      long nowNanos, Route route, ServiceId service, RequestSize size) {
+    List<Backend> holders = holders(nowNanos, route, service, size);
+    double copyMillis =
+        profile(published.get(), service)
+            .flatMap(ServiceProfile::engine)
+            .map(EngineProfile::copyMillisPerToken)
+            .orElse(0.0);
+    return usable(nowNanos, service).stream().map(o -> withFetch(o, holders, copyMillis)).toList();
+  }
+
+  private static BackendOption withFetch(
+      BackendOption option, List<Backend> holders, double copyMillis) {
+    Backend target = option.backend();
+    PromptFetch best = null;
+    for (Backend holder : holders) {
+      if (holder.id().equals(target.id())) {
+        continue;
+      }
+      boolean near = holder.dataCentre().equals(target.dataCentre());
+      var fetch = new PromptFetch(holder, near ? copyMillis : copyMillis * FAR_COPY_FACTOR);
+      if (best == null || fetch.millisPerToken() < best.millisPerToken()) {
+        best = fetch;
+      }
+    }
+    return new BackendOption(target, option.load(), Optional.ofNullable(best));
+  }
+
+  /** Returns the engines from which the shared part of a prompt may be copied. */
+  private List<Backend> holders(long nowNanos, Route route, ServiceId service, RequestSize size) {
+    Optional<PromptPart> shared = size.sharedPart();
+    PublishedState state = published.get();
+    boolean copies =
+        profile(state, service)
+            .flatMap(ServiceProfile::engine)
+            .filter(e -> e.linkMegabits() > 0)
+            .isPresent();
+    if (!copies || shared.isEmpty() || shared.get().tokens() < PromptDirectory.LEAST_TOKENS) {
+      return List.of();
+    }
+    List<Backend> holders = new ArrayList<>();
+    for (EngineId id : prompts.holders(nowNanos, shared.get().id())) {
+      Backend b = state.backends().get(id);
+      boolean mayGive =
+          b != null && b.service().equals(service) && state.mayGetWork(b) && mayHold(route, b);
+      if (mayGive) {
+        holders.add(b);
+      }
+    }
+    return holders;
+  }
+
+  private boolean mayHold(Route route, Backend backend) {
+    RegionId region = place().regions().get(backend.dataCentre());
+    return region != null && route.allows(region);
+  }
+
+  /** Returns which engines have read which shared parts of prompts. */
+  public PromptDirectory prompts() {
+    return prompts;
+  }
+
+  /** Notes that an engine has read a prompt. */
+  void promptRead(long nowNanos, EngineId engine, RequestSize size) {
+    size.sharedPart().ifPresent(p -> prompts.note(nowNanos, new PromptHolder(p, engine, nowNanos)));
+  }
+
+  /** Takes from another instance that an engine has read a part of a prompt. */
+  public void heardPrompt(long nowNanos, PromptHolder holder) {
+    if (prompts.note(nowNanos, holder)) {
+      load(holder.engine()).ifPresent(l -> l.hasRead(holder.part()));
+    }
+  }
+
+  private List<BackendOption> usable(long nowNanos, ServiceId service) {
     PublishedState state = published.get();
     double pace = coldPace(state, service);
     List<BackendOption> options = new ArrayList<>();
@@ -190,7 +280,7 @@
       }
       BackendLoad load = loadOf(state, b);
       if (load.mayGetWork(nowNanos, pace)) {
-        options.add(new BackendOption(b, load));
+        options.add(new BackendOption(b, load, Optional.empty()));
       }
     }
     return options;
@@ -214,8 +304,8 @@
       if (!place().isNear(b) || waits.containsKey(b.service())) {
         continue;
       }
-      options(nowNanos, b.service()).stream()
-          .map(o -> o.load().estimate(nowNanos, false, RequestSize.UNKNOWN))
+      usable(nowNanos, b.service()).stream()
+          .map(o -> o.load().estimate(nowNanos, false, RequestSize.UNKNOWN, Optional.empty()))
           .mapToDouble(e -> e.waitMillis() + e.failureMillis())
           .min()
           .ifPresent(w -> waits.put(b.service(), w));
@@ -232,6 +322,7 @@
       boolean open = paused == null || nowNanos - paused >= 0;
       if (wait == null
           || !open
+          || isPaused(nowNanos, peer)
           || !route.allows(peer.region())
           || peer.region().equals(place().region())) {
         continue;
@@ -249,10 +340,23 @@
     pausedRegions.put(region, nowNanos + REGION_PAUSE_NANOS);
   }
 
+  /** Leaves an instance alone for a moment, after it could not be reached. */
+  public void pauseInstance(long nowNanos, InstanceId instance) {
+    pausedInstances.put(instance, nowNanos + INSTANCE_PAUSE_NANOS);
+  }
+
+  private boolean isPaused(long nowNanos, PeerRecord peer) {
+    Long until = pausedInstances.get(peer.id());
+    return until != null && nowNanos - until < 0;
+  }
+
   /** Returns an instance of a region that takes forwarded requests. */
   public Optional<PeerRecord> instanceIn(long nowNanos, RegionId region) {
     List<PeerRecord> there =
-        peers.serving(nowNanos).stream().filter(p -> p.region().equals(region)).toList();
+        peers.serving(nowNanos).stream()
+            .filter(p -> p.region().equals(region))
+            .filter(p -> !isPaused(nowNanos, p))
+            .toList();
     return there.isEmpty()
         ? Optional.empty()
         : Optional.of(there.get(ThreadLocalRandom.current().nextInt(there.size())));
--- a/entry/src/main/java/org/gentianslip/entry/gateway/RequestRun.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/RequestRun.java
@@ -172,7 +172,7 @@
   private Choice choose(long now, long left) {
     List<BackendOption> options =
         route.allows(gateway.state().place().region())
-            ? gateway.state().options(now, service).stream()
+            ? gateway.state().options(now, route, service, size).stream()
                 .filter(o -> mayUse(o.backend().id()))
                 .toList()
             : List.of();
