Forward a long prompt to the region that has read it, and copy inside a region only

Ruled out: waiting in our own hands (expected waits were 16 to 993 ms); a slow decode. Change: a region whose engine has read the shared part is charged the bytes of the body and the way, not the reading; copies stay inside a region. The log tells when the first event came.

--- a/core/src/main/java/org/gentianslip/core/load/BackendChoice.java
+++ b/core/src/main/java/org/gentianslip/core/load/BackendChoice.java
@@ -20,6 +20,9 @@
   /** The same for a shared token that is copied from another engine. */
   private static final double MILLIS_PER_FETCHED_TOKEN = 0.003;
 
+  /** The charge for a byte of a body that leaves the region, in milliseconds. */
+  private static final double MILLIS_PER_AWAY_BYTE = 0.0025;
+
   /** How much longer the preferred engine of an unknown prompt may take, in milliseconds. */
   private static final double PREFERENCE_MILLIS = 60;
 
@@ -118,12 +121,16 @@
   }
 
   private static double awayMillis(RequestSize size, RegionOption region) {
-    double reading = size.promptTokens() / BackendLoad.TOKENS_PER_MILLI;
+    long tokens = size.promptTokens() - (region.hasPrompt() ? size.sharedTokens() : 0);
+    double reading = tokens / BackendLoad.TOKENS_PER_MILLI;
     return region.roundTripMillis() + region.waitMillis() + reading;
   }
 
   private static double awayCost(RequestSize size, RegionOption region) {
-    return awayMillis(size, region) + size.sharedTokens() * MILLIS_PER_SHARED_TOKEN;
+    long again = region.hasPrompt() ? 0 : size.sharedTokens();
+    return awayMillis(size, region)
+        + again * MILLIS_PER_SHARED_TOKEN
+        + size.bodyBytes() * MILLIS_PER_AWAY_BYTE;
   }
 
   private static String preferred(String key, List<BackendOption> options) {
--- a/core/src/main/java/org/gentianslip/core/load/RegionOption.java
+++ b/core/src/main/java/org/gentianslip/core/load/RegionOption.java
@@ -8,5 +8,7 @@
  * @param region the region
  * @param waitMillis the wait that its instances expect, in milliseconds
  * @param roundTripMillis the way there and back, in milliseconds
+ * @param hasPrompt whether one of its engines has read the shared part of the prompt
  */
-public record RegionOption(RegionId region, double waitMillis, double roundTripMillis) {}
+public record RegionOption(
+    RegionId region, double waitMillis, double roundTripMillis, boolean hasPrompt) {}
--- a/core/src/test/java/org/gentianslip/core/load/BackendChoiceTest.java
+++ b/core/src/test/java/org/gentianslip/core/load/BackendChoiceTest.java
@@ -122,9 +122,23 @@
       assertThat(choice.estimate().readMillis(), is(3_700 / BackendLoad.TOKENS_PER_MILLI));
     }
 
+    @Test
+    void goesToTheRegionThatHasReadIt() {
+      var away = new RegionOption(RegionId.of("far"), 0, 110, true);
+      assertThat(choose(LONG, engines(2), List.of(away)), instanceOf(Choice.ToRegion.class));
+    }
+
+    @Test
+    void staysIfItsOwnRegionHasReadItToo() {
+      List<BackendOption> options = engines(2);
+      begin(options.get(0), true, LONG).answerBegun();
+      var away = new RegionOption(RegionId.of("far"), 0, 110, true);
+      assertThat(choose(LONG, options, List.of(away)), instanceOf(Choice.ToBackend.class));
+    }
+
     @Test
     void staysInItsRegionWhileTheWaitIsShort() {
-      var away = new RegionOption(RegionId.of("far"), 0, 110);
+      var away = new RegionOption(RegionId.of("far"), 0, 110, false);
       assertThat(choose(LONG, engines(2), List.of(away)), instanceOf(Choice.ToBackend.class));
     }
   }
@@ -145,7 +159,7 @@
     @Test
     void goesToAnotherRegionIfThatIsSooner() {
       fill(4);
-      var away = new RegionOption(RegionId.of("far"), 0, 110);
+      var away = new RegionOption(RegionId.of("far"), 0, 110, false);
       Choice choice = BackendChoice.choose(0, route(2, 3_000), SHORT, 4_000, busy, List.of(away));
       assertThat(choice, is(new Choice.ToRegion(RegionId.of("far"), 110 + 380 / 50.0)));
     }
--- a/entry/src/main/java/org/gentianslip/entry/gateway/GatewayState.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/GatewayState.java
@@ -3,9 +3,11 @@
 import com.google.common.flogger.FluentLogger;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
@@ -54,9 +56,6 @@
   /** How long an instance that could not be reached is left alone. */
   private static final long INSTANCE_PAUSE_NANOS = TimeUnit.MILLISECONDS.toNanos(1_000);
 
-  /** The factor by which copying between data centres takes longer. */
-  private static final double FAR_COPY_FACTOR = 2;
-
   /** The round trip to an instance of another region, in milliseconds, while none was measured. */
   private static final double AWAY_MILLIS = 112;
 
@@ -215,10 +214,8 @@
       if (holder.id().equals(target.id())) {
         continue;
       }
-      boolean near = holder.dataCentre().equals(target.dataCentre());
-      var fetch = new PromptFetch(holder, near ? copyMillis : copyMillis * FAR_COPY_FACTOR);
-      if (best == null || fetch.millisPerToken() < best.millisPerToken()) {
-        best = fetch;
+      if (best == null && holder.dataCentre().equals(target.dataCentre())) {
+        best = new PromptFetch(holder, copyMillis);
       }
     }
     return new BackendOption(target, option.load(), Optional.ofNullable(best));
@@ -248,6 +245,23 @@
     return holders;
   }
 
+  /** Returns the regions with an engine that has read the shared part of a prompt. */
+  private Set<RegionId> holdingRegions(long nowNanos, RequestSize size) {
+    Set<RegionId> regions = new HashSet<>();
+    PublishedState state = published.get();
+    size.sharedPart()
+        .ifPresent(
+            part -> {
+              for (EngineId id : prompts.holders(nowNanos, part.id())) {
+                Backend b = state.backends().get(id);
+                if (b != null && state.mayGetWork(b)) {
+                  regions.add(place().regions().get(b.dataCentre()));
+                }
+              }
+            });
+    return regions;
+  }
+
   private boolean mayHold(Route route, Backend backend) {
     RegionId region = place().regions().get(backend.dataCentre());
     return region != null && route.allows(region);
@@ -314,7 +328,9 @@
   }
 
   /** Returns the other regions that may serve a request. */
-  public List<RegionOption> regions(long nowNanos, Route route, ServiceId service) {
+  public List<RegionOption> regions(
+      long nowNanos, Route route, ServiceId service, RequestSize size) {
+    Set<RegionId> holding = holdingRegions(nowNanos, size);
     Map<RegionId, RegionOption> best = new HashMap<>();
     for (PeerRecord peer : peers.serving(nowNanos)) {
       Double wait = peer.waitMillis().get(service);
@@ -329,7 +345,7 @@
       }
       best.merge(
           peer.region(),
-          new RegionOption(peer.region(), wait, AWAY_MILLIS),
+          new RegionOption(peer.region(), wait, AWAY_MILLIS, holding.contains(peer.region())),
           (a, b) -> a.waitMillis() >= b.waitMillis() ? a : b);
     }
     return List.copyOf(best.values());
--- a/entry/src/main/java/org/gentianslip/entry/gateway/RequestRun.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/RequestRun.java
@@ -179,7 +179,7 @@
     List<RegionOption> regions =
         forwarded || forwards >= MAX_FORWARDS || (ran.size() >= route.maxBackends())
             ? List.of()
-            : gateway.state().regions(now, route, service);
+            : gateway.state().regions(now, route, service, size);
     return BackendChoice.choose(now, route, size, left, options, regions);
   }
 
@@ -196,7 +196,13 @@
     var backend = to.option().backend();
     var attempt = new BackendAttempt(this, to);
     current = attempt;
-    note("backend=" + backend.id() + " wait=" + Math.round(to.estimate().totalMillis()));
+    note(
+        "backend="
+            + backend.id()
+            + " wait="
+            + Math.round(to.estimate().totalMillis())
+            + " copy="
+            + to.estimate().fetchTokens());
     attempt.start(now, CONNECT_MILLIS);
     watchSilence(attempt, to.estimate().totalMillis());
   }
@@ -349,6 +355,7 @@
     if (!begun) {
       begun = true;
       firstHead = headers;
+      note("first-event=" + elapsedMillis());
       sink.begin(200, firstHead);
     }
     lastId.ifPresent(l -> lastEvent = Optional.of(l));
@@ -420,15 +427,25 @@
     }
     ended = true;
     endTimer.cancel(false);
-    long millis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - request.receivedNanos());
     gateway.ended(route, outcome);
     LOGGER.atInfo().log(
         "gateway: event=request id=%s route=%s rank=%s version=%s forwarded=%s millis=%s trail=[%s]"
             + " outcome=%s",
-        id, route.name(), route.rank(), gateway.version(), forwarded, millis, trail, outcome);
+        id,
+        route.name(),
+        route.rank(),
+        gateway.version(),
+        forwarded,
+        elapsedMillis(),
+        trail,
+        outcome);
     return true;
   }
 
+  private long elapsedMillis() {
+    return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - request.receivedNanos());
+  }
+
   private void note(String step) {
     trail.append(trail.length() == 0 ? "" : "; ").append(step);
   }
