Name only homes of bound requests to callers whose region has no instance, and end within the grace

One process was still there at the end of the grace: the server library's shutdown hooks take seconds.

--- a/core/src/main/java/org/gentianslip/core/route/RouteTable.java
+++ b/core/src/main/java/org/gentianslip/core/route/RouteTable.java
@@ -2,8 +2,11 @@
 
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
+import org.gentianslip.core.id.RegionId;
 import org.gentianslip.core.id.ServiceId;
 
 /**
@@ -71,6 +74,22 @@
     return Optional.empty();
   }
 
+  /** Returns the regions that may see every request to a host; empty if all regions may. */
+  public Set<RegionId> regionsOf(String host) {
+    Set<RegionId> common = new HashSet<>();
+    for (Route route : routes.getOrDefault(host, Map.of()).values()) {
+      if (route.allowedRegions().isEmpty()) {
+        continue;
+      }
+      if (common.isEmpty()) {
+        common.addAll(route.allowedRegions());
+      } else {
+        common.retainAll(route.allowedRegions());
+      }
+    }
+    return common;
+  }
+
   /** Returns what is known of a service. */
   public Optional<ServiceProfile> service(ServiceId service) {
     return Optional.ofNullable(services.get(service));
--- a/core/src/test/java/org/gentianslip/core/route/RouteTableTest.java
+++ b/core/src/test/java/org/gentianslip/core/route/RouteTableTest.java
@@ -67,6 +67,27 @@
     }
   }
 
+  @Test
+  void namesTheRegionsThatMaySeeAllRequestsToHost() {
+    Route bound =
+        new Route(
+            "bound",
+            "host",
+            "/bound/",
+            Repeatability.ONCE,
+            true,
+            1_000,
+            300,
+            1,
+            0,
+            List.of(new WeightedService(ServiceId.of("a"), 1)),
+            Set.of(RegionId.of("north"), RegionId.of("south")));
+    assertThat(
+        table(bound, route("free", "/free/")).regionsOf("host"),
+        is(Set.of(RegionId.of("north"), RegionId.of("south"))));
+    assertThat(table(route("free", "/free/")).regionsOf("host"), is(Set.of()));
+  }
+
   @Test
   void splitsRequestsByWeight() {
     var split =
--- a/entry/src/main/java/org/gentianslip/entry/gateway/GatewayProcess.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/GatewayProcess.java
@@ -37,7 +37,7 @@
   private static final double ACCEPT_SHARE = 0.75;
 
   /** The part of the grace after which the process ends in any case. */
-  private static final double END_SHARE = 0.96;
+  private static final double END_SHARE = 0.93;
 
   private static final long POLL_MILLIS = 20;
 
