Learn how fast an engine is, spread returns, and try a failed lookup elsewhere

Ruled out: full engines (8 preemptions). Change: the expected wait is scaled by the ratio seen; a refused caller comes back after the excess, or, if that is too long, late and spread; a repeatable request that failed runs elsewhere first.

--- a/core/src/main/java/org/gentianslip/core/load/BackendChoice.java
+++ b/core/src/main/java/org/gentianslip/core/load/BackendChoice.java
@@ -40,10 +40,8 @@
   /** The part of the remaining time within which an answer must be expected. */
   private static final double REMAINING_SHARE = 0.8;
 
-  /** The least and the greatest time that a refused caller is asked to wait. */
-  private static final long MIN_RETRY_MILLIS = 150;
-
-  private static final long MAX_RETRY_MILLIS = 1_500;
+  /** The excess that is told while no backend server is known: about the time to find one. */
+  private static final double UNKNOWN_EXCESS_MILLIS = 200;
 
   private BackendChoice() {}
 
@@ -104,8 +102,8 @@
       return new Choice.ToBackend(best, bestEstimate);
     }
     boolean nowhere = options.isEmpty() && regions.isEmpty();
-    double excess = nowhere ? 0 : least - limit;
-    return new Choice.Refuse(nowhere ? "no-backend" : "too-late", retryMillis(excess));
+    double excess = nowhere ? UNKNOWN_EXCESS_MILLIS : Math.max(0, least - limit);
+    return new Choice.Refuse(nowhere ? "no-backend" : "too-late", excess);
   }
 
   private static double limitMillis(Route route, long remainingMillis) {
@@ -146,9 +144,4 @@
     }
     return best;
   }
-
-  private static long retryMillis(double excessMillis) {
-    long wanted = (long) excessMillis;
-    return Math.max(MIN_RETRY_MILLIS, Math.min(MAX_RETRY_MILLIS, wanted));
-  }
 }
--- a/core/src/main/java/org/gentianslip/core/load/BackendLoad.java
+++ b/core/src/main/java/org/gentianslip/core/load/BackendLoad.java
@@ -41,6 +41,14 @@
   /** The service time that is assumed before the first answer, in milliseconds. */
   private static final double FIRST_SERVICE_MILLIS = 30;
 
+  /** The least expected time that is compared with the actual one, in milliseconds. */
+  private static final double LEAST_COMPARED_MILLIS = 150;
+
+  /** The bounds of the ratio between an actual and an expected wait. */
+  private static final double LEAST_PACE = 0.3;
+
+  private static final double GREATEST_PACE = 2;
+
   private final int slots;
   private final boolean engine;
   private final PromptCache cache;
@@ -50,6 +58,7 @@
   private double urgentMillis;
   private double otherMillis;
   private double failureShare;
+  private double pace = 1;
   private double serviceMillis = FIRST_SERVICE_MILLIS;
   private int unreachableInRow;
   private long blockedUntilNanos = Long.MIN_VALUE;
@@ -82,7 +91,7 @@
     if (isCold(nowNanos) || coldOnReturn) {
       coldSends.addLast(nowNanos);
     }
-    return new Reservation(this, urgent, reading, nowNanos);
+    return new Reservation(this, urgent, estimate, nowNanos);
   }
 
   synchronized void read(boolean urgent, double millis) {
@@ -93,6 +102,15 @@
     }
   }
 
+  /** Learns from an expected and an actual time to the first event. */
+  synchronized void compare(double expectedMillis, double actualMillis) {
+    if (expectedMillis < LEAST_COMPARED_MILLIS) {
+      return;
+    }
+    double ratio = Math.max(LEAST_PACE, Math.min(GREATEST_PACE, actualMillis / expectedMillis));
+    pace += GAIN * (ratio - pace);
+  }
+
   synchronized void left() {
     running--;
   }
@@ -207,6 +225,6 @@
     double copying = fetch.map(f -> fetched * f.millisPerToken()).orElse(0.0);
     double work = engine ? reading + copying : serviceMillis;
     return new Estimate(
-        wait + slotWait, work, shared - fetched, fetched, reading, all, slots, failureShare);
+        pace * wait + slotWait, work, shared - fetched, fetched, reading, all, slots, failureShare);
   }
 }
--- a/core/src/main/java/org/gentianslip/core/load/Choice.java
+++ b/core/src/main/java/org/gentianslip/core/load/Choice.java
@@ -25,7 +25,7 @@
    * It cannot be served in time.
    *
    * @param reason why, for logs and metrics
-   * @param afterMillis when a new attempt may succeed, in milliseconds from now
+   * @param excessMillis how much too long the wait is, in milliseconds
    */
-  record Refuse(String reason, long afterMillis) implements Choice {}
+  record Refuse(String reason, double excessMillis) implements Choice {}
 }
--- a/core/src/main/java/org/gentianslip/core/load/Reservation.java
+++ b/core/src/main/java/org/gentianslip/core/load/Reservation.java
@@ -9,21 +9,24 @@
   private final BackendLoad load;
   private final boolean urgent;
   private final long sentNanos;
+  private final double expectedMillis;
   private double readingMillis;
   private boolean ended;
 
-  Reservation(BackendLoad load, boolean urgent, double readingMillis, long sentNanos) {
+  Reservation(BackendLoad load, boolean urgent, Estimate estimate, long sentNanos) {
     this.load = load;
     this.urgent = urgent;
-    this.readingMillis = readingMillis;
+    this.readingMillis = estimate.readMillis();
+    this.expectedMillis = estimate.totalMillis();
     this.sentNanos = sentNanos;
   }
 
   /** Notes that the prompt was read: the first event has arrived. */
-  public void answerBegun() {
+  public void answerBegun(long nowNanos) {
     synchronized (load) {
       load.read(urgent, readingMillis);
       readingMillis = 0;
+      load.compare(expectedMillis, (nowNanos - sentNanos) / 1e6);
     }
   }
 
--- a/core/src/test/java/org/gentianslip/core/load/BackendChoiceTest.java
+++ b/core/src/test/java/org/gentianslip/core/load/BackendChoiceTest.java
@@ -86,7 +86,7 @@
     @Test
     void staysWhereThePromptIsCached() {
       List<BackendOption> options = engines(4);
-      begin(options.get(2), true, LONG).answerBegun();
+      begin(options.get(2), true, LONG).answerBegun(0);
       assertThat(chosen(choose(LONG, options, List.of())), is("e2"));
     }
 
@@ -100,7 +100,7 @@
     @Test
     void leavesAnEngineThatHasTooMuchToRead() {
       List<BackendOption> options = engines(2);
-      begin(options.get(0), true, LONG).answerBegun();
+      begin(options.get(0), true, LONG).answerBegun(0);
       for (int i = 0; i < 10; i++) {
         var other = new RequestSize(List.of(new PromptPart("x" + i, 10_000)), 10, 0);
         begin(options.get(0), true, other);
@@ -131,7 +131,7 @@
     @Test
     void staysIfItsOwnRegionHasReadItToo() {
       List<BackendOption> options = engines(2);
-      begin(options.get(0), true, LONG).answerBegun();
+      begin(options.get(0), true, LONG).answerBegun(0);
       var away = new RegionOption(RegionId.of("far"), 0, 110, true);
       assertThat(choose(LONG, options, List.of(away)), instanceOf(Choice.ToBackend.class));
     }
--- a/core/src/test/java/org/gentianslip/core/load/BackendLoadTest.java
+++ b/core/src/test/java/org/gentianslip/core/load/BackendLoadTest.java
@@ -2,9 +2,12 @@
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThan;
 
+import java.util.List;
 import java.util.Optional;
 import org.gentianslip.core.id.InstanceId;
+import org.gentianslip.core.route.EngineProfile;
 import org.junit.jupiter.api.DisplayName;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
@@ -51,6 +54,26 @@
     assertThat(running(2 * SECOND), is(0));
   }
 
+  @Test
+  void learnsThatItIsFasterThanExpected() {
+    var engine = new BackendLoad(64, new EngineProfile(64, 350_000, 7, 0, 0));
+    var size = new RequestSize(List.of(new PromptPart("x", 50_000)), 10, 0);
+    double before = 0;
+    for (int i = 0; i < 40; i++) {
+      Estimate estimate = engine.estimate(0, false, size, Optional.empty());
+      Reservation one = engine.begin(0, false, size, estimate);
+      var other = new RequestSize(List.of(new PromptPart("y" + i, 9_000)), 10, 0);
+      before = i == 0 ? engine.estimate(0, false, other, Optional.empty()).waitMillis() : before;
+      one.answerBegun((long) (estimate.totalMillis() * 500_000));
+      one.released();
+      size = new RequestSize(List.of(new PromptPart("x" + i, 50_000)), 10, 0);
+    }
+    engine.begin(0, false, size, engine.estimate(0, false, size, Optional.empty()));
+    var last = new RequestSize(List.of(new PromptPart("z", 9_000)), 10, 0);
+    double after = engine.estimate(0, false, last, Optional.empty()).waitMillis();
+    assertThat(after, is(lessThan(0.6 * before)));
+  }
+
   @Nested
   @DisplayName("that cannot be reached")
   class Unreachable {
--- /dev/null
+++ b/core/src/test/java/org/gentianslip/core/load/RetryTimeTest.java
@@ -0,0 +1,35 @@
+package org.gentianslip.core.load;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThan;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
+
+import org.junit.jupiter.api.DisplayName;
+import org.junit.jupiter.api.Test;
+
+@DisplayName("The time to come back")
+class RetryTimeTest {
+
+  @Test
+  void isSoonAfterShortOverload() {
+    assertThat(RetryTime.millis(100, 5_000, 0.5), is(lessThan(300L)));
+  }
+
+  @Test
+  void isNeverLaterThanCallersAccept() {
+    for (int excess = 0; excess < 20_000; excess += 100) {
+      for (double fraction = 0; fraction < 1; fraction += 0.1) {
+        assertThat(RetryTime.millis(excess, 6_000, fraction), is(lessThanOrEqualTo(2_000L)));
+      }
+    }
+  }
+
+  @Test
+  void isSpreadAfterLongOverload() {
+    long first = RetryTime.millis(10_000, 6_000, 0);
+    long last = RetryTime.millis(10_000, 6_000, 0.99);
+    assertThat(last - first, is(greaterThan(500L)));
+  }
+}
--- a/entry/src/main/java/org/gentianslip/entry/gateway/BackendAttempt.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/BackendAttempt.java
@@ -82,8 +82,9 @@
 
   @Override
   void firstEvent() {
-    reservation.answerBegun();
-    run().gateway().state().promptRead(System.nanoTime(), backend.id(), run().size());
+    long now = System.nanoTime();
+    reservation.answerBegun(now);
+    run().gateway().state().promptRead(now, backend.id(), run().size());
   }
 
   @Override
--- a/entry/src/main/java/org/gentianslip/entry/gateway/RequestRun.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/RequestRun.java
@@ -10,6 +10,7 @@
 import java.util.Locale;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import org.gentianslip.core.id.EngineId;
 import org.gentianslip.core.id.RegionId;
@@ -19,6 +20,7 @@
 import org.gentianslip.core.load.Choice;
 import org.gentianslip.core.load.RegionOption;
 import org.gentianslip.core.load.RequestSize;
+import org.gentianslip.core.load.RetryTime;
 import org.gentianslip.core.membership.PeerRecord;
 import org.gentianslip.core.route.Route;
 
@@ -165,7 +167,7 @@
     } else if (choice instanceof Choice.ToRegion to) {
       forward(now, to);
     } else if (choice instanceof Choice.Refuse no) {
-      giveUp(no.reason(), no.afterMillis());
+      giveUp(no.reason(), no.excessMillis());
     }
   }
 
@@ -326,9 +328,13 @@
     long now = System.nanoTime();
     attempt.noteRan();
     mayHaveRun = true;
-    Choice choice = choose(now, remainingMillis(now));
-    boolean possible = choice instanceof Choice.ToBackend || choice instanceof Choice.ToRegion;
-    if (!possible || !mayRepeat(now)) {
+    Set<EngineId> before = Set.copyOf(excluded);
+    Choice choice = chooseWithout(now, attempt);
+    if (choice instanceof Choice.Refuse) {
+      excluded.retainAll(before);
+      choice = choose(now, remainingMillis(now));
+    }
+    if (choice instanceof Choice.Refuse || !mayRepeat(now)) {
       answer(status, headers, body);
       return;
     }
@@ -376,13 +382,16 @@
     }
   }
 
-  private void giveUp(String why, long afterMillis) {
+  private void giveUp(String why, double excessMillis) {
     if (mayHaveRun || begun) {
       breakOff(why);
       return;
     }
     if (finish("refused reason=" + why)) {
-      sink.answer(503, gateway.notRunHeaders(id, afterMillis), new byte[0]);
+      long remaining = remainingMillis(System.nanoTime());
+      double fraction = ThreadLocalRandom.current().nextDouble();
+      long after = RetryTime.millis(excessMillis, remaining, fraction);
+      sink.answer(503, gateway.notRunHeaders(id, after), new byte[0]);
     }
   }
 
