--- a/entry/src/main/java/org/gentianslip/entry/gateway/ForwardAttempt.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/ForwardAttempt.java
@@ -37,7 +37,7 @@
 
   @Override
   void noteFailure(long nowNanos) {
-    run().gateway().state().pauseInstance(nowNanos, peer.id());
+    run().gateway().state().regionBook().pauseInstance(nowNanos, peer.id());
   }
 
   @Override
@@ -45,7 +45,7 @@
 
   @Override
   void noteUnreachable(long nowNanos) {
-    run().gateway().state().pauseInstance(nowNanos, peer.id());
+    run().gateway().state().regionBook().pauseInstance(nowNanos, peer.id());
   }
 
   @Override
@@ -74,7 +74,7 @@
   void answered(int status, HttpHeaders headers, byte[] whole) {
     String outcome = headers.get(Gateway.OUTCOME, "");
     if (outcome.equals(Gateway.NOT_RUN)) {
-      run().gateway().state().pauseRegion(System.nanoTime(), peer.region());
+      run().gateway().state().regionBook().pauseRegion(System.nanoTime(), peer.region());
       run().attemptNotRun(this, "instance refused");
       return;
     }
--- a/entry/src/main/java/org/gentianslip/entry/gateway/GatewayBounds.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/GatewayBounds.java
@@ -17,4 +17,8 @@
     long repeatWindowMillis,
     double coldShare,
     double coldExtra,
-    long graceMillis) {}
+    long graceMillis) {
+
+  /** The part of a shared bound that is used, since the number of the others may lag. */
+  static final double PART_OF_BOUND = 0.85;
+}
--- a/entry/src/main/java/org/gentianslip/entry/gateway/RequestRun.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/RequestRun.java
@@ -1,19 +1,15 @@
 package org.gentianslip.entry.gateway;
 
 import com.google.common.flogger.FluentLogger;
-import io.netty.handler.codec.http.DefaultHttpHeaders;
-import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.util.concurrent.ScheduledFuture;
 import java.util.HashSet;
 import java.util.List;
-import java.util.Locale;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import org.gentianslip.core.id.EngineId;
-import org.gentianslip.core.id.RegionId;
 import org.gentianslip.core.id.ServiceId;
 import org.gentianslip.core.load.BackendChoice;
 import org.gentianslip.core.load.BackendOption;
@@ -44,17 +40,6 @@
   /** The time to connect to an instance of another region, in milliseconds. */
   private static final int AWAY_CONNECT_MILLIS = 800;
 
-  /**
-   * The silence after which a repeatable request is tried elsewhere: the least, in milliseconds.
-   */
-  private static final long LEAST_SILENCE_MILLIS = 250;
-
-  /** The same for a stream, in milliseconds: between two events. */
-  private static final long STREAM_SILENCE_MILLIS = 1_500;
-
-  /** The silence in multiples of what was expected. */
-  private static final double SILENCE_FACTOR = 3;
-
   private static final int MAX_FORWARDS = 2;
   private static final long RETRY_UNKNOWN_MILLIS = 300;
 
@@ -132,14 +117,6 @@
     return id;
   }
 
-  boolean hasEnded() {
-    return ended;
-  }
-
-  Optional<String> lastEvent() {
-    return lastEvent;
-  }
-
   long remainingMillis(long nowNanos) {
     return TimeUnit.NANOSECONDS.toMillis(endNanos - nowNanos);
   }
@@ -210,9 +187,9 @@
   }
 
   private void forward(long now, Choice.ToRegion to) {
-    Optional<PeerRecord> peer = gateway.state().instanceIn(now, to.region());
+    Optional<PeerRecord> peer = gateway.state().regionBook().instanceIn(now, to.region());
     if (peer.isEmpty()) {
-      gateway.state().pauseRegion(now, to.region());
+      gateway.state().regionBook().pauseRegion(now, to.region());
       next();
       return;
     }
@@ -228,9 +205,7 @@
     if (!route.repeatability().allowsSecondRun()) {
       return;
     }
-    long least = route.streaming() ? STREAM_SILENCE_MILLIS : LEAST_SILENCE_MILLIS;
-    long first = Math.max(least, (long) (SILENCE_FACTOR * expectedMillis));
-    long bound = Math.min(first, route.objectiveMillis() + least);
+    long bound = SilenceBound.millis(route, expectedMillis);
     sink.loop().schedule(() -> checkSilence(attempt, bound), bound, TimeUnit.MILLISECONDS);
   }
 
@@ -476,41 +451,11 @@
 
   /** Returns the headers of a backend server's answer that go on to the caller. */
   HttpHeaders toCaller(HttpHeaders headers) {
-    var copy = new DefaultHttpHeaders(false);
-    copy.add(headers);
-    Headers.removeConnectionHeaders(copy);
-    copy.remove(Gateway.OUTCOME);
-    if (!copy.contains(gateway.edge().requestId())) {
-      copy.set(gateway.edge().requestId(), id);
-    }
-    return copy;
+    return HeaderCopy.toCaller(gateway.edge(), id, headers);
   }
 
   /** Returns the caller's headers that go on to a backend server or another instance. */
   HttpHeaders toBackend(long nowNanos) {
-    var copy = new DefaultHttpHeaders(false);
-    Set<String> named = Headers.namedByConnection(request.headers());
-    for (var h : request.headers()) {
-      String name = h.getKey().toLowerCase(Locale.ROOT);
-      boolean dropped =
-          Headers.isConnectionHeader(name)
-              || gateway.edge().isReserved(name)
-              || name.startsWith(Gateway.OWN_PREFIX)
-              || (named.contains(name) && !gateway.edge().isKept(name));
-      if (!dropped) {
-        copy.add(h.getKey(), h.getValue());
-      }
-    }
-    copy.set(gateway.edge().deadlineMillis(), Long.toString(remainingMillis(nowNanos)));
-    lastEvent.ifPresent(l -> copy.set(gateway.edge().lastEventId(), l));
-    if (request.body().length > 0 || request.headers().contains(HttpHeaderNames.CONTENT_LENGTH)) {
-      copy.set(HttpHeaderNames.CONTENT_LENGTH, request.body().length);
-    }
-    return copy;
-  }
-
-  /** Returns the region of this instance. */
-  RegionId region() {
-    return gateway.state().place().region();
+    return HeaderCopy.toBackend(gateway.edge(), request, remainingMillis(nowNanos), lastEvent);
   }
 }
