--- a/core/src/main/java/org/gentianslip/core/load/BackendChoice.java
+++ b/core/src/main/java/org/gentianslip/core/load/BackendChoice.java
@@ -20,6 +20,9 @@
   /** The same for a shared token that is copied from another engine. */
   private static final double MILLIS_PER_FETCHED_TOKEN = 0.003;
 
+  /** The charge for a byte of a body that leaves the region, in milliseconds. */
+  private static final double MILLIS_PER_AWAY_BYTE = 0.0025;
+
   /** How much longer the preferred engine of an unknown prompt may take, in milliseconds. */
   private static final double PREFERENCE_MILLIS = 60;
 
@@ -37,10 +40,8 @@
   /** The part of the remaining time within which an answer must be expected. */
   private static final double REMAINING_SHARE = 0.8;
 
-  /** The least and the greatest time that a refused caller is asked to wait. */
-  private static final long MIN_RETRY_MILLIS = 150;
-
-  private static final long MAX_RETRY_MILLIS = 1_500;
+  /** The excess that is told while no backend server is known: about the time to find one. */
+  private static final double UNKNOWN_EXCESS_MILLIS = 200;
 
   private BackendChoice() {}
 
@@ -101,8 +102,8 @@
       return new Choice.ToBackend(best, bestEstimate);
     }
     boolean nowhere = options.isEmpty() && regions.isEmpty();
-    double excess = nowhere ? 0 : least - limit;
-    return new Choice.Refuse(nowhere ? "no-backend" : "too-late", retryMillis(excess));
+    double excess = nowhere ? UNKNOWN_EXCESS_MILLIS : Math.max(0, least - limit);
+    return new Choice.Refuse(nowhere ? "no-backend" : "too-late", excess);
   }
 
   private static double limitMillis(Route route, long remainingMillis) {
@@ -118,12 +119,16 @@
   }
 
   private static double awayMillis(RequestSize size, RegionOption region) {
-    double reading = size.promptTokens() / BackendLoad.TOKENS_PER_MILLI;
+    long tokens = size.promptTokens() - (region.hasPrompt() ? size.sharedTokens() : 0);
+    double reading = tokens / BackendLoad.TOKENS_PER_MILLI;
     return region.roundTripMillis() + region.waitMillis() + reading;
   }
 
   private static double awayCost(RequestSize size, RegionOption region) {
-    return awayMillis(size, region) + size.sharedTokens() * MILLIS_PER_SHARED_TOKEN;
+    long again = region.hasPrompt() ? 0 : size.sharedTokens();
+    return awayMillis(size, region)
+        + again * MILLIS_PER_SHARED_TOKEN
+        + size.bodyBytes() * MILLIS_PER_AWAY_BYTE;
   }
 
   private static String preferred(String key, List<BackendOption> options) {
@@ -139,9 +144,4 @@
     }
     return best;
   }
-
-  private static long retryMillis(double excessMillis) {
-    long wanted = (long) excessMillis;
-    return Math.max(MIN_RETRY_MILLIS, Math.min(MAX_RETRY_MILLIS, wanted));
-  }
 }
--- a/entry/src/main/java/org/gentianslip/entry/gateway/RequestRun.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/RequestRun.java
@@ -1,24 +1,22 @@
 package org.gentianslip.entry.gateway;
 
 import com.google.common.flogger.FluentLogger;
-import io.netty.handler.codec.http.DefaultHttpHeaders;
-import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.util.concurrent.ScheduledFuture;
 import java.util.HashSet;
 import java.util.List;
-import java.util.Locale;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import org.gentianslip.core.id.EngineId;
-import org.gentianslip.core.id.RegionId;
 import org.gentianslip.core.id.ServiceId;
 import org.gentianslip.core.load.BackendChoice;
 import org.gentianslip.core.load.BackendOption;
 import org.gentianslip.core.load.Choice;
 import org.gentianslip.core.load.RegionOption;
 import org.gentianslip.core.load.RequestSize;
+import org.gentianslip.core.load.RetryTime;
 import org.gentianslip.core.membership.PeerRecord;
 import org.gentianslip.core.route.Route;
 
@@ -42,17 +40,6 @@
   /** The time to connect to an instance of another region, in milliseconds. */
   private static final int AWAY_CONNECT_MILLIS = 800;
 
-  /**
-   * The silence after which a repeatable request is tried elsewhere: the least, in milliseconds.
-   */
-  private static final long LEAST_SILENCE_MILLIS = 250;
-
-  /** The same for a stream, in milliseconds: between two events. */
-  private static final long STREAM_SILENCE_MILLIS = 1_500;
-
-  /** The silence in multiples of what was expected. */
-  private static final double SILENCE_FACTOR = 3;
-
   private static final int MAX_FORWARDS = 2;
   private static final long RETRY_UNKNOWN_MILLIS = 300;
 
@@ -130,14 +117,6 @@
     return id;
   }
 
-  boolean hasEnded() {
-    return ended;
-  }
-
-  Optional<String> lastEvent() {
-    return lastEvent;
-  }
-
   long remainingMillis(long nowNanos) {
     return TimeUnit.NANOSECONDS.toMillis(endNanos - nowNanos);
   }
@@ -165,7 +144,7 @@
     } else if (choice instanceof Choice.ToRegion to) {
       forward(now, to);
     } else if (choice instanceof Choice.Refuse no) {
-      giveUp(no.reason(), no.afterMillis());
+      giveUp(no.reason(), no.excessMillis());
     }
   }
 
@@ -179,7 +158,7 @@
     List<RegionOption> regions =
         forwarded || forwards >= MAX_FORWARDS || (ran.size() >= route.maxBackends())
             ? List.of()
-            : gateway.state().regions(now, route, service);
+            : gateway.state().regions(now, route, service, size);
     return BackendChoice.choose(now, route, size, left, options, regions);
   }
 
@@ -196,15 +175,21 @@
     var backend = to.option().backend();
     var attempt = new BackendAttempt(this, to);
     current = attempt;
-    note("backend=" + backend.id() + " wait=" + Math.round(to.estimate().totalMillis()));
+    note(
+        "backend="
+            + backend.id()
+            + " wait="
+            + Math.round(to.estimate().totalMillis())
+            + " copy="
+            + to.estimate().fetchTokens());
     attempt.start(now, CONNECT_MILLIS);
     watchSilence(attempt, to.estimate().totalMillis());
   }
 
   private void forward(long now, Choice.ToRegion to) {
-    Optional<PeerRecord> peer = gateway.state().instanceIn(now, to.region());
+    Optional<PeerRecord> peer = gateway.state().regionBook().instanceIn(now, to.region());
     if (peer.isEmpty()) {
-      gateway.state().pauseRegion(now, to.region());
+      gateway.state().regionBook().pauseRegion(now, to.region());
       next();
       return;
     }
@@ -220,9 +205,7 @@
     if (!route.repeatability().allowsSecondRun()) {
       return;
     }
-    long least = route.streaming() ? STREAM_SILENCE_MILLIS : LEAST_SILENCE_MILLIS;
-    long first = Math.max(least, (long) (SILENCE_FACTOR * expectedMillis));
-    long bound = Math.min(first, route.objectiveMillis() + least);
+    long bound = SilenceBound.millis(route, expectedMillis);
     sink.loop().schedule(() -> checkSilence(attempt, bound), bound, TimeUnit.MILLISECONDS);
   }
 
@@ -320,9 +303,13 @@
     long now = System.nanoTime();
     attempt.noteRan();
     mayHaveRun = true;
-    Choice choice = choose(now, remainingMillis(now));
-    boolean possible = choice instanceof Choice.ToBackend || choice instanceof Choice.ToRegion;
-    if (!possible || !mayRepeat(now)) {
+    Set<EngineId> before = Set.copyOf(excluded);
+    Choice choice = chooseWithout(now, attempt);
+    if (choice instanceof Choice.Refuse) {
+      excluded.retainAll(before);
+      choice = choose(now, remainingMillis(now));
+    }
+    if (choice instanceof Choice.Refuse || !mayRepeat(now)) {
       answer(status, headers, body);
       return;
     }
@@ -349,6 +336,7 @@
     if (!begun) {
       begun = true;
       firstHead = headers;
+      note("first-event=" + elapsedMillis());
       sink.begin(200, firstHead);
     }
     lastId.ifPresent(l -> lastEvent = Optional.of(l));
@@ -369,13 +357,16 @@
     }
   }
 
-  private void giveUp(String why, long afterMillis) {
+  private void giveUp(String why, double excessMillis) {
     if (mayHaveRun || begun) {
       breakOff(why);
       return;
     }
     if (finish("refused reason=" + why)) {
-      sink.answer(503, gateway.notRunHeaders(id, afterMillis), new byte[0]);
+      long remaining = remainingMillis(System.nanoTime());
+      double fraction = ThreadLocalRandom.current().nextDouble();
+      long after = RetryTime.millis(excessMillis, remaining, fraction);
+      sink.answer(503, gateway.notRunHeaders(id, after), new byte[0]);
     }
   }
 
@@ -420,15 +411,25 @@
     }
     ended = true;
     endTimer.cancel(false);
-    long millis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - request.receivedNanos());
     gateway.ended(route, outcome);
     LOGGER.atInfo().log(
         "gateway: event=request id=%s route=%s rank=%s version=%s forwarded=%s millis=%s trail=[%s]"
             + " outcome=%s",
-        id, route.name(), route.rank(), gateway.version(), forwarded, millis, trail, outcome);
+        id,
+        route.name(),
+        route.rank(),
+        gateway.version(),
+        forwarded,
+        elapsedMillis(),
+        trail,
+        outcome);
     return true;
   }
 
+  private long elapsedMillis() {
+    return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - request.receivedNanos());
+  }
+
   private void note(String step) {
     trail.append(trail.length() == 0 ? "" : "; ").append(step);
   }
@@ -450,41 +451,11 @@
 
   /** Returns the headers of a backend server's answer that go on to the caller. */
   HttpHeaders toCaller(HttpHeaders headers) {
-    var copy = new DefaultHttpHeaders(false);
-    copy.add(headers);
-    Headers.removeConnectionHeaders(copy);
-    copy.remove(Gateway.OUTCOME);
-    if (!copy.contains(gateway.edge().requestId())) {
-      copy.set(gateway.edge().requestId(), id);
-    }
-    return copy;
+    return HeaderCopy.toCaller(gateway.edge(), id, headers);
   }
 
   /** Returns the caller's headers that go on to a backend server or another instance. */
   HttpHeaders toBackend(long nowNanos) {
-    var copy = new DefaultHttpHeaders(false);
-    Set<String> named = Headers.namedByConnection(request.headers());
-    for (var h : request.headers()) {
-      String name = h.getKey().toLowerCase(Locale.ROOT);
-      boolean dropped =
-          Headers.isConnectionHeader(name)
-              || gateway.edge().isReserved(name)
-              || name.startsWith(Gateway.OWN_PREFIX)
-              || (named.contains(name) && !gateway.edge().isKept(name));
-      if (!dropped) {
-        copy.add(h.getKey(), h.getValue());
-      }
-    }
-    copy.set(gateway.edge().deadlineMillis(), Long.toString(remainingMillis(nowNanos)));
-    lastEvent.ifPresent(l -> copy.set(gateway.edge().lastEventId(), l));
-    if (request.body().length > 0 || request.headers().contains(HttpHeaderNames.CONTENT_LENGTH)) {
-      copy.set(HttpHeaderNames.CONTENT_LENGTH, request.body().length);
-    }
-    return copy;
-  }
-
-  /** Returns the region of this instance. */
-  RegionId region() {
-    return gateway.state().place().region();
+    return HeaderCopy.toBackend(gateway.edge(), request, remainingMillis(nowNanos), lastEvent);
   }
 }
