--- /dev/null
+++ b/bench/src/main/java/org/gentianslip/bench/micro/BackendChoiceBenchmark.java
@@ -0,0 +1,91 @@
+package org.gentianslip.bench.micro;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import org.gentianslip.core.id.DataCentreId;
+import org.gentianslip.core.id.EngineId;
+import org.gentianslip.core.id.ServiceId;
+import org.gentianslip.core.load.BackendChoice;
+import org.gentianslip.core.load.BackendLoad;
+import org.gentianslip.core.load.BackendOption;
+import org.gentianslip.core.load.PromptPart;
+import org.gentianslip.core.load.RequestSize;
+import org.gentianslip.core.published.Backend;
+import org.gentianslip.core.route.EngineProfile;
+import org.gentianslip.core.route.Repeatability;
+import org.gentianslip.core.route.Route;
+import org.gentianslip.core.route.WeightedService;
+import org.openjdk.jmh.annotations.Benchmark;
+import org.openjdk.jmh.annotations.BenchmarkMode;
+import org.openjdk.jmh.annotations.Fork;
+import org.openjdk.jmh.annotations.Measurement;
+import org.openjdk.jmh.annotations.Mode;
+import org.openjdk.jmh.annotations.OutputTimeUnit;
+import org.openjdk.jmh.annotations.Param;
+import org.openjdk.jmh.annotations.Scope;
+import org.openjdk.jmh.annotations.Setup;
+import org.openjdk.jmh.annotations.State;
+import org.openjdk.jmh.annotations.Warmup;
+
+/** Measures the choice of a backend server for a routed request. For one thread. */
+@State(Scope.Benchmark)
+@BenchmarkMode(Mode.AverageTime)
+@OutputTimeUnit(TimeUnit.NANOSECONDS)
+@Warmup(iterations = 3, time = 1)
+@Measurement(iterations = 5, time = 1)
+@Fork(1)
+public class BackendChoiceBenchmark {
+
+  private static final ServiceId SERVICE = ServiceId.of("farm");
+  private static final EngineProfile ENGINE = new EngineProfile(64, 350_000, 7, 327_680, 260_000);
+  private static final int PROMPTS = 64;
+
+  /** The number of engines that may get the request. */
+  @Param({"4", "42", "380", "1300"})
+  public int engines;
+
+  private final List<RequestSize> sizes = new ArrayList<>();
+  private List<BackendOption> options;
+  private Route route;
+  private int next;
+
+  /** Creates the engines and the prompts. */
+  @Setup
+  public void prepare() {
+    options = new ArrayList<>();
+    for (int i = 0; i < engines; i++) {
+      var backend =
+          new Backend(
+              EngineId.of("e" + i), SERVICE, "10.0.0.1:80", DataCentreId.of("z"), 64, false, 0, 0);
+      options.add(new BackendOption(backend, new BackendLoad(64, ENGINE), Optional.empty()));
+    }
+    for (int i = 0; i < PROMPTS; i++) {
+      var shared = new PromptPart("shared" + i, 13_000);
+      var own = new PromptPart("own" + i, 3_700);
+      sizes.add(new RequestSize(List.of(shared, own), 100, 34_000));
+    }
+    route =
+        new Route(
+            "report",
+            "host",
+            "/",
+            Repeatability.RESUMABLE,
+            true,
+            8_000,
+            1_000,
+            2,
+            0,
+            List.of(new WeightedService(SERVICE, 1)),
+            Set.of());
+  }
+
+  /** Chooses once. */
+  @Benchmark
+  public Object choose() {
+    next = (next + 1) % PROMPTS;
+    return BackendChoice.choose(0, route, sizes.get(next), 8_000, options, List.of());
+  }
+}
