Remove what nothing uses in the gateway, and build an outgoing request in one place

Cause: reading the diff as a newcomer showed unused methods (Exchange, EventSplitter, PeerBook, CallerConnection), one field kept for nothing, and the same request built by both kinds of attempt. Ruled out: a change of behaviour; no decision is touched.

--- a/core/src/main/java/org/gentianslip/core/membership/PeerBook.java
+++ b/core/src/main/java/org/gentianslip/core/membership/PeerBook.java
@@ -3,7 +3,6 @@
 import java.util.Collection;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Collectors;
@@ -69,12 +68,6 @@
     }
   }
 
-  /** Returns whether an instance counts as live. */
-  public boolean isLive(long nowNanos, PeerRecord peer) {
-    Entry entry = entries.get(peer.id());
-    return entry != null && isLive(nowNanos, entry);
-  }
-
   private boolean isLive(long nowNanos, Entry entry) {
     boolean near = entry.peer().region().equals(region);
     return nowNanos - entry.heardNanos() < (near ? NEAR_SILENT_NANOS : FAR_SILENT_NANOS);
@@ -101,11 +94,6 @@
     return entries.values().stream().map(Entry::peer).collect(Collectors.toList());
   }
 
-  /** Returns an instance that is remembered. */
-  public Optional<PeerRecord> find(InstanceId id) {
-    return Optional.ofNullable(entries.get(id)).map(Entry::peer);
-  }
-
   /** Returns the number of instances remembered of the own region, with this one. */
   public int nearCount() {
     return 1
--- a/core/src/main/java/org/gentianslip/core/stream/EventSplitter.java
+++ b/core/src/main/java/org/gentianslip/core/stream/EventSplitter.java
@@ -68,19 +68,8 @@
     return pending.size() > 0;
   }
 
-  /** Returns the bytes that are left, which end no event. */
-  public byte[] partial() {
-    return pending.toByteArray();
-  }
-
   /** Returns the id of the last event that was given out. */
   public Optional<String> lastId() {
     return Optional.ofNullable(lastId);
   }
-
-  /** Forgets the event that is not whole, before the stream goes on from another server. */
-  public void dropPartial() {
-    pending.reset();
-    lineEmpty = true;
-  }
 }
--- a/entry/src/main/java/org/gentianslip/entry/gateway/AttemptBase.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/AttemptBase.java
@@ -65,8 +65,25 @@
   /** Returns whether a stream's head may be passed on. */
   abstract boolean isTrusted(HttpHeaders head);
 
-  void send(OutgoingRequest request) {
-    exchange = run.gateway().client(run.sink().loop()).send(request, this);
+  /**
+   * Sends the caller's request.
+   *
+   * @param fresh whether it needs a connection that was not used before
+   */
+  void send(String address, HttpHeaders sent, boolean fresh, int connectMillis) {
+    IncomingRequest request = run.request();
+    var outgoing =
+        new OutgoingRequest(
+            address,
+            request.method(),
+            request.target(),
+            sent,
+            request.body(),
+            run.id(),
+            run.gateway().edge().requestId(),
+            fresh,
+            connectMillis);
+    exchange = run.gateway().client(run.sink().loop()).send(outgoing, this);
   }
 
   long lastHeardNanos() {
--- a/entry/src/main/java/org/gentianslip/entry/gateway/BackendAttempt.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/BackendAttempt.java
@@ -31,17 +31,8 @@
     run().gateway().edge().addForBackend(headers, backend, run().route().rank(), source());
     boolean fresh =
         run().route().repeatability() == Repeatability.ONCE && !run().route().streaming();
-    send(
-        new OutgoingRequest(
-            backend.address(),
-            run().request().method(),
-            run().request().target(),
-            headers,
-            run().request().body(),
-            run().id(),
-            run().gateway().edge().requestId(),
-            fresh,
-            (int) Math.min(connectMillis, Math.max(1, run().remainingMillis(nowNanos)))));
+    int connect = (int) Math.min(connectMillis, Math.max(1, run().remainingMillis(nowNanos)));
+    send(backend.address(), headers, fresh, connect);
   }
 
   private Optional<Backend> source() {
--- a/entry/src/main/java/org/gentianslip/entry/gateway/BackendConnection.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/BackendConnection.java
@@ -35,7 +35,6 @@
   private Exchange exchange;
   private boolean skipping;
   private boolean reusable = true;
-  private boolean closeDelimited;
   private long toldIdleNanos = Long.MAX_VALUE;
   private long idleSinceNanos;
   private long idleUntilNanos;
@@ -112,11 +111,10 @@
       reusable = reusable && status < FIRST_FINAL_STATUS;
       return;
     }
-    closeDelimited =
+    boolean closeDelimited =
         !HttpUtil.isTransferEncodingChunked(response) && !HttpUtil.isContentLengthSet(response);
     reusable = reusable && HttpUtil.isKeepAlive(response) && !closeDelimited;
     noteTimeout(headers.get("Keep-Alive"));
-    exchange.answerBegins();
     exchange.listener().head(status, headers);
   }
 
--- a/entry/src/main/java/org/gentianslip/entry/gateway/CallerConnection.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/CallerConnection.java
@@ -8,7 +8,6 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
-import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpObject;
@@ -230,9 +229,4 @@
     LOGGER.atFine().log("gateway: event=caller-connection-failed cause=%s", cause);
     context.close();
   }
-
-  /** Returns empty headers for an answer of the gateway's own. */
-  static DefaultHttpHeaders noHeaders() {
-    return new DefaultHttpHeaders();
-  }
 }
--- a/entry/src/main/java/org/gentianslip/entry/gateway/EdgeHeaders.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/EdgeHeaders.java
@@ -44,7 +44,7 @@
   /** Returns whether a backend server signed an answer. */
   boolean isSigned(HttpHeaders headers);
 
-  /** Returns the reply of a backend server that is not the expected one, if an answer is one. */
+  /** Returns whether another backend server than the expected one answered. */
   boolean isOtherBackend(int status, HttpHeaders headers);
 
   /** Returns how long a backend server says that it stays cold, in milliseconds, if it does. */
--- a/entry/src/main/java/org/gentianslip/entry/gateway/Exchange.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/Exchange.java
@@ -15,7 +15,6 @@
   private Channel channel;
   private boolean written;
   private boolean ended;
-  private boolean answerBegun;
 
   Exchange(OutgoingRequest request, AnswerListener listener) {
     this.request = request;
@@ -34,18 +33,6 @@
     return ended;
   }
 
-  boolean isWritten() {
-    return written;
-  }
-
-  boolean hasAnswerBegun() {
-    return answerBegun;
-  }
-
-  void answerBegins() {
-    answerBegun = true;
-  }
-
   void writtenOn(Channel on) {
     channel = on;
     written = true;
--- a/entry/src/main/java/org/gentianslip/entry/gateway/ForwardAttempt.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/ForwardAttempt.java
@@ -22,17 +22,7 @@
     HttpHeaders headers = run().toBackend(nowNanos);
     headers.set(Gateway.REMAINING, Long.toString(run().remainingMillis(nowNanos)));
     headers.set(Gateway.FORWARDED_BY, run().gateway().state().place().id().value());
-    send(
-        new OutgoingRequest(
-            peer.forwardAddress(),
-            run().request().method(),
-            run().request().target(),
-            headers,
-            run().request().body(),
-            run().id(),
-            run().gateway().edge().requestId(),
-            false,
-            connectMillis));
+    send(peer.forwardAddress(), headers, false, connectMillis);
   }
 
   @Override
--- a/entry/src/main/java/org/gentianslip/entry/gateway/GatewayPlace.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/GatewayPlace.java
@@ -1,6 +1,7 @@
 package org.gentianslip.entry.gateway;
 
 import java.util.List;
+import java.util.Map;
 import org.gentianslip.core.id.DataCentreId;
 import org.gentianslip.core.id.InstanceId;
 import org.gentianslip.core.id.RegionId;
@@ -25,7 +26,7 @@
     InstanceId id,
     RegionId region,
     DataCentreId dataCentre,
-    java.util.Map<DataCentreId, RegionId> regions,
+    Map<DataCentreId, RegionId> regions,
     String host,
     int callerPort,
     int controlPort,
@@ -35,7 +36,7 @@
 
   /** Copies the collections. */
   public GatewayPlace {
-    regions = java.util.Map.copyOf(regions);
+    regions = Map.copyOf(regions);
     seeds = List.copyOf(seeds);
   }
 
--- a/entry/src/main/java/org/gentianslip/entry/gateway/RequestRun.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/RequestRun.java
@@ -63,7 +63,6 @@
   private boolean begun;
   private boolean ended;
   private Optional<String> lastEvent = Optional.empty();
-  private HttpHeaders firstHead;
 
   RequestRun(
       Gateway gateway,
@@ -335,9 +334,8 @@
     }
     if (!begun) {
       begun = true;
-      firstHead = headers;
       note("first-event=" + elapsedMillis());
-      sink.begin(200, firstHead);
+      sink.begin(200, headers);
     }
     lastId.ifPresent(l -> lastEvent = Optional.of(l));
     sink.write(whole);
