Run a forwarded request at one backend server only

The instance that takes a forwarded request counted its own attempts from nothing, so a lookup that failed there ran twice more. Ruled out: a restart of the run at the origin (it counts the other region as one). Change: a forwarded request runs at one backend server at most.

--- a/entry/src/main/java/org/gentianslip/entry/gateway/RequestRun.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/RequestRun.java
@@ -155,15 +155,19 @@
                 .toList()
             : List.of();
     List<RegionOption> regions =
-        forwarded || forwards >= MAX_FORWARDS || (ran.size() >= route.maxBackends())
+        forwarded || forwards >= MAX_FORWARDS || (ran.size() >= maxBackends())
             ? List.of()
             : gateway.state().regions(now, route, service, size);
     return BackendChoice.choose(now, route, size, left, options, regions);
   }
 
+  /** Returns how many backend servers may run the request; a forwarded one counts as one. */
+  private int maxBackends() {
+    return forwarded ? 1 : route.maxBackends();
+  }
+
   private boolean mayUse(EngineId backend) {
-    return !excluded.contains(backend)
-        && (ran.contains(backend) || ran.size() < route.maxBackends());
+    return !excluded.contains(backend) && (ran.contains(backend) || ran.size() < maxBackends());
   }
 
   private boolean mayRepeat(long now) {
@@ -235,7 +239,7 @@
   }
 
   private boolean mayRunElsewhere(AttemptBase attempt) {
-    return ran.size() + 1 < route.maxBackends() && (!begun || lastEvent.isPresent());
+    return ran.size() + 1 < maxBackends() && (!begun || lastEvent.isPresent());
   }
 
   /** Chooses as if the request had been tried in vain where it is now. */
