--- a/core/src/main/java/org/gentianslip/core/load/BackendChoice.java
+++ b/core/src/main/java/org/gentianslip/core/load/BackendChoice.java
@@ -17,12 +17,15 @@
    */
   private static final double MILLIS_PER_SHARED_TOKEN = 0.02;
 
+  /** The same for a shared token that is copied from another engine. */
+  private static final double MILLIS_PER_FETCHED_TOKEN = 0.003;
+
+  /** The charge for a byte of a body that leaves the region, in milliseconds. */
+  private static final double MILLIS_PER_AWAY_BYTE = 0.0025;
+
   /** How much longer the preferred engine of an unknown prompt may take, in milliseconds. */
   private static final double PREFERENCE_MILLIS = 60;
 
-  /** The charge for a server that fails, in milliseconds at a share of 1. */
-  private static final double FAILURE_MILLIS = 3_000;
-
   /** How much sooner another region must be expected to answer, in milliseconds. */
   private static final double AWAY_MARGIN_MILLIS = 60;
 
@@ -66,12 +69,12 @@
     String preferred = key.isEmpty() ? "" : preferred(key, options);
     double least = Double.MAX_VALUE;
     for (BackendOption option : options) {
-      Estimate e = option.load().estimate(nowNanos, urgent, size);
+      Estimate e = option.load().estimate(nowNanos, urgent, size, option.fetch());
       least = Math.min(least, e.totalMillis());
       if (e.running() >= e.slots() * MAX_FILL) {
         continue;
       }
-      double cost = cost(size, e);
+      double cost = cost(e);
       cost -= option.backend().id().value().equals(preferred) ? PREFERENCE_MILLIS : 0;
       if (cost < bestCost) {
         best = option;
@@ -110,18 +113,24 @@
     return Math.min(share * route.objectiveMillis(), REMAINING_SHARE * remainingMillis);
   }
 
-  private static double cost(RequestSize size, Estimate e) {
-    long again = Math.min(e.missingTokens(), size.sharedTokens());
-    return e.totalMillis() + again * MILLIS_PER_SHARED_TOKEN + e.failureShare() * FAILURE_MILLIS;
+  private static double cost(Estimate e) {
+    return e.totalMillis()
+        + e.readTokens() * MILLIS_PER_SHARED_TOKEN
+        + e.fetchTokens() * MILLIS_PER_FETCHED_TOKEN
+        + e.failureMillis();
   }
 
   private static double awayMillis(RequestSize size, RegionOption region) {
-    double reading = size.promptTokens() / BackendLoad.TOKENS_PER_MILLI;
+    long tokens = size.promptTokens() - (region.hasPrompt() ? size.sharedTokens() : 0);
+    double reading = tokens / BackendLoad.TOKENS_PER_MILLI;
     return region.roundTripMillis() + region.waitMillis() + reading;
   }
 
   private static double awayCost(RequestSize size, RegionOption region) {
-    return awayMillis(size, region) + size.sharedTokens() * MILLIS_PER_SHARED_TOKEN;
+    long again = region.hasPrompt() ? 0 : size.sharedTokens();
+    return awayMillis(size, region)
+        + again * MILLIS_PER_SHARED_TOKEN
+        + size.bodyBytes() * MILLIS_PER_AWAY_BYTE;
   }
 
   private static String preferred(String key, List<BackendOption> options) {
--- a/entry/src/main/java/org/gentianslip/entry/gateway/ForwardAttempt.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/ForwardAttempt.java
@@ -37,12 +37,15 @@
 
   @Override
   void noteFailure(long nowNanos) {
-    run().gateway().state().pauseRegion(nowNanos, peer.region());
+    run().gateway().state().pauseInstance(nowNanos, peer.id());
   }
 
+  @Override
+  void noteSilence(long nowNanos) {}
+
   @Override
   void noteUnreachable(long nowNanos) {
-    run().gateway().state().pauseRegion(nowNanos, peer.region());
+    run().gateway().state().pauseInstance(nowNanos, peer.id());
   }
 
   @Override
