Weigh a fixed number of a large region's backend servers

The search for a prompt's holders read all entries of the directory.

Ruled out: an index sorted by expected wait; each request and each hello moves entries of it, under a lock, and the wait differs by prompt.

Change: BackendGroup names the candidates: all of up to 48, else the prompt's holders, the preferred one from a hash ring, and 24 drawn at random. PeerLoads keeps sums. PromptDirectory is by part. Groups are swapped with what is published.

--- a/bench/src/main/java/org/gentianslip/bench/micro/BackendChoiceBenchmark.java
+++ b/bench/src/main/java/org/gentianslip/bench/micro/BackendChoiceBenchmark.java
@@ -2,15 +2,18 @@
 
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Optional;
 import java.util.Set;
+import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 import org.gentianslip.core.id.DataCentreId;
 import org.gentianslip.core.id.EngineId;
+import org.gentianslip.core.id.InstanceId;
 import org.gentianslip.core.id.ServiceId;
 import org.gentianslip.core.load.BackendChoice;
+import org.gentianslip.core.load.BackendGroup;
 import org.gentianslip.core.load.BackendLoad;
-import org.gentianslip.core.load.BackendOption;
+import org.gentianslip.core.load.Candidates;
+import org.gentianslip.core.load.PeerLoad;
 import org.gentianslip.core.load.PromptPart;
 import org.gentianslip.core.load.RequestSize;
 import org.gentianslip.core.published.Backend;
@@ -42,26 +45,33 @@
   private static final ServiceId SERVICE = ServiceId.of("farm");
   private static final EngineProfile ENGINE = new EngineProfile(64, 350_000, 7, 327_680, 260_000);
   private static final int PROMPTS = 64;
+  private static final int INSTANCES = 250;
 
-  /** The number of engines that may get the request. */
+  /** The number of engines of the region, which 250 instances use. */
   @Param({"4", "42", "380", "1300"})
   public int engines;
 
   private final List<RequestSize> sizes = new ArrayList<>();
-  private List<BackendOption> options;
+  private final SplittableRandom random = new SplittableRandom(1);
+  private BackendGroup group;
   private Route route;
   private int next;
 
   /** Creates the engines and the prompts. */
   @Setup
   public void prepare() {
-    options = new ArrayList<>();
+    List<BackendGroup.Member> members = new ArrayList<>();
     for (int i = 0; i < engines; i++) {
       var backend =
           new Backend(
               EngineId.of("e" + i), SERVICE, "10.0.0.1:80", DataCentreId.of("z"), 64, false, 0, 0);
-      options.add(new BackendOption(backend, new BackendLoad(64, ENGINE), Optional.empty()));
+      var load = new BackendLoad(64, ENGINE);
+      for (int k = 0; k < INSTANCES; k++) {
+        load.heard(InstanceId.of("i" + k), new PeerLoad(1, 1, 1, 0));
+      }
+      members.add(new BackendGroup.Member(backend, load));
     }
+    group = BackendGroup.of(members);
     for (int i = 0; i < PROMPTS; i++) {
       var shared = new PromptPart("shared" + i, 13_000);
       var own = new PromptPart("own" + i, 3_700);
@@ -86,6 +96,8 @@
   @Benchmark
   public Object choose() {
     next = (next + 1) % PROMPTS;
-    return BackendChoice.choose(0, route, sizes.get(next), 8_000, options, List.of());
+    RequestSize size = sizes.get(next);
+    Candidates found = group.candidates(0, 0, id -> true, size, List.of(), random);
+    return BackendChoice.choose(0, route, size, 8_000, found, List.of());
   }
 }
--- a/core/src/main/java/org/gentianslip/core/load/BackendChoice.java
+++ b/core/src/main/java/org/gentianslip/core/load/BackendChoice.java
@@ -1,7 +1,7 @@
 package org.gentianslip.core.load;
 
 import java.util.List;
-import org.gentianslip.core.membership.RendezvousHash;
+import org.gentianslip.core.id.EngineId;
 import org.gentianslip.core.route.Route;
 
 /**
@@ -49,7 +49,7 @@
    * Chooses.
    *
    * @param remainingMillis how long the caller waits, in milliseconds
-   * @param options the backend servers of this region that may get the request
+   * @param candidates the backend servers of this region to weigh
    * @param regions the regions that may get it
    */
   public static Choice choose(
@@ -57,14 +57,14 @@
       Route route,
       RequestSize size,
       long remainingMillis,
-      List<BackendOption> options,
+      Candidates candidates,
       List<RegionOption> regions) {
     BackendOption best = null;
     Estimate bestEstimate = null;
     double bestCost = Double.MAX_VALUE;
     boolean urgent = route.rank() == 0;
-    String key = size.sharedPart().map(PromptPart::id).orElse("");
-    String preferred = key.isEmpty() ? "" : preferred(key, options);
+    EngineId preferred = candidates.preferred().orElse(null);
+    List<BackendOption> options = candidates.options();
     double least = Double.MAX_VALUE;
     for (BackendOption option : options) {
       Estimate e = option.load().estimate(nowNanos, urgent, size, option.fetch());
@@ -73,7 +73,8 @@
         continue;
       }
       double cost = cost(e);
-      cost -= option.backend().id().value().equals(preferred) ? PREFERENCE_MILLIS : 0;
+      boolean isPreferred = option.backend().id().equals(preferred);
+      cost -= isPreferred ? PREFERENCE_MILLIS : 0;
       if (cost < bestCost) {
         best = option;
         bestEstimate = e;
@@ -130,18 +131,4 @@
         + again * MILLIS_PER_SHARED_TOKEN
         + size.bodyBytes() * MILLIS_PER_AWAY_BYTE;
   }
-
-  private static String preferred(String key, List<BackendOption> options) {
-    String best = "";
-    double bestWeight = -1;
-    for (BackendOption option : options) {
-      String id = option.backend().id().value();
-      double weight = RendezvousHash.weight(key, id, option.backend().slots());
-      if (weight > bestWeight) {
-        best = id;
-        bestWeight = weight;
-      }
-    }
-    return best;
-  }
 }
--- a/core/src/main/java/org/gentianslip/core/load/BackendLoad.java
+++ b/core/src/main/java/org/gentianslip/core/load/BackendLoad.java
@@ -2,9 +2,7 @@
 
 import java.util.ArrayDeque;
 import java.util.Deque;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.gentianslip.core.id.InstanceId;
@@ -21,9 +19,6 @@
   /** The tokens that an engine reads in a millisecond; a cautious figure of today's engines. */
   static final double TOKENS_PER_MILLI = 50;
 
-  /** How long news of another instance's load counts: several rounds of the exchange. */
-  private static final long PEER_LOAD_NANOS = TimeUnit.MILLISECONDS.toNanos(1_500);
-
   /** The first and the longest time without new work after a failed connection. */
   private static final long FIRST_BLOCK_NANOS = TimeUnit.MILLISECONDS.toNanos(200);
 
@@ -52,7 +47,7 @@
   private final int slots;
   private final boolean engine;
   private final PromptCache cache;
-  private final Map<InstanceId, PeerLoad> peers = new HashMap<>();
+  private final PeerLoads peers = new PeerLoads();
   private final Deque<Long> coldSends = new ArrayDeque<>();
   private int running;
   private double urgentMillis;
@@ -188,7 +183,7 @@
 
   /** Takes another instance's load on this backend server. */
   public synchronized void heard(InstanceId peer, PeerLoad load) {
-    peers.put(peer, load);
+    peers.heard(peer, load);
   }
 
   /** Returns the load of this instance alone, to be told to others. */
@@ -205,17 +200,12 @@
    */
   public synchronized Estimate estimate(
       long nowNanos, boolean urgent, RequestSize size, Optional<PromptFetch> fetch) {
-    int all = running;
-    double before = urgentMillis + (urgent ? 0 : otherMillis);
-    double after = urgent ? otherMillis : 0;
-    for (PeerLoad p : peers.values()) {
-      if (nowNanos - p.seenNanos() > PEER_LOAD_NANOS) {
-        continue;
-      }
-      all += p.running();
-      before += p.urgentMillis() + (urgent ? 0 : p.otherMillis());
-      after += urgent ? p.otherMillis() : 0;
-    }
+    peers.dropOld(nowNanos);
+    int all = running + peers.running();
+    double urgentBefore = urgentMillis + peers.urgentMillis();
+    double otherBefore = otherMillis + peers.otherMillis();
+    double before = urgentBefore + (urgent ? 0 : otherBefore);
+    double after = urgent ? otherBefore : 0;
     long missing = engine ? cache.missingTokens(size.prompt()) : 0;
     double wait = engine ? before + after / 2 : 0;
     double slotWait = Math.max(0, all + 1 - slots) * serviceMillis / slots;
--- a/core/src/main/java/org/gentianslip/core/load/PromptDirectory.java
+++ b/core/src/main/java/org/gentianslip/core/load/PromptDirectory.java
@@ -6,6 +6,8 @@
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.Predicate;
 import org.gentianslip.core.id.EngineId;
 
 /**
@@ -24,9 +26,8 @@
   /** The age from which a new reading of the same part is news. */
   private static final long NEWS_NANOS = TimeUnit.SECONDS.toNanos(3);
 
-  private final Map<Key, Entry> entries = new ConcurrentHashMap<>();
-
-  private record Key(String part, EngineId engine) {}
+  /** By part and engine. */
+  private final Map<String, Map<EngineId, Entry>> entries = new ConcurrentHashMap<>();
 
   private record Entry(PromptHolder holder, long learnedNanos) {}
 
@@ -39,20 +40,25 @@
     if (holder.part().tokens() < LEAST_TOKENS) {
       return false;
     }
-    var key = new Key(holder.part().id(), holder.engine());
-    Entry known = entries.get(key);
-    if (known != null && holder.readNanos() - known.holder().readNanos() < NEWS_NANOS) {
-      return false;
-    }
-    entries.put(key, new Entry(holder, nowNanos));
-    return true;
+    var news = new AtomicBoolean();
+    entries.compute(
+        holder.part().id(),
+        (part, engines) -> {
+          Map<EngineId, Entry> known = engines == null ? new ConcurrentHashMap<>() : engines;
+          Entry old = known.get(holder.engine());
+          if (old == null || holder.readNanos() - old.holder().readNanos() >= NEWS_NANOS) {
+            known.put(holder.engine(), new Entry(holder, nowNanos));
+            news.set(true);
+          }
+          return known;
+        });
+    return news.get();
   }
 
   /** Returns the engines that have read a part, the latest first. */
   public List<EngineId> holders(long nowNanos, String part) {
-    return entries.values().stream()
+    return entries.getOrDefault(part, Map.of()).values().stream()
         .map(Entry::holder)
-        .filter(h -> h.part().id().equals(part))
         .filter(h -> nowNanos - h.readNanos() < REMEMBER_NANOS)
         .sorted(Comparator.comparingLong(PromptHolder::readNanos).reversed())
         .map(PromptHolder::engine)
@@ -61,11 +67,13 @@
 
   /** Returns what was learned within a time, and forgets what is too old. */
   public List<PromptHolder> learnedWithin(long nowNanos, long windowNanos) {
-    entries.values().removeIf(e -> nowNanos - e.holder().readNanos() >= REMEMBER_NANOS);
+    drop(e -> nowNanos - e.holder().readNanos() >= REMEMBER_NANOS);
     List<PromptHolder> news = new ArrayList<>();
-    for (Entry e : entries.values()) {
-      if (nowNanos - e.learnedNanos() < windowNanos) {
-        news.add(e.holder());
+    for (Map<EngineId, Entry> engines : entries.values()) {
+      for (Entry e : engines.values()) {
+        if (nowNanos - e.learnedNanos() < windowNanos) {
+          news.add(e.holder());
+        }
       }
     }
     return news;
@@ -73,6 +81,17 @@
 
   /** Forgets an engine, which was restarted or has gone. */
   public void forget(EngineId engine) {
-    entries.keySet().removeIf(k -> k.engine().equals(engine));
+    drop(e -> e.holder().engine().equals(engine));
+  }
+
+  private void drop(Predicate<Entry> dropped) {
+    for (String part : entries.keySet()) {
+      entries.computeIfPresent(
+          part,
+          (id, engines) -> {
+            engines.values().removeIf(dropped);
+            return engines.isEmpty() ? null : engines;
+          });
+    }
   }
 }
--- a/core/src/test/java/org/gentianslip/core/load/BackendChoiceTest.java
+++ b/core/src/test/java/org/gentianslip/core/load/BackendChoiceTest.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.SplittableRandom;
 import org.gentianslip.core.id.DataCentreId;
 import org.gentianslip.core.id.EngineId;
 import org.gentianslip.core.id.RegionId;
@@ -67,7 +68,15 @@
 
   private static Choice choose(
       RequestSize size, List<BackendOption> options, List<RegionOption> regions) {
-    return BackendChoice.choose(0, route(0, 1_000), size, 8_000, options, regions);
+    return BackendChoice.choose(
+        0, route(0, 1_000), size, 8_000, candidates(size, options), regions);
+  }
+
+  private static Candidates candidates(RequestSize size, List<BackendOption> options) {
+    List<BackendGroup.Member> members =
+        options.stream().map(o -> new BackendGroup.Member(o.backend(), o.load())).toList();
+    return BackendGroup.of(members)
+        .candidates(0, 0, id -> true, size, List.of(), new SplittableRandom(1));
   }
 
   private static Reservation begin(BackendOption option, boolean urgent, RequestSize size) {
@@ -117,7 +126,15 @@
               options.get(0).backend(),
               options.get(0).load(),
               Optional.of(new PromptFetch(far, ENGINE.copyMillisPerToken())));
-      var choice = (Choice.ToBackend) choose(LONG, List.of(copying), List.of());
+      var choice =
+          (Choice.ToBackend)
+              BackendChoice.choose(
+                  0,
+                  route(0, 1_000),
+                  LONG,
+                  8_000,
+                  new Candidates(List.of(copying), Optional.empty()),
+                  List.of());
       assertThat(choice.estimate().fetchTokens(), is(13_000L));
       assertThat(choice.estimate().readMillis(), is(3_700 / BackendLoad.TOKENS_PER_MILLI));
     }
@@ -160,21 +177,27 @@
     void goesToAnotherRegionIfThatIsSooner() {
       fill(4);
       var away = new RegionOption(RegionId.of("far"), 0, 110, false);
-      Choice choice = BackendChoice.choose(0, route(2, 3_000), SHORT, 4_000, busy, List.of(away));
+      Choice choice =
+          BackendChoice.choose(
+              0, route(2, 3_000), SHORT, 4_000, candidates(SHORT, busy), List.of(away));
       assertThat(choice, is(new Choice.ToRegion(RegionId.of("far"), 110 + 380 / 50.0)));
     }
 
     @Test
     void refusesWhatCannotBeServedInTime() {
       fill(30);
-      Choice choice = BackendChoice.choose(0, route(2, 3_000), SHORT, 4_000, busy, List.of());
+      Choice choice =
+          BackendChoice.choose(
+              0, route(2, 3_000), SHORT, 4_000, candidates(SHORT, busy), List.of());
       assertThat(choice, instanceOf(Choice.Refuse.class));
     }
 
     @Test
     void stillServesUrgentWorkThatGoesBeforeTheRest() {
       fill(30);
-      Choice choice = BackendChoice.choose(0, route(0, 6_000), SHORT, 8_000, busy, List.of());
+      Choice choice =
+          BackendChoice.choose(
+              0, route(0, 6_000), SHORT, 8_000, candidates(SHORT, busy), List.of());
       assertThat(choice, not(instanceOf(Choice.Refuse.class)));
     }
   }
--- a/entry/src/main/java/org/gentianslip/entry/gateway/BackendBook.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/BackendBook.java
@@ -7,12 +7,15 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
 import java.util.function.Supplier;
 import org.gentianslip.core.id.EngineId;
 import org.gentianslip.core.id.ServiceId;
+import org.gentianslip.core.load.BackendGroup;
 import org.gentianslip.core.load.BackendLoad;
-import org.gentianslip.core.load.BackendOption;
+import org.gentianslip.core.load.Candidates;
 import org.gentianslip.core.load.RequestSize;
 import org.gentianslip.core.membership.PeerBook;
 import org.gentianslip.core.published.Backend;
@@ -36,6 +39,9 @@
   private final PeerBook peers;
   private final Map<EngineId, BackendLoad> loads = new ConcurrentHashMap<>();
 
+  /** Those of this region that may get work as far as is published; swapped as a whole. */
+  private volatile Map<ServiceId, BackendGroup> groups = Map.of();
+
   BackendBook(Supplier<GatewayPlace> place, PeerBook peers) {
     this.place = place;
     this.peers = peers;
@@ -48,6 +54,21 @@
       noteCold(nowNanos, known, after);
     }
     loads.keySet().retainAll(after.backends().keySet());
+    groups = groups(after);
+  }
+
+  private Map<ServiceId, BackendGroup> groups(PublishedState state) {
+    Map<ServiceId, List<BackendGroup.Member>> members = new HashMap<>();
+    for (Backend b : state.backends().values()) {
+      if (place.get().isNear(b) && state.mayGetWork(b)) {
+        members
+            .computeIfAbsent(b.service(), s -> new ArrayList<>())
+            .add(new BackendGroup.Member(b, loadOf(state, b)));
+      }
+    }
+    Map<ServiceId, BackendGroup> made = new HashMap<>();
+    members.forEach((service, of) -> made.put(service, BackendGroup.of(of)));
+    return Map.copyOf(made);
   }
 
   private void noteCold(long nowNanos, PublishedState before, PublishedState after) {
@@ -91,20 +112,23 @@
     return Map.copyOf(loads);
   }
 
-  /** Returns the backend servers of this region that may get a request now. */
-  List<BackendOption> usable(long nowNanos, PublishedState state, ServiceId service) {
-    double pace = coldPace(state, service);
-    List<BackendOption> options = new ArrayList<>();
-    for (Backend b : state.backends().values()) {
-      if (!b.service().equals(service) || !place.get().isNear(b) || !state.mayGetWork(b)) {
-        continue;
-      }
-      BackendLoad load = loadOf(state, b);
-      if (load.mayGetWork(nowNanos, pace)) {
-        options.add(new BackendOption(b, load, Optional.empty()));
-      }
-    }
-    return options;
+  /**
+   * Returns the backend servers of this region to weigh for a request.
+   *
+   * @param usable whether the request may go to a backend server
+   * @param holders the engines that hold the shared part of its prompt, the best first
+   */
+  Candidates candidates(
+      long nowNanos,
+      PublishedState state,
+      ServiceId service,
+      Predicate<EngineId> usable,
+      RequestSize size,
+      List<EngineId> holders) {
+    return groups
+        .getOrDefault(service, BackendGroup.EMPTY)
+        .candidates(
+            nowNanos, coldPace(state, service), usable, size, holders, ThreadLocalRandom.current());
   }
 
   /** Returns the requests that this instance may send to a cold backend server in a second. */
@@ -121,15 +145,14 @@
   /** Returns the wait for a request to each service that has backend servers in this region. */
   Map<ServiceId, Double> waits(long nowNanos, PublishedState state) {
     Map<ServiceId, Double> waits = new HashMap<>();
-    for (Backend b : state.backends().values()) {
-      if (!place.get().isNear(b) || waits.containsKey(b.service())) {
-        continue;
-      }
-      usable(nowNanos, state, b.service()).stream()
+    for (ServiceId service : groups.keySet()) {
+      candidates(nowNanos, state, service, id -> true, RequestSize.UNKNOWN, List.of())
+          .options()
+          .stream()
           .map(o -> o.load().estimate(nowNanos, false, RequestSize.UNKNOWN, Optional.empty()))
           .mapToDouble(e -> e.waitMillis() + e.failureMillis())
           .min()
-          .ifPresent(w -> waits.put(b.service(), w));
+          .ifPresent(w -> waits.put(service, w));
     }
     return waits;
   }
--- a/entry/src/main/java/org/gentianslip/entry/gateway/GatewayState.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/GatewayState.java
@@ -7,17 +7,19 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.Predicate;
 import org.gentianslip.core.id.EngineId;
 import org.gentianslip.core.id.RegionId;
 import org.gentianslip.core.id.ServiceId;
 import org.gentianslip.core.limit.RepeatWindow;
 import org.gentianslip.core.load.BackendLoad;
-import org.gentianslip.core.load.BackendOption;
+import org.gentianslip.core.load.Candidates;
 import org.gentianslip.core.load.PromptDirectory;
 import org.gentianslip.core.load.PromptHolder;
 import org.gentianslip.core.load.RegionOption;
 import org.gentianslip.core.load.RequestSize;
 import org.gentianslip.core.membership.PeerBook;
+import org.gentianslip.core.published.Backend;
 import org.gentianslip.core.published.PublishedState;
 import org.gentianslip.core.route.Route;
 
@@ -103,11 +105,18 @@
     return backends.loads();
   }
 
-  /** Returns the backend servers of this region that may get a request now. */
-  List<BackendOption> options(long nowNanos, Route route, ServiceId service, RequestSize size) {
+  /**
+   * Returns the backend servers of this region to weigh for a request.
+   *
+   * @param usable whether the request may go to a backend server
+   */
+  Candidates candidates(
+      long nowNanos, Route route, ServiceId service, RequestSize size, Predicate<EngineId> usable) {
     PublishedState state = published.get();
-    List<BackendOption> usable = backends.usable(nowNanos, state, service);
-    return prompts.withFetch(nowNanos, state, route, service, size, usable);
+    List<Backend> holders = prompts.holders(nowNanos, state, route, size);
+    List<EngineId> ids = holders.stream().map(Backend::id).toList();
+    Candidates found = backends.candidates(nowNanos, state, service, usable, size, ids);
+    return prompts.withFetch(state, service, size, holders, found);
   }
 
   /** Returns which engines have read which shared parts of prompts. */
--- a/entry/src/main/java/org/gentianslip/entry/gateway/PromptPlaces.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/PromptPlaces.java
@@ -10,6 +10,7 @@
 import org.gentianslip.core.id.RegionId;
 import org.gentianslip.core.id.ServiceId;
 import org.gentianslip.core.load.BackendOption;
+import org.gentianslip.core.load.Candidates;
 import org.gentianslip.core.load.PromptDirectory;
 import org.gentianslip.core.load.PromptFetch;
 import org.gentianslip.core.load.PromptHolder;
@@ -54,26 +55,25 @@
   }
 
   /** Adds to each backend server from where it may copy the shared part of a prompt. */
-  List<BackendOption> withFetch(
-      long nowNanos,
+  Candidates withFetch(
       PublishedState state,
-      Route route,
       ServiceId service,
       RequestSize size,
-      List<BackendOption> options) {
+      List<Backend> holders,
+      Candidates found) {
     Optional<EngineProfile> engine =
         BackendBook.profile(state, service)
             .flatMap(ServiceProfile::engine)
             .filter(e -> e.linkMegabits() > 0);
-    Optional<PromptPart> shared = size.sharedPart();
     if (engine.isEmpty()
-        || shared.isEmpty()
-        || shared.get().tokens() < PromptDirectory.LEAST_TOKENS) {
-      return options;
+        || holders.isEmpty()
+        || size.sharedTokens() < PromptDirectory.LEAST_TOKENS) {
+      return found;
     }
-    List<Backend> holders = holders(nowNanos, state, route, shared.get());
     double copyMillis = engine.get().copyMillisPerToken();
-    return options.stream().map(o -> withFetch(o, holders, copyMillis)).toList();
+    return new Candidates(
+        found.options().stream().map(o -> withFetch(o, holders, copyMillis)).toList(),
+        found.preferred());
   }
 
   private static BackendOption withFetch(
@@ -89,10 +89,14 @@
     return new BackendOption(target, option.load(), fetch);
   }
 
-  private List<Backend> holders(
-      long nowNanos, PublishedState state, Route route, PromptPart shared) {
+  /** Returns the engines that hold the shared part of a prompt, the latest first. */
+  List<Backend> holders(long nowNanos, PublishedState state, Route route, RequestSize size) {
+    Optional<PromptPart> shared = size.sharedPart();
+    if (shared.isEmpty()) {
+      return List.of();
+    }
     List<Backend> holders = new ArrayList<>();
-    for (EngineId id : directory.holders(nowNanos, shared.id())) {
+    for (EngineId id : directory.holders(nowNanos, shared.get().id())) {
       Backend b = state.backends().get(id);
       if (b != null && state.mayGetWork(b) && mayHold(route, b)) {
         holders.add(b);
@@ -109,11 +113,9 @@
   /** Returns the regions with an engine that has read the shared part of a prompt. */
   Set<RegionId> regions(long nowNanos, PublishedState state, Route route, RequestSize size) {
     Set<RegionId> regions = new HashSet<>();
-    size.sharedPart()
-        .ifPresent(
-            part ->
-                holders(nowNanos, state, route, part)
-                    .forEach(b -> regions.add(place.get().regions().get(b.dataCentre()))));
+    for (Backend holder : holders(nowNanos, state, route, size)) {
+      regions.add(place.get().regions().get(holder.dataCentre()));
+    }
     return regions;
   }
 }
--- a/entry/src/main/java/org/gentianslip/entry/gateway/RequestRun.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/RequestRun.java
@@ -12,7 +12,7 @@
 import org.gentianslip.core.id.EngineId;
 import org.gentianslip.core.id.ServiceId;
 import org.gentianslip.core.load.BackendChoice;
-import org.gentianslip.core.load.BackendOption;
+import org.gentianslip.core.load.Candidates;
 import org.gentianslip.core.load.Choice;
 import org.gentianslip.core.load.RegionOption;
 import org.gentianslip.core.load.RequestSize;
@@ -148,17 +148,15 @@
   }
 
   private Choice choose(long now, long left) {
-    List<BackendOption> options =
+    Candidates here =
         route.allows(gateway.state().place().region())
-            ? gateway.state().options(now, route, service, size).stream()
-                .filter(o -> mayUse(o.backend().id()))
-                .toList()
-            : List.of();
+            ? gateway.state().candidates(now, route, service, size, this::mayUse)
+            : Candidates.NONE;
     List<RegionOption> regions =
         forwarded || forwards >= MAX_FORWARDS || (ran.size() >= maxBackends())
             ? List.of()
             : gateway.state().regions(now, route, service, size);
-    return BackendChoice.choose(now, route, size, left, options, regions);
+    return BackendChoice.choose(now, route, size, left, here, regions);
   }
 
   /** Returns how many backend servers may run the request; a forwarded one counts as one. */
