Take a repeat only for an attempt that has a place

Cause: RequestRun.next took a repeat from the budget before it knew whether any backend server was left, so requests that were then refused used up the fleet's repeats; the paths after an error and after silence took it after the choice.

Ruled out: giving a repeat back, which a window of sums does not allow.

Change: Placement chooses, and takes the repeat with the choice; all three paths use it. CallerAnswer holds what the caller has seen, RequestLog the trail, SilenceWatch the silence.

--- a/entry/src/main/java/org/gentianslip/entry/gateway/AttemptBase.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/AttemptBase.java
@@ -4,6 +4,7 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import java.io.ByteArrayOutputStream;
 import java.util.Locale;
+import org.gentianslip.core.id.EngineId;
 import org.gentianslip.core.stream.EventSplitter;
 
 /**
@@ -47,11 +48,8 @@
   /** Notes in the books that no connection could be made. */
   abstract void noteUnreachable(long nowNanos);
 
-  /** Notes that the request may have run here. */
-  abstract void noteRan();
-
-  /** Keeps the request from coming here again. */
-  abstract void exclude();
+  /** Returns the backend server, or what stands for any that another instance may choose. */
+  abstract EngineId place();
 
   /** Takes a whole answer that is no stream. */
   abstract void answered(int answeredStatus, HttpHeaders answeredHeaders, byte[] whole);
--- a/entry/src/main/java/org/gentianslip/entry/gateway/BackendAttempt.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/BackendAttempt.java
@@ -3,6 +3,7 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import org.gentianslip.core.id.EngineId;
 import org.gentianslip.core.load.Choice;
 import org.gentianslip.core.load.PromptFetch;
 import org.gentianslip.core.load.Reservation;
@@ -26,7 +27,6 @@
   void start(long nowNanos, int connectMillis) {
     boolean urgent = run().route().rank() == 0;
     reservation = choice.option().load().begin(nowNanos, urgent, run().size(), choice.estimate());
-    run().arrived();
     HttpHeaders headers = run().toBackend(nowNanos);
     run().gateway().edge().addForBackend(headers, backend, run().route().rank(), source());
     boolean fresh =
@@ -57,13 +57,8 @@
   }
 
   @Override
-  void noteRan() {
-    run().ranAt(backend.id());
-  }
-
-  @Override
-  void exclude() {
-    run().excludeBackend(backend.id());
+  EngineId place() {
+    return backend.id();
   }
 
   @Override
--- a/entry/src/main/java/org/gentianslip/entry/gateway/ForwardAttempt.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/ForwardAttempt.java
@@ -1,6 +1,7 @@
 package org.gentianslip.entry.gateway;
 
 import io.netty.handler.codec.http.HttpHeaders;
+import org.gentianslip.core.id.EngineId;
 import org.gentianslip.core.membership.PeerRecord;
 
 /**
@@ -18,7 +19,6 @@
 
   @Override
   void start(long nowNanos, int connectMillis) {
-    run().arrived();
     HttpHeaders headers = run().toBackend(nowNanos);
     headers.set(Gateway.REMAINING, Long.toString(run().remainingMillis(nowNanos)));
     headers.set(Gateway.FORWARDED_BY, run().gateway().state().place().id().value());
@@ -39,13 +39,10 @@
   }
 
   @Override
-  void noteRan() {
-    run().ranAt(Gateway.unknownBackendOf(peer));
+  EngineId place() {
+    return EngineId.of("at:" + peer.id().value());
   }
 
-  @Override
-  void exclude() {}
-
   @Override
   void released() {}
 
--- a/entry/src/main/java/org/gentianslip/entry/gateway/Gateway.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/Gateway.java
@@ -11,8 +11,6 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
-import org.gentianslip.core.id.EngineId;
-import org.gentianslip.core.membership.PeerRecord;
 import org.gentianslip.core.membership.RendezvousHash;
 import org.gentianslip.core.published.Backend;
 import org.gentianslip.core.route.Route;
@@ -113,11 +111,6 @@
     return NOT_RUN_STATUSES.contains(status);
   }
 
-  /** Stands for whichever backend server an instance may have chosen. */
-  static EngineId unknownBackendOf(PeerRecord peer) {
-    return EngineId.of("at:" + peer.id().value());
-  }
-
   /** Takes a caller's request. */
   void fromCaller(IncomingRequest request, CallerSink sink) {
     take(request, sink, false);
--- a/entry/src/main/java/org/gentianslip/entry/gateway/IncomingRequest.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/IncomingRequest.java
@@ -2,6 +2,7 @@
 
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
+import java.util.concurrent.TimeUnit;
 
 /**
  * Holds a request that was read whole.
@@ -30,4 +31,9 @@
     int colon = host.lastIndexOf(':');
     return colon < 0 ? host : host.substring(0, colon);
   }
+
+  /** Returns how long ago it was received, in milliseconds. */
+  long elapsedMillis(long nowNanos) {
+    return TimeUnit.NANOSECONDS.toMillis(nowNanos - receivedNanos);
+  }
 }
--- a/entry/src/main/java/org/gentianslip/entry/gateway/RequestRun.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/RequestRun.java
@@ -1,20 +1,11 @@
 package org.gentianslip.entry.gateway;
 
-import com.google.common.flogger.FluentLogger;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.util.concurrent.ScheduledFuture;
-import java.util.HashSet;
-import java.util.List;
 import java.util.Optional;
-import java.util.Set;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
-import org.gentianslip.core.id.EngineId;
-import org.gentianslip.core.id.ServiceId;
-import org.gentianslip.core.load.BackendChoice;
-import org.gentianslip.core.load.Candidates;
 import org.gentianslip.core.load.Choice;
-import org.gentianslip.core.load.RegionOption;
 import org.gentianslip.core.load.RequestSize;
 import org.gentianslip.core.load.RetryTime;
 import org.gentianslip.core.membership.PeerRecord;
@@ -29,8 +20,6 @@
  */
 final class RequestRun implements CallerEvents {
 
-  private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
-
   /** The least time in which an attempt is worth to be made, in milliseconds. */
   private static final long LEAST_MILLIS = 15;
 
@@ -40,29 +29,19 @@
   /** The time to connect to an instance of another region, in milliseconds. */
   private static final int AWAY_CONNECT_MILLIS = 800;
 
-  private static final int MAX_FORWARDS = 2;
-  private static final long RETRY_UNKNOWN_MILLIS = 300;
-
   private final Gateway gateway;
   private final IncomingRequest request;
   private final CallerSink sink;
   private final Route route;
-  private final ServiceId service;
-  private final RequestSize size;
-  private final boolean forwarded;
+  private final Placement placement;
+  private final CallerAnswer answer;
   private final String id;
   private final long endNanos;
-  private final Set<EngineId> ran = new HashSet<>();
-  private final Set<EngineId> excluded = new HashSet<>();
-  private final StringBuilder trail = new StringBuilder();
+  private final RequestLog log;
   private AttemptBase current;
   private ScheduledFuture<?> endTimer;
-  private int arrivals;
-  private int forwards;
   private boolean mayHaveRun;
-  private boolean begun;
   private boolean ended;
-  private Optional<String> lastEvent = Optional.empty();
 
   RequestRun(
       Gateway gateway,
@@ -74,11 +53,17 @@
     this.gateway = gateway;
     this.request = request;
     this.sink = sink;
+    this.answer = new CallerAnswer(sink);
     this.route = route;
-    this.forwarded = forwarded;
     this.id = request.headers().get(gateway.edge().requestId(), "");
-    this.service = route.serviceFor(gateway.fractionOf(id));
-    this.size = gateway.edge().sizeOf(request.headers(), request.body().length);
+    this.log = new RequestLog(id, request, route, forwarded);
+    this.placement =
+        new Placement(
+            gateway.state(),
+            route,
+            route.serviceFor(gateway.fractionOf(id)),
+            gateway.edge().sizeOf(request.headers(), request.body().length),
+            forwarded);
     this.endNanos = request.receivedNanos() + TimeUnit.MILLISECONDS.toNanos(remainingMillis);
   }
 
@@ -86,9 +71,7 @@
     sink.listen(this);
     long left = endNanos - System.nanoTime();
     endTimer = sink.loop().schedule(this::timeOut, left, TimeUnit.NANOSECONDS);
-    if (!forwarded) {
-      gateway.state().repeats(service).request(System.nanoTime());
-    }
+    placement.countRequest(System.nanoTime());
     next();
   }
 
@@ -109,7 +92,7 @@
   }
 
   RequestSize size() {
-    return size;
+    return placement.size();
   }
 
   String id() {
@@ -127,14 +110,10 @@
     long now = System.nanoTime();
     long left = remainingMillis(now);
     if (left < LEAST_MILLIS) {
-      giveUp("no-time", RETRY_UNKNOWN_MILLIS);
-      return;
-    }
-    if (arrivals > 0 && !mayRepeat(now)) {
-      giveUp("no-repeat", RETRY_UNKNOWN_MILLIS);
+      giveUp("no-time", Placement.RETRY_UNKNOWN_MILLIS);
       return;
     }
-    carryOut(now, choose(now, left));
+    carryOut(now, placement.take(now, left));
   }
 
   private void carryOut(long now, Choice choice) {
@@ -147,36 +126,12 @@
     }
   }
 
-  private Choice choose(long now, long left) {
-    Candidates here =
-        route.allows(gateway.state().place().region())
-            ? gateway.state().candidates(now, route, service, size, this::mayUse)
-            : Candidates.NONE;
-    List<RegionOption> regions =
-        forwarded || forwards >= MAX_FORWARDS || (ran.size() >= maxBackends())
-            ? List.of()
-            : gateway.state().regions(now, route, service, size);
-    return BackendChoice.choose(now, route, size, left, here, regions);
-  }
-
-  /** Returns how many backend servers may run the request; a forwarded one counts as one. */
-  private int maxBackends() {
-    return forwarded ? 1 : route.maxBackends();
-  }
-
-  private boolean mayUse(EngineId backend) {
-    return !excluded.contains(backend) && (ran.contains(backend) || ran.size() < maxBackends());
-  }
-
-  private boolean mayRepeat(long now) {
-    return gateway.state().repeats(service).tryTake(now, gateway.state().extraRepeats());
-  }
-
   private void send(long now, Choice.ToBackend to) {
     var backend = to.option().backend();
     var attempt = new BackendAttempt(this, to);
     current = attempt;
-    note(
+    placement.attempted();
+    log.step(
         "backend="
             + backend.id()
             + " wait="
@@ -184,7 +139,7 @@
             + " copy="
             + to.estimate().fetchTokens());
     attempt.start(now, CONNECT_MILLIS);
-    watchSilence(attempt, to.estimate().totalMillis());
+    watch(attempt, to.estimate().totalMillis());
   }
 
   private void forward(long now, Choice.ToRegion to) {
@@ -194,83 +149,63 @@
       next();
       return;
     }
-    forwards++;
+    placement.forwarded();
     var attempt = new ForwardAttempt(this, peer.get());
     current = attempt;
-    note("instance=" + peer.get().id() + " wait=" + Math.round(to.expectedMillis()));
+    placement.attempted();
+    log.step("instance=" + peer.get().id() + " wait=" + Math.round(to.expectedMillis()));
     attempt.start(now, AWAY_CONNECT_MILLIS);
-    watchSilence(attempt, to.expectedMillis());
+    watch(attempt, to.expectedMillis());
   }
 
-  private void watchSilence(AttemptBase attempt, double expectedMillis) {
-    if (!route.repeatability().allowsSecondRun()) {
-      return;
+  private void watch(AttemptBase attempt, double expectedMillis) {
+    if (route.repeatability().allowsSecondRun()) {
+      SilenceWatch.start(attempt, SilenceBound.millis(route, expectedMillis));
     }
-    long bound = SilenceBound.millis(route, expectedMillis);
-    sink.loop().schedule(() -> checkSilence(attempt, bound), bound, TimeUnit.MILLISECONDS);
   }
 
-  private void checkSilence(AttemptBase attempt, long boundMillis) {
-    if (ended || current != attempt) {
-      return;
-    }
+  /** An attempt gave no sign for longer than it should. */
+  void silent(AttemptBase attempt, long silentMillis) {
     long now = System.nanoTime();
-    long silent = TimeUnit.NANOSECONDS.toMillis(now - attempt.lastHeardNanos());
-    if (silent < boundMillis) {
-      long rest = boundMillis - silent + 1;
-      sink.loop().schedule(() -> checkSilence(attempt, boundMillis), rest, TimeUnit.MILLISECONDS);
-      return;
-    }
-    if (!sink.isWritable() || !mayRunElsewhere(attempt)) {
+    if (!sink.isWritable() || !placement.mayRunAtOneMore() || !answer.mayGoOnElsewhere()) {
       return;
     }
-    Choice elsewhere = chooseWithout(now, attempt);
-    if (elsewhere instanceof Choice.Refuse || !mayRepeat(now)) {
+    placement.exclude(attempt.place());
+    Choice elsewhere = placement.take(now, remainingMillis(now));
+    if (elsewhere instanceof Choice.Refuse) {
       return;
     }
     attempt.noteSilence(now);
     attempt.cancel();
-    attempt.noteRan();
-    mayHaveRun = true;
-    note("silent for " + silent + " ms");
+    noteRan(attempt);
+    log.step("silent for " + silentMillis + " ms");
     carryOut(now, elsewhere);
   }
 
-  private boolean mayRunElsewhere(AttemptBase attempt) {
-    return ran.size() + 1 < maxBackends() && (!begun || lastEvent.isPresent());
-  }
-
-  /** Chooses as if the request had been tried in vain where it is now. */
-  private Choice chooseWithout(long now, AttemptBase attempt) {
-    attempt.exclude();
-    return choose(now, remainingMillis(now));
-  }
-
   /** An answer other than a success came; it proves that the request did not run there. */
   void attemptNotRun(AttemptBase attempt, String why) {
-    if (ended || current != attempt) {
+    if (!goesOnWith(attempt)) {
       return;
     }
-    note(why);
-    attempt.exclude();
+    log.step(why);
+    placement.exclude(attempt.place());
     next();
   }
 
   /** An attempt ended without an answer. */
   void attemptFailed(AttemptBase attempt, boolean written, String why) {
-    if (ended || current != attempt) {
+    if (!goesOnWith(attempt)) {
       return;
     }
-    note(why);
-    attempt.exclude();
+    log.step(why);
+    placement.exclude(attempt.place());
     if (written) {
-      attempt.noteRan();
-      mayHaveRun = true;
+      noteRan(attempt);
       if (!route.repeatability().allowsSecondRun()) {
         breakOff("unknown");
         return;
       }
-      if (begun && lastEvent.isEmpty()) {
+      if (!answer.mayGoOnElsewhere()) {
         breakOff("no-event-id");
         return;
       }
@@ -278,87 +213,69 @@
     next();
   }
 
-  /** Counts a backend server that may have run the request. */
-  void ranAt(EngineId backend) {
-    ran.add(backend);
-  }
-
-  void excludeBackend(EngineId backend) {
-    excluded.add(backend);
-  }
-
-  void arrived() {
-    arrivals++;
+  private void noteRan(AttemptBase attempt) {
+    placement.ranAt(attempt.place());
+    mayHaveRun = true;
   }
 
   /** Returns whether a failure that a backend server answered is better hidden by another run. */
   boolean retriesAfterError(int status) {
     return status >= 500
         && route.repeatability().allowsSecondRun()
-        && !begun
+        && !answer.begun()
         && remainingMillis(System.nanoTime()) > LEAST_MILLIS * 4;
   }
 
   /** Tries again after a failure that a backend server answered, or gives that answer. */
   void retryOrAnswer(AttemptBase attempt, int status, HttpHeaders headers, byte[] body) {
     long now = System.nanoTime();
-    attempt.noteRan();
-    mayHaveRun = true;
-    Set<EngineId> before = Set.copyOf(excluded);
-    Choice choice = chooseWithout(now, attempt);
+    noteRan(attempt);
+    placement.exclude(attempt.place());
+    Choice choice = placement.choose(now, remainingMillis(now));
     if (choice instanceof Choice.Refuse) {
-      excluded.retainAll(before);
-      choice = choose(now, remainingMillis(now));
+      placement.admit(attempt.place());
+      choice = placement.choose(now, remainingMillis(now));
     }
-    if (choice instanceof Choice.Refuse || !mayRepeat(now)) {
+    choice = placement.withRepeat(now, choice);
+    if (choice instanceof Choice.Refuse) {
       answer(status, headers, body);
       return;
     }
-    note("status=" + status);
+    log.step("status=" + status);
     carryOut(now, choice);
   }
 
   /** Sends the backend server's answer. */
   void answer(int status, HttpHeaders headers, byte[] body) {
-    if (begun) {
+    if (answer.begun()) {
       breakOff("status=" + status);
       return;
     }
     if (finish("answered status=" + status)) {
-      sink.answer(status, headers, body);
+      answer.whole(status, headers, body);
     }
   }
 
-  /** Sends whole events; the head goes before the first. */
+  /** Sends whole events. */
   void events(HttpHeaders headers, byte[] whole, Optional<String> lastId) {
     if (ended) {
       return;
     }
-    if (!begun) {
-      begun = true;
-      note("first-event=" + elapsedMillis());
-      sink.begin(200, headers);
+    if (!answer.begun()) {
+      log.step("first-event=" + request.elapsedMillis(System.nanoTime()));
     }
-    lastId.ifPresent(l -> lastEvent = Optional.of(l));
-    sink.write(whole);
+    answer.events(headers, whole, lastId);
   }
 
   /** Ends the stream as complete. */
   void streamComplete(HttpHeaders headers) {
-    if (ended) {
-      return;
-    }
-    if (!begun) {
-      begun = true;
-      sink.begin(200, headers);
-    }
     if (finish("streamed")) {
-      sink.end();
+      answer.complete(headers);
     }
   }
 
   private void giveUp(String why, double excessMillis) {
-    if (mayHaveRun || begun) {
+    if (mayHaveRun || answer.begun()) {
       breakOff(why);
       return;
     }
@@ -366,18 +283,13 @@
       long remaining = remainingMillis(System.nanoTime());
       double fraction = ThreadLocalRandom.current().nextDouble();
       long after = RetryTime.millis(excessMillis, remaining, fraction);
-      sink.answer(503, gateway.notRunHeaders(id, after), new byte[0]);
+      answer.whole(503, gateway.notRunHeaders(id, after), new byte[0]);
     }
   }
 
   private void breakOff(String why) {
-    if (!finish("broken reason=" + why)) {
-      return;
-    }
-    if (begun) {
-      sink.abort();
-    } else {
-      sink.answer(502, gateway.failureHeaders(id), new byte[0]);
+    if (finish("broken reason=" + why)) {
+      answer.breakOff(502, gateway.failureHeaders(id));
     }
   }
 
@@ -386,16 +298,15 @@
       return;
     }
     cancelCurrent();
-    boolean nothingSent = !mayHaveRun && arrivals == 0;
+    boolean nothingSent = !mayHaveRun && !placement.wasAttempted();
     if (!finish("timeout")) {
       return;
     }
-    if (begun) {
-      sink.abort();
-    } else if (nothingSent) {
-      sink.answer(503, gateway.notRunHeaders(id, RETRY_UNKNOWN_MILLIS), new byte[0]);
+    if (nothingSent) {
+      long after = Placement.RETRY_UNKNOWN_MILLIS;
+      answer.whole(503, gateway.notRunHeaders(id, after), new byte[0]);
     } else {
-      sink.answer(504, gateway.failureHeaders(id), new byte[0]);
+      answer.breakOff(504, gateway.failureHeaders(id));
     }
   }
 
@@ -412,26 +323,13 @@
     ended = true;
     endTimer.cancel(false);
     gateway.ended(route, outcome);
-    LOGGER.atInfo().log(
-        "gateway: event=request id=%s route=%s rank=%s version=%s forwarded=%s millis=%s trail=[%s]"
-            + " outcome=%s",
-        id,
-        route.name(),
-        route.rank(),
-        gateway.version(),
-        forwarded,
-        elapsedMillis(),
-        trail,
-        outcome);
+    log.end(System.nanoTime(), gateway.version(), outcome);
     return true;
   }
 
-  private long elapsedMillis() {
-    return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - request.receivedNanos());
-  }
-
-  private void note(String step) {
-    trail.append(trail.length() == 0 ? "" : "; ").append(step);
+  /** Returns whether the request goes on with an attempt. */
+  boolean goesOnWith(AttemptBase attempt) {
+    return !ended && current == attempt;
   }
 
   @Override
@@ -456,6 +354,7 @@
 
   /** Returns the caller's headers that go on to a backend server or another instance. */
   HttpHeaders toBackend(long nowNanos) {
-    return HeaderCopy.toBackend(gateway.edge(), request, remainingMillis(nowNanos), lastEvent);
+    return HeaderCopy.toBackend(
+        gateway.edge(), request, remainingMillis(nowNanos), answer.lastEvent());
   }
 }
--- /dev/null
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/SilenceWatch.java
@@ -0,0 +1,37 @@
+package org.gentianslip.entry.gateway;
+
+import java.util.concurrent.TimeUnit;
+
+/** Tells a request when its attempt gave no sign for too long. Used on one event loop only. */
+final class SilenceWatch {
+
+  private final AttemptBase attempt;
+  private final long boundMillis;
+
+  private SilenceWatch(AttemptBase attempt, long boundMillis) {
+    this.attempt = attempt;
+    this.boundMillis = boundMillis;
+  }
+
+  /** Watches an attempt until its request goes on without it, or until it was silent once. */
+  static void start(AttemptBase attempt, long boundMillis) {
+    new SilenceWatch(attempt, boundMillis).lookAfter(boundMillis);
+  }
+
+  private void lookAfter(long millis) {
+    attempt.run().sink().loop().schedule(this::look, millis, TimeUnit.MILLISECONDS);
+  }
+
+  private void look() {
+    if (!attempt.run().goesOnWith(attempt)) {
+      return;
+    }
+    long silentNanos = System.nanoTime() - attempt.lastHeardNanos();
+    long silent = TimeUnit.NANOSECONDS.toMillis(silentNanos);
+    if (silent < boundMillis) {
+      lookAfter(boundMillis - silent + 1);
+      return;
+    }
+    attempt.run().silent(attempt, silent);
+  }
+}
