Serve operators on the platform by the same port as on the own edge

Cause: an instance on the platform showed one counter; gentianctl could not ask it for its state, its settings, a request or a shutdown.

Ruled out: a port of its own, which would repeat the routes; and a key, which the platform hands to nobody: operators are served from the instance's own address only.

Change: OperatorPort works on an OperatorView, one for each edge; access is by key or by host.

Cost a request: not measured alone.

--- a/core/src/main/java/org/gentianslip/core/route/RouteTable.java
+++ b/core/src/main/java/org/gentianslip/core/route/RouteTable.java
@@ -1,8 +1,10 @@
 package org.gentianslip.core.route;
 
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -59,6 +61,14 @@
     return routes.values().stream().mapToInt(Map::size).sum();
   }
 
+  /** Returns all routes, by name. */
+  public List<Route> routes() {
+    return routes.values().stream()
+        .flatMap(r -> r.values().stream())
+        .sorted(Comparator.comparing(Route::name))
+        .toList();
+  }
+
   /** Returns the route of a request. */
   public Optional<Route> find(String host, String path) {
     Map<String, Route> ofHost = routes.get(host);
--- a/ctl/src/main/java/org/gentianslip/ctl/CtlMain.java
+++ b/ctl/src/main/java/org/gentianslip/ctl/CtlMain.java
@@ -23,6 +23,7 @@
     subcommands = {
       SettingsCommand.class,
       StatusCommand.class,
+      InForceCommand.class,
       ExplainCommand.class,
       DrainCommand.class
     })
--- a/ctl/src/main/java/org/gentianslip/ctl/OperatorClient.java
+++ b/ctl/src/main/java/org/gentianslip/ctl/OperatorClient.java
@@ -5,6 +5,7 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import java.io.IOException;
 import java.time.Duration;
+import java.util.Map;
 import okhttp3.HttpUrl;
 import okhttp3.OkHttpClient;
 import okhttp3.Request;
@@ -45,20 +46,27 @@
 
   /** Asks an instance. */
   OperatorAnswer get(OperatorAddress address, String... path) {
-    return call(address, request(address, path).build());
+    return get(address, Map.of(), path);
+  }
+
+  /** Asks an instance with the parameters of a query. */
+  OperatorAnswer get(OperatorAddress address, Map<String, String> query, String... path) {
+    return call(address, request(address, query, path).build());
   }
 
   /** Gives an order to an instance. */
   OperatorAnswer post(OperatorAddress address, String... path) {
-    return call(address, request(address, path).post(RequestBody.EMPTY).build());
+    return call(address, request(address, Map.of(), path).post(RequestBody.EMPTY).build());
   }
 
-  private Request.Builder request(OperatorAddress address, String... path) {
+  private Request.Builder request(
+      OperatorAddress address, Map<String, String> query, String... path) {
     HttpUrl.Builder url =
         new HttpUrl.Builder().scheme("http").host(address.host()).port(address.port());
     for (String segment : path) {
       url.addPathSegment(segment);
     }
+    query.forEach(url::addQueryParameter);
     return new Request.Builder().url(url.build()).header("X-Operator-Key", key);
   }
 
--- a/ctl/src/test/java/org/gentianslip/ctl/OperatorCommandTest.java
+++ b/ctl/src/test/java/org/gentianslip/ctl/OperatorCommandTest.java
@@ -236,6 +236,37 @@
     }
   }
 
+  @Nested
+  class InForce {
+
+    private static final String VALUES =
+        """
+        {"revision": 7, "values": {
+          "charge/timeoutMillis": {"value": 2000, "origin": "published version 7"}}}
+        """;
+
+    @Test
+    void showsValueAndOrigin() {
+      answer(200, VALUES);
+      CommandRun run = CommandRun.of("in-force", "--operator", address(), "--kind", "charge");
+      assertThat(
+          line(run, "charge/timeoutMillis").orElse(""),
+          matchesPattern("charge/timeoutMillis +2000 +published version 7"));
+    }
+
+    @Test
+    void asksForTheKindOnly() throws Exception {
+      answer(200, VALUES);
+      CommandRun.of("in-force", "--operator", address(), "--kind", "charge");
+      assertThat(server.takeRequest().getRequestLine(), is("GET /settings?kind=charge HTTP/1.1"));
+    }
+
+    @Test
+    void failsIfAnInstanceCannotBeReached() throws IOException {
+      assertThat(CommandRun.of("in-force", "--operator", closedAddress()).exitCode(), is(1));
+    }
+  }
+
   @Nested
   class Drain {
 
--- a/entry/src/main/java/org/gentianslip/entry/explain/DecisionLog.java
+++ b/entry/src/main/java/org/gentianslip/entry/explain/DecisionLog.java
@@ -27,20 +27,35 @@
    */
   public record Step(long atMillis, String step, String target, String reason) {}
 
-  private final Cache<RequestId, List<Step>> steps =
+  /** Takes the steps of one request. Safe for use by several threads. */
+  public static final class Account {
+
+    private final List<Step> steps = new CopyOnWriteArrayList<>();
+
+    /** Adds a step, unless there are too many. */
+    public void add(Step step) {
+      if (steps.size() < MAX_STEPS) {
+        steps.add(step);
+      }
+    }
+  }
+
+  private final Cache<RequestId, Account> accounts =
       Caffeine.newBuilder().maximumSize(MAX_REQUESTS).build();
 
+  /** Returns the account of a request. */
+  public Account open(RequestId id) {
+    return accounts.get(id, i -> new Account());
+  }
+
   /** Adds a step of a request. */
   public void add(RequestId id, Step step) {
-    List<Step> known = steps.get(id, i -> new CopyOnWriteArrayList<>());
-    if (known.size() < MAX_STEPS) {
-      known.add(step);
-    }
+    open(id).add(step);
   }
 
   /** Returns the steps of a request; the list is empty if it is not known. */
   public List<Step> steps(RequestId id) {
-    List<Step> known = steps.getIfPresent(id);
-    return known == null ? List.of() : List.copyOf(known);
+    Account known = accounts.getIfPresent(id);
+    return known == null ? List.of() : List.copyOf(known.steps);
   }
 }
--- a/entry/src/main/java/org/gentianslip/entry/gateway/Gateway.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/Gateway.java
@@ -11,11 +11,13 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import org.gentianslip.core.id.RequestId;
 import org.gentianslip.core.membership.RendezvousHash;
 import org.gentianslip.core.published.Backend;
 import org.gentianslip.core.route.Route;
 import org.gentianslip.core.route.RouteTable;
 import org.gentianslip.core.route.ServiceProfile;
+import org.gentianslip.entry.explain.DecisionLog;
 
 /**
  * Takes requests of callers and of forwarding instances and starts their runs.
@@ -60,14 +62,16 @@
 
   private final GatewayState state;
   private final EdgeHeaders edge;
-  private final RequestCounts counts;
+  private final GatewayMetrics metrics;
+  private final DecisionLog decisions;
   private final AtomicInteger inFlight = new AtomicInteger();
   private final Map<EventLoop, BackendClient> clients = new ConcurrentHashMap<>();
 
-  Gateway(GatewayState state, EdgeHeaders edge, RequestCounts counts) {
+  Gateway(GatewayState state, EdgeHeaders edge, GatewayMetrics metrics, DecisionLog decisions) {
     this.state = state;
     this.edge = edge;
-    this.counts = counts;
+    this.metrics = metrics;
+    this.decisions = decisions;
   }
 
   GatewayState state() {
@@ -93,6 +97,21 @@
     clients.forEach((loop, client) -> loop.execute(client::closeIdle));
   }
 
+  GatewayMetrics metrics() {
+    return metrics;
+  }
+
+  /** Returns the account of a request; that of an id that is not usual is not kept. */
+  DecisionLog.Account account(String requestId) {
+    try {
+      return decisions.open(RequestId.of(requestId));
+    } catch (IllegalArgumentException e) {
+      LOGGER.atInfo().atMostEvery(10, TimeUnit.SECONDS).log(
+          "gateway: event=not-explained cause=%s", e.getMessage());
+      return new DecisionLog.Account();
+    }
+  }
+
   int inFlight() {
     return inFlight.get();
   }
@@ -136,7 +155,7 @@
       return;
     }
     if (id.isEmpty()) {
-      counts.ended("none", "400");
+      metrics.ended("none", "400");
       sink.answer(400, failureHeaders(id), new byte[0]);
       return;
     }
@@ -156,7 +175,7 @@
       refuse(id, sink, "route-not-known", NOT_READY_MILLIS);
       return;
     }
-    counts.ended("none", "404");
+    metrics.ended("none", "404");
     LOGGER.atInfo().log(
         "gateway: event=request id=%s host=%s path=%s version=%s outcome=unknown-path",
         id, request.host(), request.path(), version());
@@ -164,7 +183,8 @@
   }
 
   private void refuse(String id, CallerSink sink, String why, long afterMillis) {
-    counts.ended("none", why);
+    metrics.ended("none", "refused");
+    metrics.refused("none", why);
     LOGGER.atInfo().log(
         "gateway: event=request id=%s version=%s outcome=refused reason=%s", id, version(), why);
     sink.answer(503, notRunHeaders(id, afterMillis), new byte[0]);
@@ -230,6 +250,6 @@
   void ended(Route route, String outcome) {
     inFlight.decrementAndGet();
     int end = outcome.indexOf(' ');
-    counts.ended(Integer.toString(route.rank()), end < 0 ? outcome : outcome.substring(0, end));
+    metrics.ended(Integer.toString(route.rank()), end < 0 ? outcome : outcome.substring(0, end));
   }
 }
--- /dev/null
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/GatewayMetrics.java
@@ -0,0 +1,118 @@
+package org.gentianslip.entry.gateway;
+
+import io.prometheus.metrics.core.metrics.Counter;
+import io.prometheus.metrics.core.metrics.GaugeWithCallback;
+import io.prometheus.metrics.core.metrics.Histogram;
+import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.util.function.DoubleSupplier;
+
+/**
+ * Holds the metrics of the requests that routes serve.
+ *
+ * <p>Labels take only ranks, and words of this program, so that their number is bounded. Safe for
+ * use by several threads.
+ */
+final class GatewayMetrics {
+
+  private static final double MILLIS_PER_SECOND = 1_000;
+
+  /** The bounds hold the aims of the sites' routes, from lookups to long streams, in seconds. */
+  private static final double[] ANSWER_BOUNDS = {
+    0.01, 0.025, 0.05, 0.1, 0.2, 0.31, 0.62, 1.0, 2.0, 5.0, 10.0, 30.0
+  };
+
+  private final PrometheusRegistry registry = new PrometheusRegistry();
+
+  private final Counter ended =
+      Counter.builder()
+          .name("gentian_gateway_requests_total")
+          .help("Routed requests by rank and by how they ended.")
+          .labelNames("rank", "outcome")
+          .register(registry);
+
+  private final Counter refused =
+      Counter.builder()
+          .name("gentian_gateway_refusals_total")
+          .help("Routed requests that were answered as not run, by reason.")
+          .labelNames("rank", "reason")
+          .register(registry);
+
+  private final Counter attempts =
+      Counter.builder()
+          .name("gentian_gateway_attempts_total")
+          .help("Attempts at backend servers and at instances of other regions.")
+          .labelNames("rank", "to")
+          .register(registry);
+
+  private final Counter repeats =
+      Counter.builder()
+          .name("gentian_gateway_repeats_total")
+          .help("Attempts after the first of a request.")
+          .labelNames("rank")
+          .register(registry);
+
+  private final Histogram answer =
+      Histogram.builder()
+          .name("gentian_gateway_answer_seconds")
+          .help("Time from a request to its answer, or to the first event of a stream.")
+          .labelNames("rank")
+          .classicUpperBounds(ANSWER_BOUNDS)
+          .classicOnly()
+          .register(registry);
+
+  /** Adds the gauges that are read when they are asked for. */
+  void watch(DoubleSupplier inFlight, DoubleSupplier revision, DoubleSupplier ageSeconds) {
+    gauge("gentian_gateway_in_flight_requests", "Routed requests that have not ended.", inFlight);
+    gauge("gentian_gateway_settings_revision", "The version of the routes in force.", revision);
+    gauge(
+        "gentian_gateway_confirmed_age_seconds",
+        "Time since the published state was last confirmed.",
+        ageSeconds);
+  }
+
+  private void gauge(String name, String help, DoubleSupplier value) {
+    GaugeWithCallback.builder()
+        .name(name)
+        .help(help)
+        .callback(c -> c.call(value.getAsDouble()))
+        .register(registry);
+  }
+
+  /** Counts the end of a request. */
+  void ended(String rank, String outcome) {
+    ended.labelValues(rank, outcome).inc();
+  }
+
+  /** Counts a request that was answered as not run. */
+  void refused(String rank, String reason) {
+    refused.labelValues(rank, reason).inc();
+  }
+
+  /** Counts an attempt. */
+  void attempted(String rank, String to, boolean first) {
+    attempts.labelValues(rank, to).inc();
+    if (!first) {
+      repeats.labelValues(rank).inc();
+    }
+  }
+
+  /** Takes the time to an answer or to the first event. */
+  void answered(String rank, long millis) {
+    answer.labelValues(rank).observe(millis / MILLIS_PER_SECOND);
+  }
+
+  /** Returns all in the Prometheus text format. */
+  byte[] text() {
+    var out = new ByteArrayOutputStream();
+    try {
+      PrometheusTextFormatWriter.create().write(out, registry.scrape());
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+    return out.toByteArray();
+  }
+}
--- /dev/null
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/GatewayOperatorView.java
@@ -0,0 +1,113 @@
+package org.gentianslip.entry.gateway;
+
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import org.gentianslip.core.id.RequestId;
+import org.gentianslip.core.load.BackendLoad;
+import org.gentianslip.core.load.Estimate;
+import org.gentianslip.core.load.RequestSize;
+import org.gentianslip.core.membership.PeerRecord;
+import org.gentianslip.core.published.Backend;
+import org.gentianslip.core.published.PublishedState;
+import org.gentianslip.entry.explain.DecisionLog;
+import org.gentianslip.entry.http.Json;
+import org.gentianslip.entry.operator.OperatorView;
+
+/** Shows operators an instance that serves routed requests. Safe for use by several threads. */
+final class GatewayOperatorView implements OperatorView {
+
+  private final GatewayState state;
+  private final GatewayMetrics metrics;
+  private final DecisionLog decisions;
+  private final Gateway gateway;
+
+  GatewayOperatorView(
+      GatewayState state, GatewayMetrics metrics, DecisionLog decisions, Gateway gateway) {
+    this.state = state;
+    this.metrics = metrics;
+    this.decisions = decisions;
+    this.gateway = gateway;
+  }
+
+  @Override
+  public String instance() {
+    return state.place().id().value();
+  }
+
+  @Override
+  public boolean ready() {
+    return state.ready();
+  }
+
+  @Override
+  public byte[] metrics() {
+    return metrics.text();
+  }
+
+  @Override
+  public ObjectNode status(long nowNanos) {
+    GatewayPlace place = state.place();
+    ObjectNode body = Json.object();
+    body.put("instance", instance());
+    body.put("region", place.region().value());
+    body.put("dataCentre", place.dataCentre().value());
+    body.put("ready", state.ready());
+    body.put("leaving", state.leaving());
+    body.put("settingsRevision", gateway.version());
+    body.put("listVersion", state.published().revision());
+    body.put("confirmedMillisAgo", TimeUnit.NANOSECONDS.toMillis(state.ageNanos(nowNanos)));
+    body.put("inFlight", gateway.inFlight());
+    body.put("queued", 0);
+    addInstances(nowNanos, body.putArray("instances"));
+    addEngines(nowNanos, body.putArray("engines"));
+    return body;
+  }
+
+  private void addInstances(long nowNanos, ArrayNode instances) {
+    List<PeerRecord> live = state.peers().live(nowNanos);
+    for (PeerRecord peer : state.peers().known(nowNanos)) {
+      String told = peer.leaving() ? "leaving" : "live";
+      ObjectNode node = instances.addObject();
+      node.put("id", peer.id().value());
+      node.put("region", peer.region().value());
+      node.put("listed", told);
+      node.put("heard", live.contains(peer));
+      node.put("incarnation", Long.toString(peer.startedMillis()));
+    }
+  }
+
+  private void addEngines(long nowNanos, ArrayNode engines) {
+    PublishedState published = state.published();
+    for (Backend backend : published.backends().values()) {
+      Optional<BackendLoad> load = state.load(backend.id());
+      if (load.isEmpty()) {
+        continue;
+      }
+      Estimate estimate =
+          load.get().estimate(nowNanos, false, RequestSize.UNKNOWN, Optional.empty());
+      boolean open = published.mayGetWork(backend);
+      ObjectNode node = engines.addObject();
+      node.put("id", backend.id().value());
+      node.put("service", backend.service().value());
+      node.put("slots", backend.slots());
+      node.put("inFlight", load.get().own(nowNanos).running());
+      node.put("running", estimate.running());
+      node.put("waiting", Math.max(0, estimate.running() - backend.slots()));
+      node.put("usable", open && load.get().mayGetWork(nowNanos, 0));
+      node.put("leaving", !open);
+    }
+  }
+
+  @Override
+  public Optional<ObjectNode> settings(String customer, String kind, String region) {
+    return state.published().routes().map(r -> RouteReport.of(r, kind, state.place().bounds()));
+  }
+
+  @Override
+  public List<DecisionLog.Step> steps(RequestId request) {
+    return decisions.steps(request);
+  }
+}
--- a/entry/src/main/java/org/gentianslip/entry/gateway/GatewayProcess.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/GatewayProcess.java
@@ -3,7 +3,6 @@
 import com.google.common.flogger.FluentLogger;
 import io.netty.channel.nio.NioEventLoopGroup;
 import io.netty.util.concurrent.DefaultThreadFactory;
-import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
@@ -12,6 +11,8 @@
 import org.gentianslip.core.membership.PauseDetector;
 import org.gentianslip.core.route.CallerLimits;
 import org.gentianslip.core.route.RouteTable;
+import org.gentianslip.entry.explain.DecisionLog;
+import org.gentianslip.entry.operator.OperatorView;
 
 /**
  * Runs the serving part of an instance: the ports for callers and for forwarded requests.
@@ -41,7 +42,11 @@
 
   private static final long POLL_MILLIS = 20;
 
+  private static final double NANOS_PER_SECOND = 1e9;
+
   private final GatewayState state;
+  private final GatewayMetrics metrics = new GatewayMetrics();
+  private final DecisionLog decisions = new DecisionLog();
   private final Gateway gateway;
   private final Runnable afterPause;
   private final NioEventLoopGroup loops =
@@ -58,13 +63,15 @@
   /**
    * Creates a process that does not listen yet.
    *
-   * @param registry takes the metrics
    * @param afterPause is run after this process stood still
    */
-  public GatewayProcess(
-      GatewayState state, EdgeHeaders edge, PrometheusRegistry registry, Runnable afterPause) {
+  public GatewayProcess(GatewayState state, EdgeHeaders edge, Runnable afterPause) {
     this.state = state;
-    this.gateway = new Gateway(state, edge, new RequestCounts(registry));
+    this.gateway = new Gateway(state, edge, metrics, decisions);
+    metrics.watch(
+        gateway::inFlight,
+        gateway::version,
+        () -> state.ageNanos(System.nanoTime()) / NANOS_PER_SECOND);
     this.afterPause = afterPause;
     this.callers = new CallerServer(loops, this::limits, state::leaving, gateway::fromCaller);
     this.instances =
@@ -75,6 +82,11 @@
     return state.published().routes().map(RouteTable::limits).orElse(CallerLimits.DEFAULT);
   }
 
+  /** Returns what operators may see. */
+  public OperatorView operatorView() {
+    return new GatewayOperatorView(state, metrics, decisions, gateway);
+  }
+
   /** Opens the ports. */
   public void start() throws InterruptedException {
     instances.listen(state.place().host(), state.place().forwardPort());
--- a/entry/src/main/java/org/gentianslip/entry/gateway/RequestRun.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/RequestRun.java
@@ -56,7 +56,7 @@
     this.answer = new CallerAnswer(sink);
     this.route = route;
     this.id = request.headers().get(gateway.edge().requestId(), "");
-    this.log = new RequestLog(id, request, route, forwarded);
+    this.log = new RequestLog(id, request, route, forwarded, gateway.account(id));
     this.placement =
         new Placement(
             gateway.state(),
@@ -130,14 +130,12 @@
     var backend = to.option().backend();
     var attempt = new BackendAttempt(this, to);
     current = attempt;
-    placement.attempted();
-    log.step(
-        "backend="
-            + backend.id()
-            + " wait="
-            + Math.round(to.estimate().totalMillis())
-            + " copy="
-            + to.estimate().fetchTokens());
+    countAttempt("backend");
+    log.sent(
+        now,
+        "backend",
+        backend.id().value(),
+        "wait=" + Math.round(to.estimate().totalMillis()) + " copy=" + to.estimate().fetchTokens());
     attempt.start(now, CONNECT_MILLIS);
     watch(attempt, to.estimate().totalMillis());
   }
@@ -152,12 +150,17 @@
     placement.forwarded();
     var attempt = new ForwardAttempt(this, peer.get());
     current = attempt;
-    placement.attempted();
-    log.step("instance=" + peer.get().id() + " wait=" + Math.round(to.expectedMillis()));
+    countAttempt("instance");
+    log.sent(now, "instance", peer.get().id().value(), "wait=" + Math.round(to.expectedMillis()));
     attempt.start(now, AWAY_CONNECT_MILLIS);
     watch(attempt, to.expectedMillis());
   }
 
+  private void countAttempt(String to) {
+    gateway.metrics().attempted(rank(), to, !placement.wasAttempted());
+    placement.attempted();
+  }
+
   private void watch(AttemptBase attempt, double expectedMillis) {
     if (route.repeatability().allowsSecondRun()) {
       SilenceWatch.start(attempt, SilenceBound.millis(route, expectedMillis));
@@ -178,7 +181,7 @@
     attempt.noteSilence(now);
     attempt.cancel();
     noteRan(attempt);
-    log.step("silent for " + silentMillis + " ms");
+    log.seen(now, "silent for " + silentMillis + " ms");
     carryOut(now, elsewhere);
   }
 
@@ -187,7 +190,7 @@
     if (!goesOnWith(attempt)) {
       return;
     }
-    log.step(why);
+    log.seen(System.nanoTime(), why);
     placement.exclude(attempt.place());
     next();
   }
@@ -197,7 +200,7 @@
     if (!goesOnWith(attempt)) {
       return;
     }
-    log.step(why);
+    log.seen(System.nanoTime(), why);
     placement.exclude(attempt.place());
     if (written) {
       noteRan(attempt);
@@ -241,7 +244,7 @@
       answer(status, headers, body);
       return;
     }
-    log.step("status=" + status);
+    log.seen(now, "status=" + status);
     carryOut(now, choice);
   }
 
@@ -252,6 +255,7 @@
       return;
     }
     if (finish("answered status=" + status)) {
+      gateway.metrics().answered(rank(), request.elapsedMillis(System.nanoTime()));
       answer.whole(status, headers, body);
     }
   }
@@ -262,7 +266,10 @@
       return;
     }
     if (!answer.begun()) {
-      log.step("first-event=" + request.elapsedMillis(System.nanoTime()));
+      long now = System.nanoTime();
+      long millis = request.elapsedMillis(now);
+      log.seen(now, "first-event=" + millis);
+      gateway.metrics().answered(rank(), millis);
     }
     answer.events(headers, whole, lastId);
   }
@@ -280,6 +287,7 @@
       return;
     }
     if (finish("refused reason=" + why)) {
+      gateway.metrics().refused(rank(), why);
       long remaining = remainingMillis(System.nanoTime());
       double fraction = ThreadLocalRandom.current().nextDouble();
       long after = RetryTime.millis(excessMillis, remaining, fraction);
@@ -310,6 +318,10 @@
     }
   }
 
+  private String rank() {
+    return Integer.toString(route.rank());
+  }
+
   private void cancelCurrent() {
     if (current != null) {
       current.cancel();
--- a/entry/src/main/java/org/gentianslip/entry/operator/OperatorPort.java
+++ b/entry/src/main/java/org/gentianslip/entry/operator/OperatorPort.java
@@ -2,55 +2,35 @@
 
 import io.jooby.Context;
 import io.jooby.Jooby;
-import java.util.function.Predicate;
-import org.gentianslip.core.id.CustomerId;
-import org.gentianslip.core.id.KindId;
-import org.gentianslip.core.id.RegionId;
+import java.util.Optional;
 import org.gentianslip.core.id.RequestId;
-import org.gentianslip.entry.explain.DecisionLog;
 import org.gentianslip.entry.http.ErrorCode;
 import org.gentianslip.entry.http.ErrorReply;
-import org.gentianslip.entry.http.HeaderNames;
 import org.gentianslip.entry.http.Json;
-import org.gentianslip.entry.metrics.EntryMetrics;
-import org.gentianslip.entry.state.FleetState;
-import org.gentianslip.settings.EffectiveReport;
 
 /**
  * Adds the operators' routes.
  *
- * <p>All routes but those for health and metrics need the operators' key. Safe for use by several
+ * <p>All routes but those for health and metrics are for operators only. Safe for use by several
  * threads.
  */
 public final class OperatorPort {
 
   private static final String JSON = "application/json";
 
-  private final FleetState state;
-  private final EntryMetrics metrics;
-  private final DecisionLog decisions;
-  private final StatusPage status;
-  private final Predicate<String> key;
+  private final OperatorView view;
+  private final OperatorAccess access;
   private final Runnable drain;
 
   /**
    * Creates the routes.
    *
-   * @param key tells whether a text is the operators' key
+   * @param access tells who may use them
    * @param drain starts the graceful shutdown and returns at once
    */
-  public OperatorPort(
-      FleetState state,
-      EntryMetrics metrics,
-      DecisionLog decisions,
-      StatusPage status,
-      Predicate<String> key,
-      Runnable drain) {
-    this.state = state;
-    this.metrics = metrics;
-    this.decisions = decisions;
-    this.status = status;
-    this.key = key;
+  public OperatorPort(OperatorView view, OperatorAccess access, Runnable drain) {
+    this.view = view;
+    this.access = access;
     this.drain = drain;
   }
 
@@ -59,7 +39,9 @@
     app.get("/live", ctx -> send(ctx, 200, Json.bytes(Json.object().put("live", true))));
     app.get("/ready", this::ready);
     app.get("/metrics", this::metrics);
-    app.get("/status", ctx -> guarded(ctx, () -> send(ctx, 200, status.json(System.nanoTime()))));
+    app.get(
+        "/status",
+        ctx -> guarded(ctx, () -> send(ctx, 200, Json.bytes(view.status(System.nanoTime())))));
     app.get("/settings", ctx -> guarded(ctx, () -> settings(ctx)));
     app.get("/explain/{id}", ctx -> guarded(ctx, () -> explain(ctx)));
     app.post("/drain", ctx -> guarded(ctx, () -> drain(ctx)));
@@ -70,37 +52,32 @@
   }
 
   private Context guarded(Context ctx, Answer answer) {
-    if (!key.test(ctx.header(HeaderNames.OPERATOR_KEY).valueOrNull())) {
-      return fail(ctx, ErrorCode.FORBIDDEN, "The header X-Operator-Key is missing or wrong.");
+    Optional<String> refusal = access.refusal(ctx);
+    if (refusal.isPresent()) {
+      return fail(ctx, ErrorCode.FORBIDDEN, refusal.get());
     }
     return answer.give();
   }
 
   private Object ready(Context ctx) {
-    return state.ready()
+    return view.ready()
         ? send(ctx, 200, Json.bytes(Json.object().put("ready", true)))
         : send(ctx, 503, Json.bytes(Json.object().put("ready", false)));
   }
 
   private Object metrics(Context ctx) {
     ctx.setResponseType("text/plain; version=0.0.4; charset=utf-8");
-    return ctx.send(metrics.text());
+    return ctx.send(view.metrics());
   }
 
   private Context settings(Context ctx) {
-    var settings = state.settings();
-    if (settings == null) {
-      return fail(ctx, ErrorCode.NOT_READY, "This instance has no settings yet.");
-    }
-    String customer = ctx.query("customer").value("");
-    String kind = ctx.query("kind").value("");
-    String region = ctx.query("region").value(state.place().region().value());
     try {
-      var effective =
-          settings.effective(CustomerId.of(customer), RegionId.of(region), KindId.of(kind));
-      var body = Json.object().put("revision", settings.revision().value());
-      body.set("values", EffectiveReport.values(effective));
-      return send(ctx, 200, Json.bytes(body));
+      return view.settings(
+              ctx.query("customer").value(""),
+              ctx.query("kind").value(""),
+              ctx.query("region").value(""))
+          .map(body -> send(ctx, 200, Json.bytes(body)))
+          .orElseGet(() -> fail(ctx, ErrorCode.NOT_READY, "This instance has no settings yet."));
     } catch (IllegalArgumentException e) {
       return fail(ctx, ErrorCode.MALFORMED_REQUEST, e.getMessage());
     }
@@ -109,12 +86,12 @@
   private Context explain(Context ctx) {
     String id = ctx.path("id").value();
     try {
-      var steps = decisions.steps(RequestId.of(id));
+      var steps = view.steps(RequestId.of(id));
       if (steps.isEmpty()) {
         return fail(ctx, ErrorCode.UNKNOWN_REQUEST, "Nothing is known of the request here.");
       }
       var body = Json.object().put("request", id);
-      body.put("instance", state.place().instance().value());
+      body.put("instance", view.instance());
       body.set("steps", Json.tree(steps));
       return send(ctx, 200, Json.bytes(body));
     } catch (IllegalArgumentException e) {
--- a/entry/src/main/java/org/gentianslip/entry/operator/StatusPage.java
+++ b/entry/src/main/java/org/gentianslip/entry/operator/StatusPage.java
@@ -49,7 +49,7 @@
   }
 
   /** Returns the status as JSON. */
-  byte[] json(long nowNanos) {
+  ObjectNode json(long nowNanos) {
     ObjectNode body = Json.object();
     var settings = state.settings();
     body.put("instance", state.place().instance().value());
@@ -66,7 +66,7 @@
     addInstances(nowNanos, body.putArray("instances"));
     addEngines(nowNanos, body.putArray("engines"));
     body.set("orders", Json.tree(orders.get()));
-    return Json.bytes(body);
+    return body;
   }
 
   private void addRejection(ObjectNode body) {
--- a/entry/src/main/java/org/gentianslip/entry/process/EntryProcess.java
+++ b/entry/src/main/java/org/gentianslip/entry/process/EntryProcess.java
@@ -29,6 +29,8 @@
 import org.gentianslip.entry.logging.LogControl;
 import org.gentianslip.entry.metrics.EntryMetrics;
 import org.gentianslip.entry.model.ModelRequests;
+import org.gentianslip.entry.operator.FleetOperatorView;
+import org.gentianslip.entry.operator.OperatorAccess;
 import org.gentianslip.entry.operator.OperatorPort;
 import org.gentianslip.entry.operator.StatusPage;
 import org.gentianslip.entry.order.EngineOrders;
@@ -214,7 +216,9 @@
         HeadCheck.NONE,
         app ->
             new OperatorPort(
-                    state, metrics, decisions, status, operatorKey::matches, this::startDrain)
+                    new FleetOperatorView(state, metrics, decisions, status),
+                    OperatorAccess.byKey(operatorKey::matches),
+                    this::startDrain)
                 .addTo(app));
     serve(
         place.callerPort(),
