--- a/entry/src/main/java/org/gentianslip/entry/gateway/GatewayPlace.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/GatewayPlace.java
@@ -45,6 +45,11 @@
     return region.equals(regions.get(backend.dataCentre()));
   }
 
+  /** Returns where other instances reach this one, as {@code IP:PORT}. */
+  public String controlAddress() {
+    return host + ":" + controlPort;
+  }
+
   /** Returns this place with other seeds. */
   public GatewayPlace withSeeds(List<String> newSeeds) {
     return new GatewayPlace(
