--- a/entry/src/main/java/org/gentianslip/entry/gateway/CallerServer.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/CallerServer.java
@@ -35,7 +35,7 @@
 
   private final EventLoopGroup loops;
   private final Supplier<CallerLimits> limits;
-  private final BooleanSupplier leaving;
+  private final BooleanSupplier closesAfterAnswer;
   private final RequestReceiver receiver;
   private final ChannelGroup connections =
       new DefaultChannelGroup("callers", GlobalEventExecutor.INSTANCE);
@@ -45,17 +45,17 @@
    * Creates a server that does not listen yet.
    *
    * @param limits tells the bounds in force
-   * @param leaving tells whether connections are to be closed after their next answer
+   * @param closesAfterAnswer tells whether a connection is to be closed after its next answer
    * @param receiver takes the requests
    */
   CallerServer(
       EventLoopGroup loops,
       Supplier<CallerLimits> limits,
-      BooleanSupplier leaving,
+      BooleanSupplier closesAfterAnswer,
       RequestReceiver receiver) {
     this.loops = loops;
     this.limits = limits;
-    this.leaving = leaving;
+    this.closesAfterAnswer = closesAfterAnswer;
     this.receiver = receiver;
   }
 
@@ -77,7 +77,7 @@
                         .pipeline()
                         .addLast(
                             new HttpServerCodec(MAX_LINE_BYTES, MAX_HEADER_BYTES, CHUNK_BYTES),
-                            new CallerConnection(limits, leaving, receiver));
+                            new CallerConnection(limits, closesAfterAnswer, receiver));
                   }
                 })
             .bind(host, port)
--- a/entry/src/main/java/org/gentianslip/entry/gateway/NettyCallerSink.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/NettyCallerSink.java
@@ -25,7 +25,7 @@
   private final ChannelHandlerContext ctx;
   private final boolean headOnly;
   private final boolean asksClose;
-  private final BooleanSupplier leaving;
+  private final BooleanSupplier closesAfterAnswer;
   private final AnswerEnd onEnd;
   private CallerEvents events;
   private boolean keepAlive;
@@ -39,11 +39,14 @@
   }
 
   NettyCallerSink(
-      ChannelHandlerContext ctx, HttpRequest request, BooleanSupplier leaving, AnswerEnd onEnd) {
+      ChannelHandlerContext ctx,
+      HttpRequest request,
+      BooleanSupplier closesAfterAnswer,
+      AnswerEnd onEnd) {
     this.ctx = ctx;
     this.headOnly = request.method().equals(HttpMethod.HEAD);
     this.asksClose = !HttpUtil.isKeepAlive(request);
-    this.leaving = leaving;
+    this.closesAfterAnswer = closesAfterAnswer;
     this.onEnd = onEnd;
   }
 
@@ -97,7 +100,7 @@
   }
 
   private void decideKeepAlive(HttpResponse response) {
-    keepAlive = !asksClose && !leaving.getAsBoolean();
+    keepAlive = !asksClose && !closesAfterAnswer.getAsBoolean();
     if (!keepAlive) {
       response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
     }
