Revert "Move callers to instances of the region that serve fewer (a try)"

Change: reverted.

Conclusion: not taken. What would be tried next: a directory that names the instances it has heard of before its own start is over.

--- a/entry/src/main/java/org/gentianslip/entry/fleet/FleetHello.java
+++ b/entry/src/main/java/org/gentianslip/entry/fleet/FleetHello.java
@@ -22,7 +22,6 @@
  * @param others the live instances that the sender has heard of
  * @param loads the sender's load on the backend servers of its region, told inside it only: the
  *     requests, and the urgent and other reading in milliseconds
- * @param callers the requests that callers sent to the sender in a second
  * @param prompts the engines that have read shared parts of prompts lately
  */
 record FleetHello(
@@ -31,7 +30,6 @@
     long version,
     List<Instance> others,
     Map<String, double[]> loads,
-    int callers,
     List<Prompt> prompts) {
 
   FleetHello {
--- a/entry/src/main/java/org/gentianslip/entry/fleet/FleetNews.java
+++ b/entry/src/main/java/org/gentianslip/entry/fleet/FleetNews.java
@@ -74,7 +74,6 @@
         version(),
         others,
         near ? loads(nowNanos) : Map.of(),
-        state.callers().requests(nowNanos),
         prompts);
   }
 
@@ -127,7 +126,6 @@
           peer.id(), peer.region(), peer.startedMillis());
     }
     hello.others().forEach(o -> state.peers().heardOf(nowNanos, o.toRecord()));
-    takeCallers(nowNanos, peer, hello.callers());
     hello.loads().forEach((id, load) -> takeLoad(nowNanos, peer.id(), EngineId.of(id), load));
     hello.prompts().forEach(p -> state.heardPrompt(nowNanos, p.toHolder(nowNanos)));
     boolean behind = hello.version() > version() || state.published().routes().isEmpty();
@@ -135,15 +133,6 @@
     return (behind || stale) && hello.version() > 0;
   }
 
-  private void takeCallers(long nowNanos, PeerRecord peer, int callers) {
-    boolean near = peer.region().equals(state.place().region());
-    if (near && peer.ready() && !peer.leaving()) {
-      state.callers().heard(nowNanos, peer.id(), callers);
-    } else {
-      state.callers().forget(peer.id());
-    }
-  }
-
   private void takeLoad(long nowNanos, InstanceId from, EngineId engine, double[] load) {
     var heardLoad = new PeerLoad((int) load[0], load[1], load[2], nowNanos);
     state.load(engine).ifPresent(known -> known.heard(from, heardLoad));
--- a/entry/src/main/java/org/gentianslip/entry/gateway/CallerConnection.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/CallerConnection.java
@@ -40,7 +40,7 @@
   private static final int MAX_WAITING = 64;
 
   private final Supplier<CallerLimits> limits;
-  private final BooleanSupplier closesAfterAnswer;
+  private final BooleanSupplier leaving;
   private final RequestReceiver receiver;
   private final Deque<HttpObject> waiting = new ArrayDeque<>();
   private ChannelHandlerContext ctx;
@@ -52,9 +52,9 @@
   private long lastNanos = System.nanoTime();
 
   CallerConnection(
-      Supplier<CallerLimits> limits, BooleanSupplier closesAfterAnswer, RequestReceiver receiver) {
+      Supplier<CallerLimits> limits, BooleanSupplier leaving, RequestReceiver receiver) {
     this.limits = limits;
-    this.closesAfterAnswer = closesAfterAnswer;
+    this.leaving = leaving;
     this.receiver = receiver;
   }
 
@@ -154,7 +154,7 @@
   private IncomingRequest takeRequest() {
     final byte[] bytes = body == null ? new byte[0] : ByteBufUtil.getBytes(body);
     HttpRequest read = head;
-    sink = new NettyCallerSink(ctx, read, closesAfterAnswer, this::answered);
+    sink = new NettyCallerSink(ctx, read, leaving, this::answered);
     head = null;
     body = null;
     partial = false;
--- a/entry/src/main/java/org/gentianslip/entry/gateway/CallerServer.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/CallerServer.java
@@ -35,7 +35,7 @@
 
   private final EventLoopGroup loops;
   private final Supplier<CallerLimits> limits;
-  private final BooleanSupplier closesAfterAnswer;
+  private final BooleanSupplier leaving;
   private final RequestReceiver receiver;
   private final ChannelGroup connections =
       new DefaultChannelGroup("callers", GlobalEventExecutor.INSTANCE);
@@ -45,17 +45,17 @@
    * Creates a server that does not listen yet.
    *
    * @param limits tells the bounds in force
-   * @param closesAfterAnswer tells whether a connection is to be closed after its next answer
+   * @param leaving tells whether connections are to be closed after their next answer
    * @param receiver takes the requests
    */
   CallerServer(
       EventLoopGroup loops,
       Supplier<CallerLimits> limits,
-      BooleanSupplier closesAfterAnswer,
+      BooleanSupplier leaving,
       RequestReceiver receiver) {
     this.loops = loops;
     this.limits = limits;
-    this.closesAfterAnswer = closesAfterAnswer;
+    this.leaving = leaving;
     this.receiver = receiver;
   }
 
@@ -77,7 +77,7 @@
                         .pipeline()
                         .addLast(
                             new HttpServerCodec(MAX_LINE_BYTES, MAX_HEADER_BYTES, CHUNK_BYTES),
-                            new CallerConnection(limits, closesAfterAnswer, receiver));
+                            new CallerConnection(limits, leaving, receiver));
                   }
                 })
             .bind(host, port)
--- a/entry/src/main/java/org/gentianslip/entry/gateway/Gateway.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/Gateway.java
@@ -9,7 +9,6 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
-import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.gentianslip.core.id.RequestId;
@@ -133,7 +132,6 @@
 
   /** Takes a caller's request. */
   void fromCaller(IncomingRequest request, CallerSink sink) {
-    state.callers().request(System.nanoTime());
     take(request, sink, false);
   }
 
@@ -248,21 +246,6 @@
         .ifPresent(l -> l.coldUntil(nowNanos + TimeUnit.MILLISECONDS.toNanos(warmUp)));
   }
 
-  /** Returns whether the connection of the caller that is answered now is to be closed. */
-  boolean closesAfterAnswer() {
-    if (state.leaving()) {
-      return true;
-    }
-    long now = System.nanoTime();
-    boolean moves = state.callers().shouldMove(now, ThreadLocalRandom.current().nextDouble());
-    if (moves) {
-      metrics.moved();
-      LOGGER.atInfo().atMostEvery(1, TimeUnit.SECONDS).log(
-          "gateway: event=moves-callers requests=%s", state.callers().requests(now));
-    }
-    return moves;
-  }
-
   /** Counts the end of a request. */
   void ended(Route route, String outcome) {
     inFlight.decrementAndGet();
--- a/entry/src/main/java/org/gentianslip/entry/gateway/GatewayMetrics.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/GatewayMetrics.java
@@ -55,12 +55,6 @@
           .labelNames("rank")
           .register(registry);
 
-  private final Counter moved =
-      Counter.builder()
-          .name("gentian_gateway_moved_callers_total")
-          .help("Connections closed since other instances of the region serve far fewer callers.")
-          .register(registry);
-
   private final Histogram answer =
       Histogram.builder()
           .name("gentian_gateway_answer_seconds")
@@ -106,11 +100,6 @@
     }
   }
 
-  /** Counts a caller that is to connect anew. */
-  void moved() {
-    moved.inc();
-  }
-
   /** Takes the time to an answer or to the first event. */
   void answered(String rank, long millis) {
     answer.labelValues(rank).observe(millis / MILLIS_PER_SECOND);
--- a/entry/src/main/java/org/gentianslip/entry/gateway/GatewayProcess.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/GatewayProcess.java
@@ -73,8 +73,7 @@
         gateway::version,
         () -> state.ageNanos(System.nanoTime()) / NANOS_PER_SECOND);
     this.afterPause = afterPause;
-    this.callers =
-        new CallerServer(loops, this::limits, gateway::closesAfterAnswer, gateway::fromCaller);
+    this.callers = new CallerServer(loops, this::limits, state::leaving, gateway::fromCaller);
     this.instances =
         new CallerServer(loops, () -> CallerLimits.DEFAULT, () -> false, gateway::fromInstance);
   }
--- a/entry/src/main/java/org/gentianslip/entry/gateway/GatewayState.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/GatewayState.java
@@ -13,7 +13,6 @@
 import org.gentianslip.core.id.ServiceId;
 import org.gentianslip.core.limit.RepeatWindow;
 import org.gentianslip.core.load.BackendLoad;
-import org.gentianslip.core.load.CallerShare;
 import org.gentianslip.core.load.Candidates;
 import org.gentianslip.core.load.PromptDirectory;
 import org.gentianslip.core.load.PromptHolder;
@@ -43,7 +42,6 @@
   private final BackendBook backends;
   private final PromptPlaces prompts;
   private final RegionBook regions;
-  private final CallerShare callers = new CallerShare();
   private volatile boolean leaving;
   private volatile boolean refusing;
   private volatile long confirmedNanos = System.nanoTime();
@@ -149,11 +147,6 @@
     return regions.regions(nowNanos, route, service, holding);
   }
 
-  /** Returns how this instance's share of the callers compares with the others' shares. */
-  public CallerShare callers() {
-    return callers;
-  }
-
   /** Returns the instances of other regions. */
   RegionBook regionBook() {
     return regions;
--- a/entry/src/main/java/org/gentianslip/entry/gateway/NettyCallerSink.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/NettyCallerSink.java
@@ -25,7 +25,7 @@
   private final ChannelHandlerContext ctx;
   private final boolean headOnly;
   private final boolean asksClose;
-  private final BooleanSupplier closesAfterAnswer;
+  private final BooleanSupplier leaving;
   private final AnswerEnd onEnd;
   private CallerEvents events;
   private boolean keepAlive;
@@ -39,14 +39,11 @@
   }
 
   NettyCallerSink(
-      ChannelHandlerContext ctx,
-      HttpRequest request,
-      BooleanSupplier closesAfterAnswer,
-      AnswerEnd onEnd) {
+      ChannelHandlerContext ctx, HttpRequest request, BooleanSupplier leaving, AnswerEnd onEnd) {
     this.ctx = ctx;
     this.headOnly = request.method().equals(HttpMethod.HEAD);
     this.asksClose = !HttpUtil.isKeepAlive(request);
-    this.closesAfterAnswer = closesAfterAnswer;
+    this.leaving = leaving;
     this.onEnd = onEnd;
   }
 
@@ -100,7 +97,7 @@
   }
 
   private void decideKeepAlive(HttpResponse response) {
-    keepAlive = !asksClose && !closesAfterAnswer.getAsBoolean();
+    keepAlive = !asksClose && !leaving.getAsBoolean();
     if (!keepAlive) {
       response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
     }
