Take a backend server for an engine once its service is known to have engines

Cause: the load of a backend server was made when the server was first seen; if that was before the configuration with its service, it counted as a plain service for the rest of its life: its reading was not counted and its prompts were not known.

Ruled out: making loads only when routes are known, which leaves a service that is added later.

Change: BackendLoad.as gives a new load when the kind of its service changes, and keeps what is known of coldness.

Figures: BackendBookTest.EngineFirst failed before (0 tokens to read, 9,000 expected), passes now.

--- a/core/src/main/java/org/gentianslip/core/load/BackendLoad.java
+++ b/core/src/main/java/org/gentianslip/core/load/BackendLoad.java
@@ -72,6 +72,22 @@
     this.cache = new PromptCache(engine == null ? 0 : (long) (CACHE_SHARE * engine.cacheTokens()));
   }
 
+  /**
+   * Returns this load, or a new one of the same backend server if its service is of another kind
+   * than was known.
+   *
+   * @param engineNow what is special to a model engine, or null for a plain service
+   */
+  public synchronized BackendLoad as(EngineProfile engineNow) {
+    if (engine == (engineNow != null)) {
+      return this;
+    }
+    var load = new BackendLoad(slots, engineNow);
+    load.coldUntilNanos = coldUntilNanos;
+    load.coldOnReturn = coldOnReturn;
+    return load;
+  }
+
   /** Counts a request that is about to be sent. */
   public synchronized Reservation begin(
       long nowNanos, boolean urgent, RequestSize size, Estimate estimate) {
--- a/entry/src/main/java/org/gentianslip/entry/gateway/BackendBook.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/BackendBook.java
@@ -93,13 +93,11 @@
   }
 
   private BackendLoad loadOf(PublishedState state, Backend backend) {
-    return loads.computeIfAbsent(
+    EngineProfile engine =
+        profile(state, backend.service()).flatMap(ServiceProfile::engine).orElse(null);
+    return loads.compute(
         backend.id(),
-        id -> {
-          EngineProfile engine =
-              profile(state, backend.service()).flatMap(ServiceProfile::engine).orElse(null);
-          return new BackendLoad(backend.slots(), engine);
-        });
+        (id, known) -> known == null ? new BackendLoad(backend.slots(), engine) : known.as(engine));
   }
 
   /** Returns the load of a backend server, if it is known. */
--- /dev/null
+++ b/entry/src/test/java/org/gentianslip/entry/gateway/BackendBookTest.java
@@ -0,0 +1,102 @@
+package org.gentianslip.entry.gateway;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.sameInstance;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.gentianslip.core.id.DataCentreId;
+import org.gentianslip.core.id.EngineId;
+import org.gentianslip.core.id.InstanceId;
+import org.gentianslip.core.id.RegionId;
+import org.gentianslip.core.id.ServiceId;
+import org.gentianslip.core.load.BackendLoad;
+import org.gentianslip.core.load.Candidates;
+import org.gentianslip.core.load.PromptPart;
+import org.gentianslip.core.load.RequestSize;
+import org.gentianslip.core.membership.PeerBook;
+import org.gentianslip.core.published.Backend;
+import org.gentianslip.core.published.PublishedState;
+import org.gentianslip.core.route.CallerLimits;
+import org.gentianslip.core.route.EngineProfile;
+import org.gentianslip.core.route.RouteTable;
+import org.gentianslip.core.route.ServiceProfile;
+import org.junit.jupiter.api.DisplayName;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+@DisplayName("The book of backend servers")
+class BackendBookTest {
+
+  private static final ServiceId FARM = ServiceId.of("farm");
+  private static final DataCentreId CENTRE = DataCentreId.of("north-a");
+  private static final RegionId NORTH = RegionId.of("north");
+  private static final EngineId ENGINE = EngineId.of("e1");
+  private static final long COLD_NANOS = 3_000_000_000L;
+  private static final RequestSize PROMPT =
+      new RequestSize(List.of(new PromptPart("shared", 9_000), new PromptPart("own", 100)), 10, 0);
+
+  private final GatewayPlace place =
+      new GatewayPlace(
+          InstanceId.of("i1"),
+          NORTH,
+          CENTRE,
+          Map.of(CENTRE, NORTH),
+          "127.0.0.1",
+          1,
+          2,
+          3,
+          List.of(),
+          new GatewayBounds(0.2, 56, 10_000, 1.5, 3, 8_000));
+  private final BackendBook book =
+      new BackendBook(() -> place, new PeerBook(place.id(), place.region()));
+
+  private static PublishedState published(Optional<RouteTable> routes) {
+    var backend = new Backend(ENGINE, FARM, "127.0.0.1:80", CENTRE, 64, false, 0, 0);
+    return new PublishedState(1, routes, Map.of(ENGINE, backend), Set.of());
+  }
+
+  private static PublishedState withEngines() {
+    var engine = new EngineProfile(64, 350_000, 7, 327_680, 260_000);
+    var farm = new ServiceProfile(FARM, 100, 3_000, 9, Optional.of(engine));
+    return published(Optional.of(RouteTable.of(1, List.of(), List.of(farm), CallerLimits.DEFAULT)));
+  }
+
+  private Candidates candidates(PublishedState state) {
+    return book.candidates(0, state, FARM, id -> true, PROMPT, List.of());
+  }
+
+  @Nested
+  @DisplayName("that hears of an engine before its service")
+  class EngineFirst {
+
+    @Test
+    void expectsThatItReadsPromptsOnceTheServiceIsKnown() {
+      book.publish(0, PublishedState.NONE, published(Optional.empty()));
+      book.publish(0, published(Optional.empty()), withEngines());
+      BackendLoad load = candidates(withEngines()).options().get(0).load();
+      assertThat(load.estimate(0, false, PROMPT, Optional.empty()).readTokens(), is(9_000L));
+    }
+
+    @Test
+    void keepsWhatItKnowsOfColdness() {
+      book.publish(0, PublishedState.NONE, published(Optional.empty()));
+      book.load(ENGINE).orElseThrow().coldUntil(COLD_NANOS);
+      book.publish(0, published(Optional.empty()), withEngines());
+      BackendLoad load = candidates(withEngines()).options().get(0).load();
+      load.begin(0, false, PROMPT, load.estimate(0, false, PROMPT, Optional.empty()));
+      assertThat(load.mayGetWork(1, 1), is(false));
+    }
+  }
+
+  @Test
+  void keepsTheLoadWhileTheServiceStaysTheSame() {
+    book.publish(0, PublishedState.NONE, withEngines());
+    BackendLoad before = candidates(withEngines()).options().get(0).load();
+    book.publish(0, withEngines(), withEngines());
+    assertThat(candidates(withEngines()).options().get(0).load(), sameInstance(before));
+  }
+}
