Write the text of metrics in one place

Cause: GatewayMetrics repeated the ten lines of EntryMetrics that write a registry in the Prometheus text format.

Ruled out: one registry for both edges; each registers what its edge has.

Change: MetricsText.of writes a registry; both call it.

Conclusion: no behaviour changed.

--- a/entry/src/main/java/org/gentianslip/entry/gateway/GatewayMetrics.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/GatewayMetrics.java
@@ -3,12 +3,9 @@
 import io.prometheus.metrics.core.metrics.Counter;
 import io.prometheus.metrics.core.metrics.GaugeWithCallback;
 import io.prometheus.metrics.core.metrics.Histogram;
-import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
-import java.io.ByteArrayOutputStream;
-import java.io.IOException;
-import java.io.UncheckedIOException;
 import java.util.function.DoubleSupplier;
+import org.gentianslip.entry.metrics.MetricsText;
 
 /**
  * Holds the metrics of the requests that routes serve.
@@ -107,12 +104,6 @@
 
   /** Returns all in the Prometheus text format. */
   byte[] text() {
-    var out = new ByteArrayOutputStream();
-    try {
-      PrometheusTextFormatWriter.create().write(out, registry.scrape());
-    } catch (IOException e) {
-      throw new UncheckedIOException(e);
-    }
-    return out.toByteArray();
+    return MetricsText.of(registry);
   }
 }
--- a/entry/src/main/java/org/gentianslip/entry/metrics/EntryMetrics.java
+++ b/entry/src/main/java/org/gentianslip/entry/metrics/EntryMetrics.java
@@ -3,11 +3,7 @@
 import io.prometheus.metrics.core.metrics.Counter;
 import io.prometheus.metrics.core.metrics.Gauge;
 import io.prometheus.metrics.core.metrics.Histogram;
-import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
-import java.io.ByteArrayOutputStream;
-import java.io.IOException;
-import java.io.UncheckedIOException;
 import java.util.Locale;
 import org.gentianslip.core.id.Rank;
 
@@ -156,13 +152,7 @@
 
   /** Returns all metrics in the Prometheus text format. */
   public byte[] text() {
-    var out = new ByteArrayOutputStream();
-    try {
-      PrometheusTextFormatWriter.create().write(out, registry.scrape());
-    } catch (IOException e) {
-      throw new UncheckedIOException(e);
-    }
-    return out.toByteArray();
+    return MetricsText.of(registry);
   }
 
   private static String label(Rank rank) {
