Look up the holders of a prompt once for a decision

Cause: a decision asked the directory of prompts twice, for the backend servers to weigh and again for the regions that hold the prompt; each time it filtered and sorted the same entries, on the path of each request.

Ruled out: keeping the result for the next attempt of the request; it may be out of date by then.

Change: Placement.choose asks once and gives the holders to both questions.

Figures: WholePathTest, OperatorsTest and the tests of core.load pass, unchanged. The time saved was not measured.

Conclusion: no behaviour changed.

--- a/entry/src/main/java/org/gentianslip/entry/gateway/GatewayState.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/GatewayState.java
@@ -3,13 +3,11 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Predicate;
 import org.gentianslip.core.id.EngineId;
-import org.gentianslip.core.id.RegionId;
 import org.gentianslip.core.id.ServiceId;
 import org.gentianslip.core.limit.RepeatWindow;
 import org.gentianslip.core.load.BackendLoad;
@@ -105,15 +103,24 @@
     return backends.loads();
   }
 
+  /** Returns the engines that hold the shared part of a request's prompt, the latest first. */
+  List<Backend> holders(long nowNanos, Route route, RequestSize size) {
+    return prompts.holders(nowNanos, published.get(), route, size);
+  }
+
   /**
    * Returns the backend servers of this region to weigh for a request.
    *
+   * @param holders the engines that hold the shared part of its prompt, the latest first
    * @param usable whether the request may go to a backend server
    */
   Candidates candidates(
-      long nowNanos, Route route, ServiceId service, RequestSize size, Predicate<EngineId> usable) {
+      long nowNanos,
+      ServiceId service,
+      RequestSize size,
+      List<Backend> holders,
+      Predicate<EngineId> usable) {
     PublishedState state = published.get();
-    List<Backend> holders = prompts.holders(nowNanos, state, route, size);
     List<EngineId> ids = holders.stream().map(Backend::id).toList();
     Candidates found = backends.candidates(nowNanos, state, service, usable, size, ids);
     return prompts.withFetch(state, service, size, holders, found);
@@ -141,10 +148,13 @@
     return backends.waits(nowNanos, published.get());
   }
 
-  /** Returns the other regions that may serve a request. */
-  List<RegionOption> regions(long nowNanos, Route route, ServiceId service, RequestSize size) {
-    Set<RegionId> holding = prompts.regions(nowNanos, published.get(), route, size);
-    return regions.regions(nowNanos, route, service, holding);
+  /**
+   * Returns the other regions that may serve a request.
+   *
+   * @param holders the engines that hold the shared part of its prompt
+   */
+  List<RegionOption> regions(long nowNanos, Route route, ServiceId service, List<Backend> holders) {
+    return regions.regions(nowNanos, route, service, prompts.regions(holders));
   }
 
   /** Returns the instances of other regions. */
--- a/entry/src/main/java/org/gentianslip/entry/gateway/Placement.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/Placement.java
@@ -10,6 +10,7 @@
 import org.gentianslip.core.load.Choice;
 import org.gentianslip.core.load.RegionOption;
 import org.gentianslip.core.load.RequestSize;
+import org.gentianslip.core.published.Backend;
 import org.gentianslip.core.route.Route;
 
 /**
@@ -57,14 +58,15 @@
 
   /** Chooses the place of the next attempt, without any claim on it. */
   Choice choose(long nowNanos, long remainingMillis) {
+    List<Backend> holders = state.holders(nowNanos, route, size);
     Candidates here =
         route.allows(state.place().region())
-            ? state.candidates(nowNanos, route, service, size, this::mayUse)
+            ? state.candidates(nowNanos, service, size, holders, this::mayUse)
             : Candidates.NONE;
     List<RegionOption> regions =
         forwarded || forwards >= MAX_FORWARDS || ran.size() >= maxBackends()
             ? List.of()
-            : state.regions(nowNanos, route, service, size);
+            : state.regions(nowNanos, route, service, holders);
     return BackendChoice.choose(nowNanos, route, size, remainingMillis, here, regions);
   }
 
--- a/entry/src/main/java/org/gentianslip/entry/gateway/PromptPlaces.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/PromptPlaces.java
@@ -110,10 +110,10 @@
     return region != null && route.allows(region);
   }
 
-  /** Returns the regions with an engine that has read the shared part of a prompt. */
-  Set<RegionId> regions(long nowNanos, PublishedState state, Route route, RequestSize size) {
+  /** Returns the regions of the engines that hold the shared part of a prompt. */
+  Set<RegionId> regions(List<Backend> holders) {
     Set<RegionId> regions = new HashSet<>();
-    for (Backend holder : holders(nowNanos, state, route, size)) {
+    for (Backend holder : holders) {
       regions.add(place.get().regions().get(holder.dataCentre()));
     }
     return regions;
