Find the ports of test fleets in one place

Ruled out: giving each test port 0; settings of an instance name its ports before it starts.

Change: standin.port.FreePorts, which all four modules' tests can see; rows below 32768, checked, each given out once in a round, processes beginning apart. The copies go. No test of the fixtures' users was changed.

Conclusion: test code only; the product is as before.

--- a/demo/src/test/java/org/gentianslip/demo/SmallFleet.java
+++ b/demo/src/test/java/org/gentianslip/demo/SmallFleet.java
@@ -16,6 +16,7 @@
 import org.gentianslip.demo.fleet.Fleet;
 import org.gentianslip.demo.fleet.FleetPlan;
 import org.gentianslip.demo.fleet.RegionPlan;
+import org.gentianslip.standin.port.FreePorts;
 
 /** Starts small fleets for tests. Stateless and safe for use by several threads. */
 final class SmallFleet {
--- a/entry/src/test/java/org/gentianslip/entry/process/LoopbackFleet.java
+++ b/entry/src/test/java/org/gentianslip/entry/process/LoopbackFleet.java
@@ -7,15 +7,12 @@
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.IOException;
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicInteger;
 import okhttp3.ConnectionPool;
 import okhttp3.MediaType;
 import okhttp3.OkHttpClient;
@@ -29,6 +26,7 @@
 import org.gentianslip.standin.config.ConfigStandin;
 import org.gentianslip.standin.engine.EngineOptions;
 import org.gentianslip.standin.engine.EngineStandin;
+import org.gentianslip.standin.port.FreePorts;
 import org.gentianslip.standin.relay.RelayOptions;
 import org.gentianslip.standin.relay.RelayRoute;
 import org.gentianslip.standin.relay.RelayStandin;
@@ -51,7 +49,6 @@
   private static final Duration PATIENCE = Duration.ofSeconds(20);
   private static final int CAPTURE_BYTES = 4 << 20;
   private static final int PORTS = 3;
-  private static final AtomicInteger NEXT_PORT = new AtomicInteger(26_000);
 
   final ConfigStandin config = ConfigStandin.start(ConfigOptions.defaults());
   final RelayStandin relay;
@@ -118,34 +115,20 @@
   }
 
   private EntryPlace place(String region, int number) {
-    List<Integer> ports = freePorts();
+    int ports = FreePorts.row(PORTS);
     return new EntryPlace(
         InstanceId.of(region + "-" + number),
         RegionId.of(region),
         DataCentreId.of(region + "-1"),
         "127.0.0.1",
-        ports.get(0),
-        ports.get(1),
-        ports.get(2),
+        ports,
+        ports + 1,
+        ports + 2,
         "127.0.0.1:" + config.port(),
         PEER_KEY,
         OPERATOR_KEY);
   }
 
-  /** Returns free ports below those that outgoing connections are given. */
-  private static List<Integer> freePorts() {
-    List<Integer> ports = new ArrayList<>();
-    while (ports.size() < PORTS) {
-      int port = NEXT_PORT.getAndIncrement();
-      try (var socket = new ServerSocket(port, 1, InetAddress.getLoopbackAddress())) {
-        ports.add(socket.getLocalPort());
-      } catch (IOException e) {
-        continue;
-      }
-    }
-    return ports;
-  }
-
   /** Starts an instance, or its successor at the same addresses. */
   void startEntry(String id) {
     entries.put(id, EntryProcess.start(places.get(id)));
--- a/entry/src/test/java/org/gentianslip/entry/testing/ServiceFleet.java
+++ b/entry/src/test/java/org/gentianslip/entry/testing/ServiceFleet.java
@@ -8,8 +8,6 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.IOException;
 import java.io.UncheckedIOException;
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -28,6 +26,7 @@
 import org.gentianslip.entry.process.EntryProcess;
 import org.gentianslip.standin.config.ConfigOptions;
 import org.gentianslip.standin.config.ConfigStandin;
+import org.gentianslip.standin.port.FreePorts;
 import org.gentianslip.standin.service.ServiceOptions;
 import org.gentianslip.standin.service.ServiceStandin;
 
@@ -73,9 +72,9 @@
   public ServiceFleet(int size, int deadlineMillis) throws IOException {
     relay = new CutRelay(service.port());
     config = ConfigStandin.start(ConfigOptions.defaults());
-    List<Integer> ports = freePorts(size * PORTS_OF_INSTANCE);
+    int ports = FreePorts.row(size * PORTS_OF_INSTANCE);
     for (int i = 0; i < size; i++) {
-      places.add(place("e" + i, ports.subList(i * PORTS_OF_INSTANCE, ports.size())));
+      places.add(place("e" + i, ports + i * PORTS_OF_INSTANCE));
     }
     config.put("instances/home", list().toString());
     config.publishSettings(List.of(settings(deadlineMillis)));
@@ -165,15 +164,15 @@
     config.close();
   }
 
-  private EntryPlace place(String id, List<Integer> ports) {
+  private EntryPlace place(String id, int ports) {
     return new EntryPlace(
         InstanceId.of(id),
         RegionId.of("home"),
         DataCentreId.of("home-1"),
         "127.0.0.1",
-        ports.get(0),
-        ports.get(1),
-        ports.get(2),
+        ports,
+        ports + 1,
+        ports + 2,
         "127.0.0.1:" + config.port(),
         "peer-key",
         "operator-key");
@@ -221,18 +220,4 @@
     String hash = Sha256.hex(KEY.getBytes(StandardCharsets.UTF_8));
     return JSON.readTree(text.formatted(hash, deadlineMillis));
   }
-
-  private static List<Integer> freePorts(int count) throws IOException {
-    List<ServerSocket> held = new ArrayList<>();
-    List<Integer> ports = new ArrayList<>();
-    for (int i = 0; i < count; i++) {
-      ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
-      held.add(socket);
-      ports.add(socket.getLocalPort());
-    }
-    for (ServerSocket socket : held) {
-      socket.close();
-    }
-    return ports;
-  }
 }
