--- a/bench/src/main/java/org/gentianslip/bench/micro/BackendChoiceBenchmark.java
+++ b/bench/src/main/java/org/gentianslip/bench/micro/BackendChoiceBenchmark.java
@@ -13,6 +13,7 @@
 import org.gentianslip.core.load.BackendLoad;
 import org.gentianslip.core.load.BackendSelector;
 import org.gentianslip.core.load.Candidates;
+import org.gentianslip.core.load.LoadSource;
 import org.gentianslip.core.load.PeerLoad;
 import org.gentianslip.core.load.PromptPart;
 import org.gentianslip.core.load.RequestSize;
@@ -67,7 +68,7 @@
               EngineId.of("e" + i), SERVICE, "10.0.0.1:80", DataCentreId.of("z"), 64, false, 0, 0);
       var load = new BackendLoad(64, ENGINE);
       for (int k = 0; k < INSTANCES; k++) {
-        load.recordPeerLoad(InstanceId.of("i" + k), new PeerLoad(1, 1, 1, 0));
+        load.recordPeerLoad(LoadSource.instance(InstanceId.of("i" + k)), new PeerLoad(1, 1, 1, 0));
       }
       members.add(new BackendGroup.Member(backend, load));
     }
--- /dev/null
+++ b/core/src/main/java/org/gentianslip/core/fleet/DataCentreSummary.java
@@ -0,0 +1,24 @@
+package org.gentianslip.core.fleet;
+
+import java.util.Map;
+import org.gentianslip.core.id.DataCentreId;
+import org.gentianslip.core.id.RegionId;
+import org.gentianslip.core.id.ServiceId;
+
+/**
+ * What the relay of a data centre reports of it. Immutable and thread-safe.
+ *
+ * @param dataCentre the data centre
+ * @param region its region
+ * @param beat a number that increases with each summary of the data centre
+ * @param waitMillis the expected wait of a request, in milliseconds, by each service that its
+ *     instances can reach
+ */
+public record DataCentreSummary(
+    DataCentreId dataCentre, RegionId region, long beat, Map<ServiceId, Integer> waitMillis) {
+
+  /** Copies the map. */
+  public DataCentreSummary {
+    waitMillis = Map.copyOf(waitMillis);
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/gentianslip/core/fleet/FleetSnapshot.java
@@ -0,0 +1,83 @@
+package org.gentianslip.core.fleet;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.OptionalInt;
+import java.util.concurrent.TimeUnit;
+import org.gentianslip.core.id.RegionId;
+import org.gentianslip.core.id.ServiceId;
+
+/**
+ * The instances that accept requests and the waits of the regions, as of one moment.
+ *
+ * <p>Lets the path of a request read the fleet without looking at every instance. Immutable and
+ * thread-safe.
+ */
+public final class FleetSnapshot {
+
+  /** How long a snapshot may be used, as silence is noticed only by the passing of time. */
+  static final long MAX_AGE_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
+
+  static final FleetSnapshot EMPTY = new FleetSnapshot(0, -1, Map.of(), Map.of());
+
+  private final long takenNanos;
+  private final long change;
+  private final Map<RegionId, List<PeerRecord>> servingByRegion;
+  private final Map<RegionId, Map<ServiceId, Integer>> waitsByRegion;
+
+  private FleetSnapshot(
+      long takenNanos,
+      long change,
+      Map<RegionId, List<PeerRecord>> servingByRegion,
+      Map<RegionId, Map<ServiceId, Integer>> waitsByRegion) {
+    this.takenNanos = takenNanos;
+    this.change = change;
+    this.servingByRegion = servingByRegion;
+    this.waitsByRegion = waitsByRegion;
+  }
+
+  static FleetSnapshot of(
+      long nowNanos,
+      long change,
+      Collection<PeerRecord> live,
+      Collection<DataCentreSummary> summaries) {
+    Map<RegionId, List<PeerRecord>> serving = new HashMap<>();
+    for (PeerRecord p : live) {
+      if (p.ready() && !p.leaving()) {
+        serving.computeIfAbsent(p.region(), r -> new ArrayList<>()).add(p);
+      }
+    }
+    Map<RegionId, Map<ServiceId, Integer>> waits = new HashMap<>();
+    for (DataCentreSummary s : summaries) {
+      Map<ServiceId, Integer> ofRegion = waits.computeIfAbsent(s.region(), r -> new HashMap<>());
+      s.waitMillis().forEach((service, wait) -> ofRegion.merge(service, wait, Math::max));
+    }
+    return new FleetSnapshot(nowNanos, change, serving, waits);
+  }
+
+  boolean isCurrent(long nowNanos, long lastChange) {
+    return change == lastChange && nowNanos - takenNanos < MAX_AGE_NANOS;
+  }
+
+  /** Returns the regions that have other instances which accept requests. */
+  public Collection<RegionId> regions() {
+    return servingByRegion.keySet();
+  }
+
+  /** Returns the other instances of a region that accept requests. */
+  public List<PeerRecord> serving(RegionId region) {
+    return servingByRegion.getOrDefault(region, List.of());
+  }
+
+  /**
+   * Returns the longest wait that the data centres of a region report for a service, in
+   * milliseconds, or an empty value if none of them can reach it.
+   */
+  public OptionalInt waitMillis(RegionId region, ServiceId service) {
+    Integer wait = waitsByRegion.getOrDefault(region, Map.of()).get(service);
+    return wait == null ? OptionalInt.empty() : OptionalInt.of(wait);
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/gentianslip/core/fleet/PeerRecord.java
@@ -0,0 +1,59 @@
+package org.gentianslip.core.fleet;
+
+import org.gentianslip.core.id.DataCentreId;
+import org.gentianslip.core.id.InstanceId;
+import org.gentianslip.core.id.RegionId;
+
+/**
+ * The state that an instance reports of itself. Immutable and thread-safe.
+ *
+ * @param id the instance
+ * @param incarnation identifies its process; a later process has a higher number
+ * @param beat a number that increases with each report of that process
+ * @param region its region
+ * @param dataCentre its data centre
+ * @param callerAddress the address for callers, as {@code IP:PORT}
+ * @param controlAddress the address for messages of other instances
+ * @param forwardAddress the address for forwarded requests
+ * @param capacity its processor capacity relative to other instances, greater than 0
+ * @param ready whether it serves requests
+ * @param leaving whether it is shutting down
+ */
+public record PeerRecord(
+    InstanceId id,
+    long incarnation,
+    long beat,
+    RegionId region,
+    DataCentreId dataCentre,
+    String callerAddress,
+    String controlAddress,
+    String forwardAddress,
+    int capacity,
+    boolean ready,
+    boolean leaving) {
+
+  /** Returns whether this record is newer than another record of the same instance. */
+  public boolean isNewerThan(PeerRecord other) {
+    return incarnation != other.incarnation ? incarnation > other.incarnation : beat > other.beat;
+  }
+
+  /** Returns whether this record differs from another one in more than the beat. */
+  boolean differsFrom(PeerRecord other) {
+    return !withBeat(other.beat).equals(other);
+  }
+
+  private PeerRecord withBeat(long newBeat) {
+    return new PeerRecord(
+        id,
+        incarnation,
+        newBeat,
+        region,
+        dataCentre,
+        callerAddress,
+        controlAddress,
+        forwardAddress,
+        capacity,
+        ready,
+        leaving);
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/gentianslip/core/fleet/SyncCursors.java
@@ -0,0 +1,57 @@
+package org.gentianslip.core.fleet;
+
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import org.gentianslip.core.id.InstanceId;
+
+/**
+ * How far this instance and each peer have received each other's changes.
+ *
+ * <p>A lost message repeats its changes with the next one, as only an acknowledgement advances the
+ * cursor. Thread-safe.
+ */
+public final class SyncCursors {
+
+  private final Map<InstanceId, Cursor> cursors = new ConcurrentHashMap<>();
+
+  private record Cursor(SyncAck received, long acknowledged) {
+    static final Cursor START = new Cursor(SyncAck.NONE, 0);
+  }
+
+  /** Returns the number of the last own change that a peer has acknowledged. */
+  public long acknowledgedBy(InstanceId peer) {
+    return cursors.getOrDefault(peer, Cursor.START).acknowledged();
+  }
+
+  /** Returns the acknowledgement to send to a peer. */
+  public SyncAck receivedFrom(InstanceId peer) {
+    return cursors.getOrDefault(peer, Cursor.START).received();
+  }
+
+  /**
+   * Records a message of a peer.
+   *
+   * @param peer the peer
+   * @param sent the incarnation of the peer, and the number up to which its message is complete
+   * @param ack what the peer acknowledges
+   * @param ownIncarnation the incarnation of this instance
+   */
+  public void record(InstanceId peer, SyncAck sent, SyncAck ack, long ownIncarnation) {
+    cursors.compute(
+        peer,
+        (id, known) -> {
+          Cursor before = known == null ? Cursor.START : known;
+          boolean sameProcess = before.received().incarnation() == sent.incarnation();
+          long number =
+              sameProcess ? Math.max(before.received().number(), sent.number()) : sent.number();
+          long acknowledged = ack.incarnation() == ownIncarnation ? ack.number() : 0;
+          return new Cursor(new SyncAck(sent.incarnation(), number), acknowledged);
+        });
+  }
+
+  /** Forgets all peers but the given ones. */
+  public void retain(Set<InstanceId> peers) {
+    cursors.keySet().retainAll(peers);
+  }
+}
--- a/core/src/main/java/org/gentianslip/core/load/BackendLoad.java
+++ b/core/src/main/java/org/gentianslip/core/load/BackendLoad.java
@@ -5,7 +5,6 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
-import org.gentianslip.core.id.InstanceId;
 import org.gentianslip.core.route.EngineProfile;
 
 /**
@@ -212,9 +211,40 @@
     }
   }
 
-  /** Records the load that another instance puts on this backend server. */
-  public synchronized void recordPeerLoad(InstanceId peer, PeerLoad load) {
-    peers.record(peer, load);
+  /** Records the load that other instances put on this backend server. */
+  public synchronized void recordPeerLoad(LoadSource source, PeerLoad load) {
+    peers.record(source, load);
+  }
+
+  /** Records that a source which reports its loads puts none on this backend server. */
+  public synchronized void clearPeerLoad(LoadSource source, long nowNanos) {
+    if (peers.hasLoadOf(source)) {
+      peers.record(source, PeerLoad.zero(nowNanos));
+    }
+  }
+
+  /**
+   * Returns the load that this instance and the other instances of its data centre put on the
+   * backend server, as far as they reported it to this instance.
+   */
+  public synchronized PeerLoad dataCentreLoad(long nowNanos) {
+    peers.dropExpired(nowNanos);
+    return localLoad(nowNanos)
+        .plus(peers.sumOf(nowNanos, s -> s.kind() == LoadSource.Kind.INSTANCE));
+  }
+
+  /**
+   * Returns the load of the region as reported to this instance, without that of the receiver.
+   *
+   * <p>What a relay has told this instance about the region is left out, so that no load is passed
+   * back to where it came from.
+   */
+  public synchronized PeerLoad regionLoadWithout(long nowNanos, LoadSource receiver) {
+    peers.dropExpired(nowNanos);
+    return localLoad(nowNanos)
+        .plus(
+            peers.sumOf(
+                nowNanos, s -> s.kind() != LoadSource.Kind.REST_OF_REGION && !s.equals(receiver)));
   }
 
   /**
--- a/core/src/main/java/org/gentianslip/core/load/PeerLoads.java
+++ b/core/src/main/java/org/gentianslip/core/load/PeerLoads.java
@@ -3,20 +3,21 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
-import org.gentianslip.core.id.InstanceId;
+import java.util.function.Predicate;
 
 /**
- * Sums the loads that other instances put on one backend server.
+ * Sums the loads that other instances put on one backend server, by the source of the report.
  *
- * <p>The sums are updated with each report, so the cost of reading them does not depend on the
- * number of instances. Not thread-safe.
+ * <p>A source is an instance, a data centre or, at a member, the rest of the region. The sums are
+ * updated with each report, so the cost of reading them does not depend on the number of sources.
+ * Not thread-safe.
  */
 final class PeerLoads {
 
   /** How long a report of another instance's load counts: several intervals between hellos. */
   private static final long MAX_AGE_NANOS = TimeUnit.MILLISECONDS.toNanos(1_500);
 
-  private final Map<InstanceId, PeerLoad> loads = new HashMap<>();
+  private final Map<LoadSource, PeerLoad> loads = new HashMap<>();
   private int running;
   private double urgentPrefillMillis;
   private double otherPrefillMillis;
@@ -24,20 +25,37 @@
   /** A lower bound on the receipt time of all loads that count. */
   private long oldestReceivedNanos;
 
-  /** Records the load of another instance. */
-  void record(InstanceId peer, PeerLoad load) {
+  /** Records the load that a source has reported. */
+  void record(LoadSource source, PeerLoad load) {
     boolean first = loads.isEmpty();
     oldestReceivedNanos =
         first || load.receivedNanos() - oldestReceivedNanos < 0
             ? load.receivedNanos()
             : oldestReceivedNanos;
-    PeerLoad previous = loads.put(peer, load);
+    PeerLoad previous = loads.put(source, load);
     add(load, 1);
     if (previous != null) {
       add(previous, -1);
     }
   }
 
+  /** Returns whether a source has reported a load that is not zero. */
+  boolean hasLoadOf(LoadSource source) {
+    PeerLoad load = loads.get(source);
+    return load != null && !load.isZero();
+  }
+
+  /** Returns the sum of the loads of the accepted sources. */
+  PeerLoad sumOf(long nowNanos, Predicate<LoadSource> accepted) {
+    PeerLoad sum = PeerLoad.zero(nowNanos);
+    for (Map.Entry<LoadSource, PeerLoad> e : loads.entrySet()) {
+      if (accepted.test(e.getKey())) {
+        sum = sum.plus(e.getValue());
+      }
+    }
+    return sum;
+  }
+
   /** Drops the loads whose reports are too old. */
   void dropExpired(long nowNanos) {
     if (loads.isEmpty() || nowNanos - oldestReceivedNanos <= MAX_AGE_NANOS) {
--- a/core/src/main/java/org/gentianslip/core/load/PromptDirectory.java
+++ b/core/src/main/java/org/gentianslip/core/load/PromptDirectory.java
@@ -8,7 +8,9 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Predicate;
+import org.gentianslip.core.fleet.ChangeCounter;
 import org.gentianslip.core.id.EngineId;
+import org.gentianslip.core.id.InstanceId;
 
 /**
  * A directory of the engines of the fleet that have prefilled a shared part of prompts.
@@ -29,16 +31,30 @@
   /** The entries by part and engine. */
   private final Map<String, Map<EngineId, Entry>> entries = new ConcurrentHashMap<>();
 
-  private record Entry(PromptHolder holder, long recordedNanos) {}
+  private final ChangeCounter changes = new ChangeCounter();
+
+  /**
+   * An entry.
+   *
+   * @param holder the engine and the part
+   * @param change the number of the change
+   * @param source the instance that reported it
+   */
+  private record Entry(PromptHolder holder, long change, InstanceId source) {}
+
+  /** Returns the number of the last change. */
+  public long lastChange() {
+    return changes.last();
+  }
 
   /**
    * Records that an engine has prefilled a part.
    *
-   * @param nowNanos the current time, in nanoseconds of the monotonic clock
+   * @param source the instance that reported it
    * @param holder the engine and the part
    * @return whether this is new, so that peers need to be informed
    */
-  public boolean record(long nowNanos, PromptHolder holder) {
+  public boolean record(InstanceId source, PromptHolder holder) {
     if (holder.part().tokens() < MIN_TOKENS) {
       return false;
     }
@@ -51,7 +67,7 @@
           if (previous == null
               || holder.prefilledNanos() - previous.holder().prefilledNanos()
                   >= MIN_RENEWAL_NANOS) {
-            known.put(holder.engine(), new Entry(holder, nowNanos));
+            known.put(holder.engine(), new Entry(holder, changes.next(), source));
             isNew.set(true);
           }
           return known;
@@ -70,23 +86,27 @@
   }
 
   /**
-   * Returns the entries that were recorded within the given window before now, and drops the
-   * entries that are too old.
+   * Returns the newest entries that were recorded after a change and not reported by the receiver.
    *
-   * @param nowNanos the current time, in nanoseconds of the monotonic clock
-   * @param windowNanos the length of the window, in nanoseconds
+   * @param after the number of the change
+   * @param limit the maximum number of entries
    */
-  public List<PromptHolder> recordedWithin(long nowNanos, long windowNanos) {
-    removeEntries(e -> nowNanos - e.holder().prefilledNanos() >= RETENTION_NANOS);
-    List<PromptHolder> recent = new ArrayList<>();
+  public List<PromptHolder> recordedAfter(long after, InstanceId receiver, int limit) {
+    List<Entry> recent = new ArrayList<>();
     for (Map<EngineId, Entry> engines : entries.values()) {
       for (Entry e : engines.values()) {
-        if (nowNanos - e.recordedNanos() < windowNanos) {
-          recent.add(e.holder());
+        if (e.change() > after && !e.source().equals(receiver)) {
+          recent.add(e);
         }
       }
     }
-    return recent;
+    recent.sort(Comparator.comparingLong(Entry::change).reversed());
+    return recent.stream().limit(limit).map(Entry::holder).toList();
+  }
+
+  /** Drops the entries that are too old. */
+  public void dropExpired(long nowNanos) {
+    removeEntries(e -> nowNanos - e.holder().prefilledNanos() >= RETENTION_NANOS);
   }
 
   /** Drops all entries of an engine that was restarted or removed. */
--- /dev/null
+++ b/core/src/test/java/org/gentianslip/core/fleet/FleetSimulation.java
@@ -0,0 +1,246 @@
+package org.gentianslip.core.fleet;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.Random;
+import java.util.SplittableRandom;
+import java.util.function.BiPredicate;
+import org.gentianslip.core.id.DataCentreId;
+import org.gentianslip.core.id.InstanceId;
+import org.gentianslip.core.id.RegionId;
+
+/** Plays the exchange of many instances in virtual time. Confined to one thread. */
+final class FleetSimulation {
+
+  static final long MILLI = 1_000_000L;
+
+  private static final long CALL_TIMEOUT_MILLIS = 700;
+
+  /** Whether messages from the first node reach the second one. */
+  BiPredicate<Node, Node> reaches = (from, to) -> true;
+
+  /** The share of messages that are lost. */
+  double lossShare;
+
+  final List<Node> nodes = new ArrayList<>();
+  private final Map<String, Node> byAddress = new HashMap<>();
+  private final PriorityQueue<Event> events = new PriorityQueue<>();
+  private final Random random;
+  private final List<String> seeds = new ArrayList<>();
+  private long order;
+  long nowNanos;
+
+  private record Event(long atNanos, long order, Runnable action) implements Comparable<Event> {
+    @Override
+    public int compareTo(Event other) {
+      return atNanos != other.atNanos
+          ? Long.compare(atNanos, other.atNanos)
+          : Long.compare(order, other.order);
+    }
+  }
+
+  /** An instance; a restart replaces its view. */
+  final class Node {
+
+    final InstanceId id;
+    final DataCentreId dataCentre;
+    final RegionId region;
+    private final int capacity;
+    private long incarnation;
+    private long beat;
+    private int process;
+    FleetView view;
+    ContactPlanner planner;
+    boolean running;
+    boolean frozen;
+    boolean leaving;
+    long messages;
+    long statements;
+
+    private Node(String id, String dataCentre, String region, int capacity) {
+      this.id = InstanceId.of(id);
+      this.dataCentre = DataCentreId.of(dataCentre);
+      this.region = RegionId.of(region);
+      this.capacity = capacity;
+      byAddress.put(id, this);
+    }
+
+    void start() {
+      incarnation = Math.max(incarnation + 1, nowNanos);
+      beat = 0;
+      running = true;
+      view = new FleetView(record(incarnation));
+      planner = new ContactPlanner(view, new SplittableRandom(random.nextLong()));
+      int started = ++process;
+      after(random.nextInt(200), () -> round(started));
+    }
+
+    void kill() {
+      running = false;
+      process++;
+    }
+
+    private PeerRecord record(long ownIncarnation) {
+      return new PeerRecord(
+          id,
+          ownIncarnation,
+          ++beat,
+          region,
+          dataCentre,
+          id.value(),
+          id.value(),
+          id.value(),
+          capacity,
+          true,
+          leaving);
+    }
+
+    private PeerRecord self() {
+      return record(view.peers().ownIncarnation());
+    }
+
+    private void round(int ofProcess) {
+      if (!running || ofProcess != process) {
+        return;
+      }
+      if (!frozen) {
+        planner.plan(nowNanos, self(), seeds, Map.of()).forEach(this::call);
+      }
+      after(ContactPlanner.ROUND_MILLIS, () -> round(ofProcess));
+    }
+
+    private void call(Contact contact) {
+      Node to = byAddress.get(contact.controlAddress());
+      SyncMessage message =
+          contact.id().isPresent()
+              ? view.compose(nowNanos, self(), to.id)
+              : view.introduction(self());
+      count(message);
+      int ofProcess = process;
+      boolean[] answered = {false};
+      long delay = delayMillis(this, to);
+      after(delay, () -> to.receive(this, message, ofProcess, answered, delay));
+      after(
+          CALL_TIMEOUT_MILLIS,
+          () -> {
+            if (!answered[0] && process == ofProcess) {
+              contact.id().ifPresent(i -> planner.failed(nowNanos, i));
+            }
+          });
+    }
+
+    private void count(SyncMessage message) {
+      messages++;
+      statements += message.peers().size() + message.summaries().size();
+    }
+
+    private void receive(
+        Node from, SyncMessage message, int process, boolean[] answered, long delayMillis) {
+      if (!running || frozen || !arrives(from, this)) {
+        return;
+      }
+      view.apply(nowNanos, message);
+      planner.answered(from.id);
+      SyncMessage response = view.compose(nowNanos, self(), from.id);
+      count(response);
+      after(
+          delayMillis,
+          () -> {
+            if (from.process == process && !from.frozen && arrives(this, from)) {
+              answered[0] = true;
+              from.view.apply(nowNanos, response);
+              from.planner.answered(id);
+            }
+          });
+    }
+
+    boolean believesLive(Node other) {
+      return view.live(nowNanos).stream().anyMatch(p -> p.id().equals(other.id));
+    }
+  }
+
+  FleetSimulation(long seed, int regions, int dataCentres, int perDataCentre) {
+    random = new Random(seed);
+    for (int r = 0; r < regions; r++) {
+      for (int d = 0; d < dataCentres; d++) {
+        for (int i = 0; i < perDataCentre; i++) {
+          String centre = "r" + r + "-" + d;
+          nodes.add(new Node(centre + "-" + i, centre, "r" + r, i < 2 ? 150 : 36));
+        }
+      }
+    }
+    for (int s = 0; s < 3; s++) {
+      seeds.add(nodes.get(s * nodes.size() / 3).id.value());
+    }
+  }
+
+  private boolean arrives(Node from, Node to) {
+    return reaches.test(from, to) && random.nextDouble() >= lossShare;
+  }
+
+  private static long delayMillis(Node from, Node to) {
+    return from.region.equals(to.region) ? 1 : 55;
+  }
+
+  private void after(long millis, Runnable action) {
+    events.add(new Event(nowNanos + millis * MILLI, order++, action));
+  }
+
+  void startAll() {
+    nodes.forEach(Node::start);
+  }
+
+  void runMillis(long millis) {
+    long end = nowNanos + millis * MILLI;
+    while (!events.isEmpty() && events.peek().atNanos() <= end) {
+      Event next = events.poll();
+      nowNanos = next.atNanos();
+      next.action().run();
+    }
+    nowNanos = end;
+  }
+
+  /** Returns the share of ordered pairs of running nodes in which the first knows the second. */
+  double agreement() {
+    long pairs = 0;
+    long known = 0;
+    for (Node n : nodes) {
+      if (!n.running || n.frozen) {
+        continue;
+      }
+      List<InstanceId> live = n.view.live(nowNanos).stream().map(PeerRecord::id).toList();
+      var liveSet = new HashSet<>(live);
+      for (Node other : nodes) {
+        if (other != n) {
+          pairs++;
+          known += liveSet.contains(other.id) == (other.running && !other.frozen) ? 1 : 0;
+        }
+      }
+    }
+    return pairs == 0 ? 1 : (double) known / pairs;
+  }
+
+  /** Returns the largest number of messages that one node sent or answered, and resets it. */
+  long takeMostMessages() {
+    long most = 0;
+    for (Node n : nodes) {
+      most = Math.max(most, n.messages);
+      n.messages = 0;
+    }
+    return most;
+  }
+
+  /** Returns the number of statements that all nodes sent, and resets it. */
+  long takeStatements() {
+    long all = 0;
+    for (Node n : nodes) {
+      all += n.statements;
+      n.statements = 0;
+    }
+    return all;
+  }
+}
--- a/core/src/test/java/org/gentianslip/core/load/BackendGroupTest.java
+++ b/core/src/test/java/org/gentianslip/core/load/BackendGroupTest.java
@@ -196,8 +196,10 @@
     void countsTheRequestsOfEachInstance() {
       var load = new BackendLoad(64, ENGINE);
       for (int i = 0; i < 250; i++) {
-        load.recordPeerLoad(InstanceId.of("i" + i), new PeerLoad(1, 2, 3, 1_000));
-        load.recordPeerLoad(InstanceId.of("i" + i), new PeerLoad(2, 4, 6, 2_000));
+        load.recordPeerLoad(
+            LoadSource.instance(InstanceId.of("i" + i)), new PeerLoad(1, 2, 3, 1_000));
+        load.recordPeerLoad(
+            LoadSource.instance(InstanceId.of("i" + i)), new PeerLoad(2, 4, 6, 2_000));
       }
       BackendEstimate e = load.estimate(2_000, false, RequestSize.UNKNOWN, Optional.empty());
       assertThat(e.running(), is(500));
@@ -207,8 +209,9 @@
     @Test
     void dropsTheLoadOfSilentInstances() {
       var load = new BackendLoad(64, ENGINE);
-      load.recordPeerLoad(InstanceId.of("silent"), new PeerLoad(5, 0, 0, 0));
-      load.recordPeerLoad(InstanceId.of("heard"), new PeerLoad(1, 0, 0, 1_000_000_000));
+      load.recordPeerLoad(LoadSource.instance(InstanceId.of("silent")), new PeerLoad(5, 0, 0, 0));
+      load.recordPeerLoad(
+          LoadSource.instance(InstanceId.of("heard")), new PeerLoad(1, 0, 0, 1_000_000_000));
       BackendEstimate e =
           load.estimate(1_600_000_000, false, RequestSize.UNKNOWN, Optional.empty());
       assertThat(e.running(), is(1));
--- a/core/src/test/java/org/gentianslip/core/load/BackendLoadTest.java
+++ b/core/src/test/java/org/gentianslip/core/load/BackendLoadTest.java
@@ -49,7 +49,7 @@
 
   @Test
   void countsRequestsOfPeersUntilTheReportIsTooOld() {
-    load.recordPeerLoad(InstanceId.of("a"), new PeerLoad(4, 0, 0, 0));
+    load.recordPeerLoad(LoadSource.instance(InstanceId.of("a")), new PeerLoad(4, 0, 0, 0));
     assertThat(running(SECOND), is(4));
     assertThat(running(2 * SECOND), is(0));
   }
--- a/core/src/test/java/org/gentianslip/core/load/PromptDirectoryTest.java
+++ b/core/src/test/java/org/gentianslip/core/load/PromptDirectoryTest.java
@@ -7,6 +7,7 @@
 import static org.hamcrest.Matchers.is;
 
 import org.gentianslip.core.id.EngineId;
+import org.gentianslip.core.id.InstanceId;
 import org.junit.jupiter.api.DisplayName;
 import org.junit.jupiter.api.Test;
 
@@ -15,6 +16,9 @@
 
   private static final long SECOND = 1_000_000_000L;
 
+  private static final InstanceId SELF = InstanceId.of("self");
+  private static final InstanceId PEER = InstanceId.of("peer");
+
   private final PromptDirectory directory = new PromptDirectory();
 
   private static PromptHolder holder(String part, String engine, long prefilledNanos) {
@@ -23,35 +27,56 @@
 
   @Test
   void returnsTheMostRecentHolderFirst() {
-    directory.record(0, holder("p", "a", 0));
-    directory.record(SECOND, holder("p", "b", SECOND));
+    directory.record(SELF, holder("p", "a", 0));
+    directory.record(SELF, holder("p", "b", SECOND));
     assertThat(directory.holders(SECOND, "p"), contains(EngineId.of("b"), EngineId.of("a")));
   }
 
   @Test
   void doesNotRecordShortParts() {
-    directory.record(0, new PromptHolder(new PromptPart("p", 90), EngineId.of("a"), 0));
+    directory.record(SELF, new PromptHolder(new PromptPart("p", 90), EngineId.of("a"), 0));
     assertThat(directory.holders(0, "p"), is(empty()));
   }
 
   @Test
   void dropsOldEntries() {
-    directory.record(0, holder("p", "a", 0));
+    directory.record(SELF, holder("p", "a", 0));
     assertThat(directory.holders(60 * SECOND, "p"), is(empty()));
   }
 
   @Test
   void dropsTheEntriesOfAnEngine() {
-    directory.record(0, holder("p", "a", 0));
+    directory.record(SELF, holder("p", "a", 0));
     directory.forget(EngineId.of("a"));
     assertThat(directory.holders(0, "p"), is(empty()));
   }
 
   @Test
   void reportsNewEntriesOnce() {
-    assertThat(directory.record(0, holder("p", "a", 0)), is(true));
-    assertThat(directory.record(1, holder("p", "a", 1)), is(false));
-    assertThat(directory.recordedWithin(SECOND, 2 * SECOND), hasSize(1));
-    assertThat(directory.recordedWithin(3 * SECOND, 2 * SECOND), is(empty()));
+    assertThat(directory.record(SELF, holder("p", "a", 0)), is(true));
+    assertThat(directory.record(SELF, holder("p", "a", 1)), is(false));
+    assertThat(directory.recordedAfter(0, PEER, 9), hasSize(1));
+    assertThat(directory.recordedAfter(directory.lastChange(), PEER, 9), is(empty()));
+  }
+
+  @Test
+  void doesNotReportEntriesToTheInstanceTheyCameFrom() {
+    directory.record(PEER, holder("p", "a", 0));
+    assertThat(directory.recordedAfter(0, PEER, 9), is(empty()));
+    assertThat(directory.recordedAfter(0, SELF, 9), hasSize(1));
+  }
+
+  @Test
+  void reportsTheNewestEntriesIfThereAreTooMany() {
+    directory.record(SELF, holder("p", "a", 0));
+    directory.record(SELF, holder("q", "a", 0));
+    assertThat(directory.recordedAfter(0, PEER, 1), contains(holder("q", "a", 0)));
+  }
+
+  @Test
+  void forgetsExpiredEntries() {
+    directory.record(SELF, holder("p", "a", 0));
+    directory.dropExpired(60 * SECOND);
+    assertThat(directory.recordedAfter(0, PEER, 9), is(empty()));
   }
 }
--- a/entry/src/main/java/org/gentianslip/entry/fleet/FleetClient.java
+++ b/entry/src/main/java/org/gentianslip/entry/fleet/FleetClient.java
@@ -21,7 +21,7 @@
   private static final MediaType JSON = MediaType.get("application/json");
 
   /** The timeout of a call, which is less than the time until an instance counts as silent. */
-  private static final long TIMEOUT_MILLIS = 900;
+  private static final long TIMEOUT_MILLIS = 700;
 
   /** The size limit of a response, with room for a copy of all published items. */
   private static final int MAX_RESPONSE_BYTES = 4 << 20;
--- a/entry/src/main/java/org/gentianslip/entry/fleet/FleetExchange.java
+++ b/entry/src/main/java/org/gentianslip/entry/fleet/FleetExchange.java
@@ -6,70 +6,53 @@
 import io.jooby.Jooby;
 import io.jooby.MediaType;
 import io.jooby.StatusCode;
-import java.util.ArrayList;
-import java.util.Collections;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.SplittableRandom;
 import java.util.concurrent.ConcurrentHashMap;
-import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
-import java.util.concurrent.atomic.AtomicLong;
-import org.gentianslip.core.id.RegionId;
-import org.gentianslip.core.membership.PeerRecord;
+import org.gentianslip.core.fleet.Contact;
+import org.gentianslip.core.fleet.ContactPlanner;
+import org.gentianslip.core.fleet.PeerRecord;
 import org.gentianslip.entry.gateway.GatewayState;
 import org.gentianslip.entry.http.Json;
 import org.gentianslip.entry.published.PublishedStateUpdater;
 
 /**
- * Exchanges hellos with other instances.
+ * Exchanges messages with other instances, as a {@link ContactPlanner} decides.
  *
- * <p>In each round, a hello is sent to every live instance of the same region. Only every eighth
- * round sends a hello to another region, to one random instance, because traffic between regions is
- * expensive. Seeds and known instances that are silent are retried periodically. Safe for use by
- * several threads.
+ * <p>Safe for use by several threads.
  */
 public final class FleetExchange {
 
   /** The interval between rounds, in milliseconds. */
-  public static final long ROUND_MILLIS = 150;
+  public static final long ROUND_MILLIS = ContactPlanner.ROUND_MILLIS;
 
   private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
-  private static final String HELLO = "/peer/v1/fleet/hello";
+  private static final String SYNC = "/peer/v1/fleet/sync";
   private static final String PUBLISHED = "/peer/v1/fleet/published";
 
-  /** The number of rounds per hello to another region. */
-  private static final int REMOTE_ROUNDS = 8;
-
-  /** The number of rounds per retry of silent addresses. */
-  private static final int SILENT_RETRY_ROUNDS = 7;
-
-  /** The maximum number of silent addresses to retry in one round. */
-  private static final int MAX_SILENT_PER_ROUND = 2;
-
   private final GatewayState state;
   private final PublishedStateUpdater updater;
-  private final FleetHelloHandler helloHandler;
+  private final FleetMessages messages;
+  private final ContactPlanner planner;
   private final FleetClient client = new FleetClient();
-  private final AtomicLong roundCount = new AtomicLong();
   private final AtomicBoolean pulling = new AtomicBoolean();
   private final Set<String> pendingAddresses = ConcurrentHashMap.newKeySet();
+  private boolean wasRelay;
 
-  /**
-   * Creates an exchange for this instance.
-   *
-   * @param startedMillis the start time of this process, in Unix milliseconds
-   */
-  public FleetExchange(GatewayState state, PublishedStateUpdater updater, long startedMillis) {
+  /** Creates an exchange for this instance. */
+  public FleetExchange(GatewayState state, PublishedStateUpdater updater) {
     this.state = state;
     this.updater = updater;
-    this.helloHandler = new FleetHelloHandler(state, updater, startedMillis);
+    this.messages = new FleetMessages(state, updater);
+    this.planner = new ContactPlanner(state.fleet(), new SplittableRandom());
   }
 
   /** Adds the HTTP routes that other instances call. */
   public void addTo(Jooby app) {
-    app.post(HELLO, this::receiveHello);
+    app.post(SYNC, this::receive);
     app.get(
         PUBLISHED,
         ctx -> {
@@ -78,106 +61,74 @@
         });
   }
 
-  private Context receiveHello(Context ctx) {
+  private Context receive(Context ctx) {
     try {
-      FleetHello hello = Json.parse(ctx.body().bytes(), FleetHello.class);
-      applyHello(hello);
+      FleetMessage message = Json.parse(ctx.body().bytes(), FleetMessage.class);
+      PeerRecord sender = message.self().toRecord();
+      apply(message);
+      planner.answered(sender.id());
       ctx.setResponseType(MediaType.json);
-      boolean local = isSameRegion(RegionId.of(hello.self().region()));
-      return ctx.send(Json.bytes(helloHandler.create(System.nanoTime(), local)));
+      return ctx.send(
+          Json.bytes(
+              messages.create(System.nanoTime(), sender.id(), message.scope().ofResponse())));
     } catch (JsonProcessingException | IllegalArgumentException | NullPointerException e) {
       LOGGER.atWarning().atMostEvery(10, TimeUnit.SECONDS).log(
-          "fleet: event=bad-hello from=%s cause=%s", ctx.getRemoteAddress(), e.getMessage());
+          "fleet: event=bad-message from=%s cause=%s", ctx.getRemoteAddress(), e.getMessage());
       return ctx.send(StatusCode.BAD_REQUEST);
     }
   }
 
-  private boolean isSameRegion(RegionId region) {
-    return region.equals(state.config().region());
-  }
-
   /** Performs one round; must be called every {@link #ROUND_MILLIS}. */
   public void round(long nowNanos) {
-    long round = roundCount.getAndIncrement();
-    List<PeerRecord> live = state.peers().live(nowNanos);
-    List<PeerRecord> remotePeers = live.stream().filter(p -> !isSameRegion(p.region())).toList();
-    Set<String> remote = new HashSet<>();
-    if (!remotePeers.isEmpty() && (round + hashCode()) % REMOTE_ROUNDS == 0) {
-      int index = ThreadLocalRandom.current().nextInt(remotePeers.size());
-      remote.add(remotePeers.get(index).controlAddress());
-    }
-    if (round % SILENT_RETRY_ROUNDS == 0) {
-      remote.addAll(silentAddresses(nowNanos, live));
+    List<Contact> contacts =
+        planner.plan(
+            nowNanos, state.ownRecord(), state.config().seeds(), state.roundedWaits(nowNanos));
+    if (planner.isRelay() != wasRelay) {
+      wasRelay = planner.isRelay();
+      LOGGER.atInfo().log("fleet: event=relay active=%s", wasRelay);
     }
-    sendHellos(nowNanos, localAddresses(live), remote);
+    state.prompts().dropExpired(nowNanos);
+    contacts.forEach(c -> send(nowNanos, c));
   }
 
-  /** Sends a hello now, to all live instances of this region and to one of each other region. */
+  /** Tells the relays of all data centres now that the state of this instance has changed. */
   public void announce(long nowNanos) {
-    List<PeerRecord> live = state.peers().live(nowNanos);
-    Set<RegionId> regions = new HashSet<>();
-    Set<String> remote = new HashSet<>();
-    for (PeerRecord peer : live) {
-      if (!isSameRegion(peer.region()) && regions.add(peer.region())) {
-        remote.add(peer.controlAddress());
-      }
-    }
-    sendHellos(nowNanos, localAddresses(live), remote);
-  }
-
-  private Set<String> localAddresses(List<PeerRecord> live) {
-    Set<String> local = new HashSet<>();
-    live.stream().filter(p -> isSameRegion(p.region())).forEach(p -> local.add(p.controlAddress()));
-    return local;
-  }
-
-  /** Returns random addresses of seeds and known instances that are not live. */
-  private List<String> silentAddresses(long nowNanos, List<PeerRecord> live) {
-    List<String> silentAddresses = new ArrayList<>(state.config().seeds());
-    state.peers().known(nowNanos).forEach(p -> silentAddresses.add(p.controlAddress()));
-    live.forEach(p -> silentAddresses.removeIf(p.controlAddress()::equals));
-    silentAddresses.remove(state.config().controlAddress());
-    Collections.shuffle(silentAddresses);
-    return silentAddresses.stream().limit(MAX_SILENT_PER_ROUND).toList();
-  }
-
-  private void sendHellos(long nowNanos, Set<String> local, Set<String> remote) {
-    if (!local.isEmpty()) {
-      byte[] hello = Json.bytes(helloHandler.create(nowNanos, true));
-      local.forEach(address -> send(address, hello));
-    }
-    if (!remote.isEmpty()) {
-      byte[] hello = Json.bytes(helloHandler.create(nowNanos, false));
-      remote.forEach(address -> send(address, hello));
-    }
+    planner.announcement(nowNanos).forEach(c -> send(nowNanos, c));
   }
 
-  private void send(String address, byte[] hello) {
+  private void send(long nowNanos, Contact contact) {
+    String address = contact.controlAddress();
     if (address.equals(state.config().controlAddress()) || !pendingAddresses.add(address)) {
       return;
     }
+    FleetMessage message =
+        contact.id().isPresent()
+            ? messages.create(nowNanos, contact.id().get(), contact.scope())
+            : messages.introduction();
     client.post(
         address,
-        HELLO,
-        hello,
-        FleetHello.class,
+        SYNC,
+        Json.bytes(message),
+        FleetMessage.class,
         new FleetClient.Listener<>() {
           @Override
-          public void onResponse(FleetHello response) {
+          public void onResponse(FleetMessage response) {
             pendingAddresses.remove(address);
-            applyHello(response);
+            apply(response);
+            planner.answered(response.self().toRecord().id());
           }
 
           @Override
           public void onFailure() {
             pendingAddresses.remove(address);
+            contact.id().ifPresent(id -> planner.failed(System.nanoTime(), id));
           }
         });
   }
 
-  private void applyHello(FleetHello hello) {
-    if (helloHandler.apply(System.nanoTime(), hello)) {
-      pullPublished(hello.self().toRecord());
+  private void apply(FleetMessage message) {
+    if (messages.apply(System.nanoTime(), message, planner.isRelay())) {
+      pullPublished(message.self().toRecord());
     }
   }
 
--- /dev/null
+++ b/entry/src/main/java/org/gentianslip/entry/fleet/FleetMessage.java
@@ -0,0 +1,190 @@
+package org.gentianslip.entry.fleet;
+
+import com.fasterxml.jackson.annotation.JsonFormat;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import org.gentianslip.core.fleet.DataCentreSummary;
+import org.gentianslip.core.fleet.LoadScope;
+import org.gentianslip.core.fleet.PeerRecord;
+import org.gentianslip.core.fleet.PeerStatement;
+import org.gentianslip.core.fleet.SyncAck;
+import org.gentianslip.core.fleet.SyncMessage;
+import org.gentianslip.core.id.DataCentreId;
+import org.gentianslip.core.id.EngineId;
+import org.gentianslip.core.id.InstanceId;
+import org.gentianslip.core.id.RegionId;
+import org.gentianslip.core.id.ServiceId;
+import org.gentianslip.core.load.PromptHolder;
+import org.gentianslip.core.load.PromptPart;
+
+/**
+ * The JSON form of a message from one instance to another. Values that are sent often are arrays.
+ *
+ * @param self the record of the sender
+ * @param number the number up to which the sender's changes are complete
+ * @param ack what the sender has received from the receiver
+ * @param peers the changes of other instances
+ * @param centres the changes of data centres
+ * @param revision the published revision known to the sender
+ * @param version the version of the configuration in force at the sender
+ * @param scope whose loads are reported
+ * @param loads the loads of backend servers by id, without those that are zero. Each array holds
+ *     the number of running requests, the time to prefill the pending urgent prompts, and the time
+ *     to prefill the pending other prompts, both times in milliseconds
+ * @param prompts the engines that have recently prefilled shared parts of prompts
+ * @param promptNumber the number up to which these are complete
+ * @param promptAck what the sender has received of the receiver's prompts
+ */
+record FleetMessage(
+    Instance self,
+    long number,
+    Ack ack,
+    List<Statement> peers,
+    List<Summary> centres,
+    long revision,
+    long version,
+    LoadScope scope,
+    Map<String, int[]> loads,
+    List<Prompt> prompts,
+    long promptNumber,
+    Ack promptAck) {
+
+  FleetMessage {
+    peers = peers == null ? List.of() : List.copyOf(peers);
+    centres = centres == null ? List.of() : List.copyOf(centres);
+    scope = scope == null ? LoadScope.NONE : scope;
+    loads = loads == null ? Map.of() : Map.copyOf(loads);
+    prompts = prompts == null ? List.of() : List.copyOf(prompts);
+  }
+
+  /** Returns the part of this message that concerns the fleet. */
+  SyncMessage toSync() {
+    return new SyncMessage(
+        self.toRecord(),
+        number,
+        ack.toAck(),
+        peers.stream().map(Statement::toStatement).toList(),
+        centres.stream().map(Summary::toSummary).toList());
+  }
+
+  /** The JSON form of a {@link SyncAck}. */
+  @JsonFormat(shape = JsonFormat.Shape.ARRAY)
+  record Ack(long incarnation, long number) {
+
+    static Ack of(SyncAck ack) {
+      return new Ack(ack.incarnation(), ack.number());
+    }
+
+    SyncAck toAck() {
+      return new SyncAck(incarnation, number);
+    }
+  }
+
+  /** The JSON form of a {@link PeerRecord}. */
+  @JsonFormat(shape = JsonFormat.Shape.ARRAY)
+  record Instance(
+      String id,
+      long incarnation,
+      long beat,
+      String region,
+      String dataCentre,
+      String callers,
+      String control,
+      String forward,
+      int capacity,
+      boolean ready,
+      boolean leaving) {
+
+    static Instance of(PeerRecord peer) {
+      return new Instance(
+          peer.id().value(),
+          peer.incarnation(),
+          peer.beat(),
+          peer.region().value(),
+          peer.dataCentre().value(),
+          peer.callerAddress(),
+          peer.controlAddress(),
+          peer.forwardAddress(),
+          peer.capacity(),
+          peer.ready(),
+          peer.leaving());
+    }
+
+    PeerRecord toRecord() {
+      return new PeerRecord(
+          InstanceId.of(id),
+          incarnation,
+          beat,
+          RegionId.of(region),
+          DataCentreId.of(dataCentre),
+          callers,
+          control,
+          forward,
+          capacity,
+          ready,
+          leaving);
+    }
+  }
+
+  /** The JSON form of a {@link PeerStatement}. */
+  @JsonFormat(shape = JsonFormat.Shape.ARRAY)
+  record Statement(Instance peer, boolean silent, long silentMillis) {
+
+    static Statement of(PeerStatement statement) {
+      return new Statement(
+          Instance.of(statement.peer()), statement.silent(), statement.silentMillis());
+    }
+
+    PeerStatement toStatement() {
+      return new PeerStatement(peer.toRecord(), silent, silentMillis);
+    }
+  }
+
+  /** The JSON form of a {@link DataCentreSummary}. */
+  @JsonFormat(shape = JsonFormat.Shape.ARRAY)
+  record Summary(String dataCentre, String region, long beat, Map<String, Integer> waits) {
+
+    static Summary of(DataCentreSummary summary) {
+      Map<String, Integer> waits = new HashMap<>();
+      summary.waitMillis().forEach((s, w) -> waits.put(s.value(), w));
+      return new Summary(
+          summary.dataCentre().value(), summary.region().value(), summary.beat(), waits);
+    }
+
+    DataCentreSummary toSummary() {
+      Map<ServiceId, Integer> byService = new HashMap<>();
+      waits.forEach((s, w) -> byService.put(ServiceId.of(s), w));
+      return new DataCentreSummary(
+          DataCentreId.of(dataCentre), RegionId.of(region), beat, byService);
+    }
+  }
+
+  /**
+   * The JSON form of a {@link PromptHolder}, with an age because the clocks of instances differ.
+   *
+   * @param part the id of the part of a prompt
+   * @param tokens the length of the part, in tokens
+   * @param engine the id of the engine that has prefilled it
+   * @param age the time since then, in milliseconds
+   */
+  @JsonFormat(shape = JsonFormat.Shape.ARRAY)
+  record Prompt(String part, long tokens, String engine, long age) {
+
+    static Prompt of(long nowNanos, PromptHolder holder) {
+      return new Prompt(
+          holder.part().id(),
+          holder.part().tokens(),
+          holder.engine().value(),
+          TimeUnit.NANOSECONDS.toMillis(nowNanos - holder.prefilledNanos()));
+    }
+
+    PromptHolder toHolder(long nowNanos) {
+      return new PromptHolder(
+          new PromptPart(part, tokens),
+          EngineId.of(engine),
+          nowNanos - TimeUnit.MILLISECONDS.toNanos(Math.max(0, age)));
+    }
+  }
+}
--- /dev/null
+++ b/entry/src/main/java/org/gentianslip/entry/fleet/FleetMessages.java
@@ -0,0 +1,194 @@
+package org.gentianslip.entry.fleet;
+
+import com.google.common.flogger.FluentLogger;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import org.gentianslip.core.fleet.LoadScope;
+import org.gentianslip.core.fleet.PeerRecord;
+import org.gentianslip.core.fleet.SyncAck;
+import org.gentianslip.core.fleet.SyncCursors;
+import org.gentianslip.core.fleet.SyncMessage;
+import org.gentianslip.core.id.EngineId;
+import org.gentianslip.core.id.InstanceId;
+import org.gentianslip.core.load.BackendLoad;
+import org.gentianslip.core.load.LoadSource;
+import org.gentianslip.core.load.PeerLoad;
+import org.gentianslip.core.route.RouteTable;
+import org.gentianslip.entry.gateway.GatewayState;
+import org.gentianslip.entry.published.PublishedStateUpdater;
+
+/**
+ * Creates messages for other instances and applies those received from them.
+ *
+ * <p>Safe for use by several threads.
+ */
+final class FleetMessages {
+
+  private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+
+  /** The age of the published state from which a newer copy is pulled from another instance. */
+  private static final long STALE_NANOS = TimeUnit.MILLISECONDS.toNanos(900);
+
+  /** The maximum number of prompts in one message, the newest ones. */
+  private static final int MAX_PROMPTS = 200;
+
+  private final GatewayState state;
+  private final PublishedStateUpdater updater;
+  private final SyncCursors promptCursors = new SyncCursors();
+  private final Set<InstanceId> knownInstances = ConcurrentHashMap.newKeySet();
+
+  FleetMessages(GatewayState state, PublishedStateUpdater updater) {
+    this.state = state;
+    this.updater = updater;
+  }
+
+  private long routesVersion() {
+    return state.published().routes().map(RouteTable::version).orElse(0L);
+  }
+
+  /** Returns a message for an instance of which only the address is known. */
+  FleetMessage introduction() {
+    return message(
+        state.fleet().introduction(state.ownRecord()),
+        LoadScope.NONE,
+        Map.of(),
+        List.of(),
+        0,
+        SyncAck.NONE);
+  }
+
+  /**
+   * Returns a message for another instance.
+   *
+   * @param scope whose loads to report
+   */
+  FleetMessage create(long nowNanos, InstanceId receiver, LoadScope scope) {
+    SyncMessage sync = state.fleet().compose(nowNanos, state.ownRecord(), receiver);
+    long promptNumber = state.prompts().lastChange();
+    List<FleetMessage.Prompt> prompts =
+        state
+            .prompts()
+            .recordedAfter(promptCursors.acknowledgedBy(receiver), receiver, MAX_PROMPTS)
+            .stream()
+            .map(h -> FleetMessage.Prompt.of(nowNanos, h))
+            .toList();
+    return message(
+        sync,
+        scope,
+        loads(nowNanos, receiver, scope),
+        prompts,
+        promptNumber,
+        promptCursors.receivedFrom(receiver));
+  }
+
+  private FleetMessage message(
+      SyncMessage sync,
+      LoadScope scope,
+      Map<String, int[]> loads,
+      List<FleetMessage.Prompt> prompts,
+      long promptNumber,
+      SyncAck promptAck) {
+    return new FleetMessage(
+        FleetMessage.Instance.of(sync.self()),
+        sync.number(),
+        FleetMessage.Ack.of(sync.ack()),
+        sync.peers().stream().map(FleetMessage.Statement::of).toList(),
+        sync.summaries().stream().map(FleetMessage.Summary::of).toList(),
+        updater.revision(),
+        routesVersion(),
+        scope,
+        loads,
+        prompts,
+        promptNumber,
+        FleetMessage.Ack.of(promptAck));
+  }
+
+  private Map<String, int[]> loads(long nowNanos, InstanceId receiver, LoadScope scope) {
+    Map<String, int[]> loads = new HashMap<>();
+    if (scope == LoadScope.NONE) {
+      return loads;
+    }
+    state
+        .loads()
+        .forEach(
+            (id, load) -> {
+              PeerLoad sum = load(nowNanos, load, receiver, scope);
+              int urgentMillis = (int) Math.round(sum.urgentPrefillMillis());
+              int otherMillis = (int) Math.round(sum.otherPrefillMillis());
+              if (sum.running() != 0 || urgentMillis != 0 || otherMillis != 0) {
+                loads.put(id.value(), new int[] {sum.running(), urgentMillis, otherMillis});
+              }
+            });
+    return loads;
+  }
+
+  private static PeerLoad load(
+      long nowNanos, BackendLoad load, InstanceId receiver, LoadScope scope) {
+    return switch (scope) {
+      case NONE -> PeerLoad.zero(nowNanos);
+      case INSTANCE -> load.localLoad(nowNanos);
+      case DATA_CENTRE -> load.dataCentreLoad(nowNanos);
+      case REGION -> load.regionLoadWithout(nowNanos, LoadSource.instance(receiver));
+    };
+  }
+
+  /**
+   * Applies a message received from another instance.
+   *
+   * @param relay whether this instance is the relay of its data centre
+   * @return whether the published items should be pulled from that instance
+   */
+  boolean apply(long nowNanos, FleetMessage message, boolean relay) {
+    SyncMessage sync = message.toSync();
+    PeerRecord peer = sync.self();
+    if (peer.id().equals(state.config().id())) {
+      return false;
+    }
+    state.fleet().apply(nowNanos, sync);
+    if (knownInstances.add(peer.id())) {
+      LOGGER.atInfo().log(
+          "fleet: event=heard instance=%s region=%s life=%s",
+          peer.id(), peer.region(), peer.incarnation());
+    }
+    source(peer, message.scope(), relay).ifPresent(s -> applyLoads(nowNanos, s, message.loads()));
+    message.prompts().forEach(p -> state.addPromptHolder(peer.id(), p.toHolder(nowNanos)));
+    promptCursors.record(
+        peer.id(),
+        new SyncAck(peer.incarnation(), message.promptNumber()),
+        message.promptAck().toAck(),
+        state.fleet().peers().ownIncarnation());
+    boolean behind = message.version() > routesVersion() || state.published().routes().isEmpty();
+    boolean stale =
+        state.confirmationAgeNanos(nowNanos) > STALE_NANOS
+            && message.revision() > updater.revision();
+    return (behind || stale) && message.version() > 0;
+  }
+
+  private Optional<LoadSource> source(PeerRecord peer, LoadScope scope, boolean relay) {
+    boolean sameDataCentre = peer.dataCentre().equals(state.config().dataCentre());
+    return switch (scope) {
+      case NONE -> Optional.empty();
+      case INSTANCE ->
+          sameDataCentre ? Optional.of(LoadSource.instance(peer.id())) : Optional.empty();
+      case DATA_CENTRE ->
+          sameDataCentre ? Optional.empty() : Optional.of(LoadSource.dataCentre(peer.dataCentre()));
+      case REGION -> relay ? Optional.empty() : Optional.of(LoadSource.restOfRegion());
+    };
+  }
+
+  private void applyLoads(long nowNanos, LoadSource source, Map<String, int[]> loads) {
+    for (Map.Entry<EngineId, BackendLoad> e : state.loads().entrySet()) {
+      int[] load = loads.get(e.getKey().value());
+      if (load == null) {
+        e.getValue().clearPeerLoad(source, nowNanos);
+      } else {
+        e.getValue().recordPeerLoad(source, new PeerLoad(load[0], load[1], load[2], nowNanos));
+      }
+    }
+  }
+}
--- a/entry/src/main/java/org/gentianslip/entry/fleet/InstanceSelector.java
+++ b/entry/src/main/java/org/gentianslip/entry/fleet/InstanceSelector.java
@@ -5,8 +5,9 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Set;
+import org.gentianslip.core.fleet.FleetSnapshot;
+import org.gentianslip.core.fleet.PeerRecord;
 import org.gentianslip.core.id.RegionId;
-import org.gentianslip.core.membership.PeerRecord;
 import org.gentianslip.core.route.RouteTable;
 import org.gentianslip.entry.gateway.GatewayConfig;
 import org.gentianslip.entry.gateway.GatewayState;
@@ -45,9 +46,13 @@
     List<String> local = new ArrayList<>();
     List<String> inAllowedRegions = new ArrayList<>();
     List<String> others = new ArrayList<>();
-    for (PeerRecord peer : state.peers().serving(nowNanos)) {
-      listOf(peer.region(), region, allowed, local, inAllowedRegions, others)
-          .add(peer.callerAddress());
+    FleetSnapshot snapshot = state.fleet().snapshot(nowNanos);
+    for (RegionId instanceRegion : snapshot.regions()) {
+      List<String> addresses =
+          listOf(instanceRegion, region, allowed, local, inAllowedRegions, others);
+      for (PeerRecord peer : snapshot.serving(instanceRegion)) {
+        addresses.add(peer.callerAddress());
+      }
     }
     String ownAddress = config.host() + ":" + config.callerPort();
     if (state.ready()) {
--- a/entry/src/main/java/org/gentianslip/entry/gateway/BackendRegistry.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/BackendRegistry.java
@@ -11,13 +11,13 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Predicate;
 import java.util.function.Supplier;
+import org.gentianslip.core.fleet.FleetView;
 import org.gentianslip.core.id.EngineId;
 import org.gentianslip.core.id.ServiceId;
 import org.gentianslip.core.load.BackendGroup;
 import org.gentianslip.core.load.BackendLoad;
 import org.gentianslip.core.load.Candidates;
 import org.gentianslip.core.load.RequestSize;
-import org.gentianslip.core.membership.PeerRegistry;
 import org.gentianslip.core.published.Backend;
 import org.gentianslip.core.published.PublishedState;
 import org.gentianslip.core.route.EngineProfile;
@@ -36,15 +36,15 @@
   private static final int MIN_ASSUMED_INSTANCES = 3;
 
   private final Supplier<GatewayConfig> config;
-  private final PeerRegistry peers;
+  private final FleetView fleet;
   private final Map<EngineId, BackendLoad> loads = new ConcurrentHashMap<>();
 
   /** The backend servers of this region that accept work, by service; replaced as a whole. */
   private volatile Map<ServiceId, BackendGroup> groups = Map.of();
 
-  BackendRegistry(Supplier<GatewayConfig> config, PeerRegistry peers) {
+  BackendRegistry(Supplier<GatewayConfig> config, FleetView fleet) {
     this.config = config;
-    this.peers = peers;
+    this.fleet = fleet;
   }
 
   /** Updates the backend servers from one published state to the next. */
@@ -142,7 +142,7 @@
       return 0;
     }
     GatewayBounds bounds = config.get().bounds();
-    int instances = Math.max(MIN_ASSUMED_INSTANCES, peers.countInRegion());
+    int instances = Math.max(MIN_ASSUMED_INSTANCES, fleet.peers().knownInRegion().size());
     return GatewayBounds.SAFETY_FACTOR
         * (regionPerSecond * bounds.coldShare() + bounds.coldExtra())
         / instances;
--- a/entry/src/main/java/org/gentianslip/entry/gateway/ForwardAttempt.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/ForwardAttempt.java
@@ -1,8 +1,8 @@
 package org.gentianslip.entry.gateway;
 
 import io.netty.handler.codec.http.HttpHeaders;
+import org.gentianslip.core.fleet.PeerRecord;
 import org.gentianslip.core.id.EngineId;
-import org.gentianslip.core.membership.PeerRecord;
 
 /**
  * An attempt at an instance of another region, which does not forward the request again. Confined
--- a/entry/src/main/java/org/gentianslip/entry/gateway/ForwardTargets.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/ForwardTargets.java
@@ -1,19 +1,21 @@
 package org.gentianslip.entry.gateway;
 
-import java.util.HashMap;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
+import org.gentianslip.core.fleet.FleetSnapshot;
+import org.gentianslip.core.fleet.FleetView;
+import org.gentianslip.core.fleet.PeerRecord;
 import org.gentianslip.core.id.InstanceId;
 import org.gentianslip.core.id.RegionId;
 import org.gentianslip.core.id.ServiceId;
 import org.gentianslip.core.load.RegionOption;
-import org.gentianslip.core.membership.PeerRecord;
-import org.gentianslip.core.membership.PeerRegistry;
 import org.gentianslip.core.route.Route;
 
 /**
@@ -32,13 +34,13 @@
   /** The assumed round-trip time to another region, in milliseconds. */
   private static final double DEFAULT_ROUND_TRIP_MILLIS = 112;
 
-  private final PeerRegistry peers;
+  private final FleetView fleet;
   private final RegionId ownRegion;
   private final Map<RegionId, Long> regionPausedUntil = new ConcurrentHashMap<>();
   private final Map<InstanceId, Long> instancePausedUntil = new ConcurrentHashMap<>();
 
-  ForwardTargets(PeerRegistry peers, RegionId ownRegion) {
-    this.peers = peers;
+  ForwardTargets(FleetView fleet, RegionId ownRegion) {
+    this.fleet = fleet;
     this.ownRegion = ownRegion;
   }
 
@@ -49,29 +51,26 @@
    */
   List<RegionOption> candidates(
       long nowNanos, Route route, ServiceId service, Set<RegionId> promptRegions) {
-    Map<RegionId, RegionOption> byRegion = new HashMap<>();
-    for (PeerRecord peer : peers.serving(nowNanos)) {
-      Double wait = peer.waitMillis().get(service);
-      Long pausedUntil = regionPausedUntil.get(peer.region());
+    FleetSnapshot snapshot = fleet.snapshot(nowNanos);
+    List<RegionOption> options = new ArrayList<>();
+    for (RegionId region : snapshot.regions()) {
+      OptionalInt wait = snapshot.waitMillis(region, service);
+      Long pausedUntil = regionPausedUntil.get(region);
       boolean regionAvailable = pausedUntil == null || nowNanos - pausedUntil >= 0;
-      if (wait == null
-          || !regionAvailable
-          || isPaused(nowNanos, peer)
-          || !route.allows(peer.region())
-          || peer.region().equals(ownRegion)) {
-        continue;
+      if (wait.isPresent()
+          && regionAvailable
+          && !region.equals(ownRegion)
+          && route.allows(region)
+          && selectInstance(nowNanos, region).isPresent()) {
+        options.add(
+            new RegionOption(
+                region,
+                wait.getAsInt(),
+                DEFAULT_ROUND_TRIP_MILLIS,
+                promptRegions.contains(region)));
       }
-      // The wait of a region is the longest one that its instances report.
-      byRegion.merge(
-          peer.region(),
-          new RegionOption(
-              peer.region(),
-              wait,
-              DEFAULT_ROUND_TRIP_MILLIS,
-              promptRegions.contains(peer.region())),
-          (a, b) -> a.waitMillis() >= b.waitMillis() ? a : b);
     }
-    return List.copyOf(byRegion.values());
+    return options;
   }
 
   /** Pauses forwarding to a region that refused a request or has no available instance. */
@@ -92,8 +91,7 @@
   /** Returns a random available instance of a region. */
   Optional<PeerRecord> selectInstance(long nowNanos, RegionId region) {
     List<PeerRecord> available =
-        peers.serving(nowNanos).stream()
-            .filter(p -> p.region().equals(region))
+        fleet.snapshot(nowNanos).serving(region).stream()
             .filter(p -> !isPaused(nowNanos, p))
             .toList();
     return available.isEmpty()
--- a/entry/src/main/java/org/gentianslip/entry/gateway/GatewayConfig.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/GatewayConfig.java
@@ -20,6 +20,7 @@
  * @param controlPort the port for hellos of other instances
  * @param forwardPort the port for requests that other instances forward
  * @param seeds control addresses of some instances, possibly outdated
+ * @param capacity the processor capacity, in hundredths of a core
  * @param bounds the bounds that operators set
  */
 public record GatewayConfig(
@@ -32,6 +33,7 @@
     int controlPort,
     int forwardPort,
     List<String> seeds,
+    int capacity,
     GatewayBounds bounds) {
 
   /** Copies the collections. */
@@ -62,6 +64,7 @@
         controlPort,
         forwardPort,
         newSeeds,
+        capacity,
         bounds);
   }
 }
--- a/entry/src/main/java/org/gentianslip/entry/gateway/GatewayOperatorView.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/GatewayOperatorView.java
@@ -5,11 +5,11 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import org.gentianslip.core.fleet.PeerRecord;
 import org.gentianslip.core.id.RequestId;
 import org.gentianslip.core.load.BackendEstimate;
 import org.gentianslip.core.load.BackendLoad;
 import org.gentianslip.core.load.RequestSize;
-import org.gentianslip.core.membership.PeerRecord;
 import org.gentianslip.core.published.Backend;
 import org.gentianslip.core.published.PublishedState;
 import org.gentianslip.entry.explain.DecisionLog;
@@ -70,15 +70,15 @@
   }
 
   private void addInstances(long nowNanos, ArrayNode instances) {
-    List<PeerRecord> live = state.peers().live(nowNanos);
-    for (PeerRecord peer : state.peers().known(nowNanos)) {
+    List<PeerRecord> live = state.fleet().live(nowNanos);
+    for (PeerRecord peer : state.fleet().known(nowNanos)) {
       String listed = peer.leaving() ? "leaving" : "live";
       ObjectNode node = instances.addObject();
       node.put("id", peer.id().value());
       node.put("region", peer.region().value());
       node.put("listed", listed);
       node.put("heard", live.contains(peer));
-      node.put("incarnation", Long.toString(peer.startedMillis()));
+      node.put("incarnation", Long.toString(peer.incarnation()));
     }
   }
 
--- a/entry/src/main/java/org/gentianslip/entry/gateway/GatewayState.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/GatewayState.java
@@ -1,13 +1,18 @@
 package org.gentianslip.entry.gateway;
 
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Predicate;
+import org.gentianslip.core.fleet.FleetView;
+import org.gentianslip.core.fleet.PeerRecord;
 import org.gentianslip.core.id.EngineId;
+import org.gentianslip.core.id.InstanceId;
 import org.gentianslip.core.id.ServiceId;
 import org.gentianslip.core.limit.RepeatWindow;
 import org.gentianslip.core.load.BackendLoad;
@@ -16,7 +21,6 @@
 import org.gentianslip.core.load.PromptHolder;
 import org.gentianslip.core.load.RegionOption;
 import org.gentianslip.core.load.RequestSize;
-import org.gentianslip.core.membership.PeerRegistry;
 import org.gentianslip.core.published.Backend;
 import org.gentianslip.core.published.PublishedState;
 import org.gentianslip.core.route.Route;
@@ -36,7 +40,8 @@
   private final AtomicReference<PublishedState> published =
       new AtomicReference<>(PublishedState.NONE);
   private final Map<ServiceId, RepeatWindow> repeats = new ConcurrentHashMap<>();
-  private final PeerRegistry peers;
+  private final FleetView fleet;
+  private final AtomicLong beat = new AtomicLong();
   private final BackendRegistry backends;
   private final PromptLocator prompts;
   private final ForwardTargets forwardTargets;
@@ -44,13 +49,17 @@
   private volatile boolean refusing;
   private volatile long confirmedNanos = System.nanoTime();
 
-  /** Creates a state that has only a configuration. */
-  public GatewayState(GatewayConfig config) {
+  /**
+   * Creates a state that has only a configuration.
+   *
+   * @param startedMillis the start time of this process, in Unix milliseconds
+   */
+  public GatewayState(GatewayConfig config, long startedMillis) {
     this.config = new AtomicReference<>(config);
-    this.peers = new PeerRegistry(config.id(), config.region());
-    this.backends = new BackendRegistry(this::config, peers);
+    this.fleet = new FleetView(record(config, startedMillis));
+    this.backends = new BackendRegistry(this::config, fleet);
     this.prompts = new PromptLocator(this::config);
-    this.forwardTargets = new ForwardTargets(peers, config.region());
+    this.forwardTargets = new ForwardTargets(fleet, config.region());
   }
 
   /** Returns the configuration of this instance. */
@@ -64,8 +73,28 @@
   }
 
   /** Returns the other instances. */
-  public PeerRegistry peers() {
-    return peers;
+  public FleetView fleet() {
+    return fleet;
+  }
+
+  /** Returns a new record of this instance, to be sent to others. */
+  public PeerRecord ownRecord() {
+    return record(config(), fleet.peers().ownIncarnation());
+  }
+
+  private PeerRecord record(GatewayConfig c, long incarnation) {
+    return new PeerRecord(
+        c.id(),
+        incarnation,
+        beat.incrementAndGet(),
+        c.region(),
+        c.dataCentre(),
+        c.host() + ":" + c.callerPort(),
+        c.controlAddress(),
+        c.host() + ":" + c.forwardPort(),
+        c.capacity(),
+        ready(),
+        leaving);
   }
 
   /** Returns the published state. */
@@ -133,12 +162,12 @@
 
   /** Records that an engine has read a prompt. */
   void recordPromptRead(long nowNanos, EngineId engine, RequestSize size) {
-    prompts.recordRead(nowNanos, engine, size);
+    prompts.recordRead(nowNanos, config().id(), engine, size);
   }
 
   /** Applies a report from another instance that an engine has read a part of a prompt. */
-  public void addPromptHolder(long nowNanos, PromptHolder holder) {
-    if (prompts.directory().record(nowNanos, holder)) {
+  public void addPromptHolder(InstanceId source, PromptHolder holder) {
+    if (prompts.directory().record(source, holder)) {
       load(holder.engine()).ifPresent(l -> l.recordPrefill(holder.part()));
     }
   }
@@ -147,8 +176,12 @@
    * Returns the expected wait for each service with backend servers in this region, in
    * milliseconds.
    */
-  public Map<ServiceId, Double> waits(long nowNanos) {
-    return backends.waits(nowNanos, published.get());
+  public Map<ServiceId, Integer> roundedWaits(long nowNanos) {
+    Map<ServiceId, Integer> rounded = new HashMap<>();
+    backends
+        .waits(nowNanos, published.get())
+        .forEach((service, wait) -> rounded.put(service, (int) Math.round(wait)));
+    return rounded;
   }
 
   /**
@@ -179,7 +212,7 @@
 
   /** Returns the share of this instance in the extra repeats. */
   double extraRepeatShare() {
-    int instances = Math.max(MIN_ASSUMED_INSTANCES, peers.count());
+    int instances = Math.max(MIN_ASSUMED_INSTANCES, fleet.peers().count());
     return GatewayBounds.SAFETY_FACTOR * config().bounds().repeatExtra() / instances;
   }
 
@@ -209,6 +242,6 @@
 
   /** Discards what may have become outdated during a pause of this process. */
   public void resetAfterPause(long nowNanos) {
-    peers.expireAll(nowNanos);
+    fleet.expireAll(nowNanos);
   }
 }
--- a/entry/src/main/java/org/gentianslip/entry/gateway/PromptLocator.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/PromptLocator.java
@@ -7,6 +7,7 @@
 import java.util.Set;
 import java.util.function.Supplier;
 import org.gentianslip.core.id.EngineId;
+import org.gentianslip.core.id.InstanceId;
 import org.gentianslip.core.id.RegionId;
 import org.gentianslip.core.id.ServiceId;
 import org.gentianslip.core.load.BackendOption;
@@ -49,9 +50,8 @@
   }
 
   /** Records that an engine has read a prompt. */
-  void recordRead(long nowNanos, EngineId engine, RequestSize size) {
-    size.sharedPart()
-        .ifPresent(p -> directory.record(nowNanos, new PromptHolder(p, engine, nowNanos)));
+  void recordRead(long nowNanos, InstanceId self, EngineId engine, RequestSize size) {
+    size.sharedPart().ifPresent(p -> directory.record(self, new PromptHolder(p, engine, nowNanos)));
   }
 
   /** Adds to each candidate the engine that it may copy the shared part of a prompt from. */
--- a/entry/src/main/java/org/gentianslip/entry/gateway/RequestExecution.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/RequestExecution.java
@@ -5,10 +5,10 @@
 import java.util.Optional;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
+import org.gentianslip.core.fleet.PeerRecord;
 import org.gentianslip.core.load.BackendDecision;
 import org.gentianslip.core.load.RequestSize;
 import org.gentianslip.core.load.RetryDelay;
-import org.gentianslip.core.membership.PeerRecord;
 import org.gentianslip.core.route.Route;
 
 /**
--- a/entry/src/test/java/org/gentianslip/entry/gateway/BackendRegistryTest.java
+++ b/entry/src/test/java/org/gentianslip/entry/gateway/BackendRegistryTest.java
@@ -17,7 +17,6 @@
 import org.gentianslip.core.load.Candidates;
 import org.gentianslip.core.load.PromptPart;
 import org.gentianslip.core.load.RequestSize;
-import org.gentianslip.core.membership.PeerRegistry;
 import org.gentianslip.core.published.Backend;
 import org.gentianslip.core.published.PublishedState;
 import org.gentianslip.core.route.CallerLimits;
@@ -50,9 +49,10 @@
           2,
           3,
           List.of(),
+          100,
           new GatewayBounds(0.2, 56, 10_000, 1.5, 3, 8_000));
   private final BackendRegistry registry =
-      new BackendRegistry(() -> config, new PeerRegistry(config.id(), config.region()));
+      new BackendRegistry(() -> config, new GatewayState(config, 1).fleet());
 
   private static PublishedState published(Optional<RouteTable> routes) {
     var backend = new Backend(ENGINE, FARM, "127.0.0.1:80", CENTRE, 64, false, 0, 0);
