Let members without load report once a second

Change: a member reports in each round of 250 ms while it has requests at backend servers and once a second otherwise; after its relay has changed it reports in each of eight rounds, or a restart of all takes longer than 5 s (FleetExchangeTest.findsAllAgainAfterRestartOfAll failed without that).

--- a/core/src/main/java/org/gentianslip/core/fleet/ContactPlanner.java
+++ b/core/src/main/java/org/gentianslip/core/fleet/ContactPlanner.java
@@ -31,22 +31,28 @@
 public final class ContactPlanner {
 
   /** The interval between rounds, in milliseconds. */
-  public static final long ROUND_MILLIS = 200;
+  public static final long ROUND_MILLIS = 250;
 
   /** The number of members that contact their relay in each round; larger groups take turns. */
   private static final int MEMBERS_PER_ROUND = 16;
 
+  /** The rounds in which a member reports without pause after its relay has changed. */
+  private static final int INTRODUCTION_ROUNDS = 8;
+
   /** The rounds from one exchange with a relay of the own region to the next one begun here. */
   private static final int REGION_ROUNDS = 2;
 
   /** The rounds from one exchange with other regions to the next. */
-  private static final int REMOTE_ROUNDS = 5;
+  private static final int REMOTE_ROUNDS = 4;
+
+  /** The rounds from one report of a member without load to the next. */
+  private static final int IDLE_ROUNDS = 4;
 
   /** The other regions contacted at a time. */
   private static final int REMOTE_REGIONS = 4;
 
   /** The rounds from one attempt to reach lost instances to the next. */
-  private static final int LOST_ROUNDS = 5;
+  private static final int LOST_ROUNDS = 4;
 
   /** The lost instances contacted at a time. */
   private static final int LOST_CONTACTS = 3;
@@ -58,16 +64,19 @@
   private static final long SUSPICION_NANOS = TimeUnit.SECONDS.toNanos(3);
 
   /** How long a member may be unheard before its relay probes it. */
-  private static final long PROBE_NANOS = TimeUnit.MILLISECONDS.toNanos(1_000);
+  private static final long PROBE_NANOS = TimeUnit.MILLISECONDS.toNanos(1_400);
 
   /** How long a member may be unheard before its relay states that it is silent. */
-  static final long SILENCE_NANOS = TimeUnit.MILLISECONDS.toNanos(2_200);
+  static final long SILENCE_NANOS = TimeUnit.MILLISECONDS.toNanos(2_600);
 
   private final FleetView view;
   private final RandomGenerator random;
   private final Map<InstanceId, Long> suspectedUntil = new ConcurrentHashMap<>();
   private long round;
   private boolean relay;
+  private boolean wasBusy;
+  private InstanceId lastRelay;
+  private long relayChangeRound;
   private long relaySinceNanos;
 
   /**
@@ -108,9 +117,15 @@
    * @param self the present record of this instance
    * @param seeds addresses of some instances, possibly outdated
    * @param waitMillis the expected wait for each service, in milliseconds
+   * @param busy whether this instance puts load on backend servers; without load, a member reports
+   *     less often
    */
   public List<Contact> plan(
-      long nowNanos, PeerRecord self, List<String> seeds, Map<ServiceId, Integer> waitMillis) {
+      long nowNanos,
+      PeerRecord self,
+      List<String> seeds,
+      Map<ServiceId, Integer> waitMillis,
+      boolean busy) {
     round++;
     List<PeerRecord> live = new ArrayList<>(view.live(nowNanos));
     live.add(self);
@@ -119,7 +134,7 @@
     boolean wasRelay = relay;
     relay = members.isEmpty() || members.get(0).id().equals(self.id());
     if (!relay) {
-      return isTurn(self, members.size())
+      return reports(self, members, busy)
           ? List.of(Contact.of(members.get(0), LoadScope.INSTANCE))
           : List.of();
     }
@@ -127,8 +142,20 @@
     return relayContacts(nowNanos, self, seeds, waitMillis, live, members.size());
   }
 
-  private boolean isTurn(PeerRecord self, int members) {
-    return (round + self.id().value().hashCode()) % turns(members) == 0;
+  /** Returns whether this member reports to its relay in this round. */
+  private boolean reports(PeerRecord self, List<PeerRecord> members, boolean busy) {
+    InstanceId relayId = members.get(0).id();
+    if (!relayId.equals(lastRelay)) {
+      lastRelay = relayId;
+      relayChangeRound = round;
+    }
+    boolean active = busy || wasBusy;
+    wasBusy = busy;
+    if (round - relayChangeRound < INTRODUCTION_ROUNDS) {
+      return true;
+    }
+    int interval = turns(members.size()) * (active ? 1 : IDLE_ROUNDS);
+    return (round + self.id().value().hashCode()) % interval == 0;
   }
 
   /** Returns the number of rounds in which each member contacts its relay once. */
@@ -164,7 +191,8 @@
 
   /** Returns members to probe, and states that those unheard for too long are silent. */
   private List<Contact> probes(long nowNanos, PeerRecord self, List<PeerRecord> live, int members) {
-    long turnNanos = TimeUnit.MILLISECONDS.toNanos(ROUND_MILLIS * turns(members));
+    long turnNanos =
+        TimeUnit.MILLISECONDS.toNanos(ROUND_MILLIS * IDLE_ROUNDS * (turns(members) - 1));
     List<Contact> probes = new ArrayList<>();
     for (PeerRecord p : live) {
       if (!p.dataCentre().equals(self.dataCentre()) || p.id().equals(self.id())) {
--- a/core/src/test/java/org/gentianslip/core/fleet/FleetSimulation.java
+++ b/core/src/test/java/org/gentianslip/core/fleet/FleetSimulation.java
@@ -108,7 +108,7 @@
         return;
       }
       if (!frozen) {
-        planner.plan(nowNanos, self(), seeds, Map.of()).forEach(this::call);
+        planner.plan(nowNanos, self(), seeds, Map.of(), random.nextBoolean()).forEach(this::call);
       }
       after(ContactPlanner.ROUND_MILLIS, () -> round(ofProcess));
     }
--- a/entry/src/main/java/org/gentianslip/entry/fleet/FleetExchange.java
+++ b/entry/src/main/java/org/gentianslip/entry/fleet/FleetExchange.java
@@ -82,7 +82,11 @@
   public void round(long nowNanos) {
     List<Contact> contacts =
         planner.plan(
-            nowNanos, state.ownRecord(), state.config().seeds(), state.roundedWaits(nowNanos));
+            nowNanos,
+            state.ownRecord(),
+            state.config().seeds(),
+            state.roundedWaits(nowNanos),
+            state.hasLoad(nowNanos));
     if (planner.isRelay() != wasRelay) {
       wasRelay = planner.isRelay();
       LOGGER.atInfo().log("fleet: event=relay active=%s", wasRelay);
--- a/entry/src/main/java/org/gentianslip/entry/gateway/GatewayState.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/GatewayState.java
@@ -155,6 +155,11 @@
     return prompts.withFetchSources(state, service, size, holders, candidates);
   }
 
+  /** Returns whether requests of this instance are at backend servers. */
+  public boolean hasLoad(long nowNanos) {
+    return backends.loads().values().stream().anyMatch(l -> !l.localLoad(nowNanos).isZero());
+  }
+
   /** Returns the directory of the shared parts of prompts that engines have read. */
   public PromptDirectory prompts() {
     return prompts.directory();
