Let selected instances send first to a cold backend server

Change: ColdRate gives each instance its whole share, or, if there are more instances than requests a second, selects senders by rendezvous hashing over the remembered instances, so that two sides of a partition select alike. Others treat a server that was unreachable as cold once the region's load shows that it was reached, and try by themselves after 6 s. A process that has heard of nobody sends nothing to cold servers for 3 s. Ruled out: a smaller share of a second each (a sender would have to wait longer than a server stays cold).

--- a/bench/src/main/java/org/gentianslip/bench/micro/BackendChoiceBenchmark.java
+++ b/bench/src/main/java/org/gentianslip/bench/micro/BackendChoiceBenchmark.java
@@ -9,6 +9,7 @@
 import org.gentianslip.core.id.EngineId;
 import org.gentianslip.core.id.InstanceId;
 import org.gentianslip.core.id.ServiceId;
+import org.gentianslip.core.limit.ColdRate;
 import org.gentianslip.core.load.BackendGroup;
 import org.gentianslip.core.load.BackendLoad;
 import org.gentianslip.core.load.BackendSelector;
@@ -98,7 +99,8 @@
   public Object choose() {
     next = (next + 1) % PROMPTS;
     RequestSize size = sizes.get(next);
-    Candidates found = group.candidates(0, 0, id -> true, size, List.of(), random);
+    Candidates found =
+        group.candidates(0, e -> ColdRate.UNLIMITED, id -> true, size, List.of(), random);
     return BackendSelector.select(0, route, size, 8_000, found, List.of());
   }
 }
--- a/core/src/main/java/org/gentianslip/core/load/BackendGroup.java
+++ b/core/src/main/java/org/gentianslip/core/load/BackendGroup.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Predicate;
+import java.util.function.ToIntFunction;
 import java.util.random.RandomGenerator;
 import org.gentianslip.core.id.EngineId;
 import org.gentianslip.core.published.Backend;
@@ -73,7 +74,7 @@
    * Returns the backend servers to choose from for a request.
    *
    * @param nowNanos the current time, in nanoseconds of the monotonic clock
-   * @param coldPerSecond the requests per second that this instance may send to a cold backend
+   * @param coldPerSecond the requests per second that this instance may send to each cold backend
    *     server
    * @param usable accepts the backend servers that the request may use
    * @param size the size of the request
@@ -82,7 +83,7 @@
    */
   public Candidates candidates(
       long nowNanos,
-      double coldPerSecond,
+      ToIntFunction<EngineId> coldPerSecond,
       Predicate<EngineId> usable,
       RequestSize size,
       List<EngineId> holders,
@@ -91,7 +92,9 @@
       return Candidates.NONE;
     }
     Predicate<Member> eligible =
-        m -> usable.test(m.backend().id()) && m.load().acceptsWork(nowNanos, coldPerSecond);
+        m ->
+            usable.test(m.backend().id())
+                && m.load().acceptsWork(nowNanos, () -> coldPerSecond.applyAsInt(m.backend().id()));
     int preferred =
         size.sharedPart()
             .map(p -> ring.find(p.id(), MAX_PROBES, i -> eligible.test(members.get(i))))
--- a/core/src/main/java/org/gentianslip/core/load/BackendLoad.java
+++ b/core/src/main/java/org/gentianslip/core/load/BackendLoad.java
@@ -5,6 +5,8 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import java.util.function.IntSupplier;
+import org.gentianslip.core.limit.ColdRate;
 import org.gentianslip.core.route.EngineProfile;
 
 /**
@@ -30,6 +32,15 @@
   /** How long no work is sent after the backend server refused a request because it was full. */
   private static final long FULL_BACKOFF_NANOS = TimeUnit.MILLISECONDS.toNanos(50);
 
+  /** How long a backend server counts as cold after other instances have reached it again. */
+  private static final long RETURN_COLD_NANOS = TimeUnit.SECONDS.toNanos(3);
+
+  /**
+   * How long after the last failed connection an instance tries again although others are selected
+   * to send first.
+   */
+  private static final long RECOVERY_NANOS = TimeUnit.SECONDS.toNanos(6);
+
   /** The share of an engine's memory that is assumed to hold cached prompts. */
   private static final double CACHE_SHARE = 0.8;
 
@@ -63,6 +74,7 @@
   private long backoffUntilNanos = Long.MIN_VALUE;
   private long coldUntilNanos = Long.MIN_VALUE;
   private boolean recovering;
+  private long unreachableNanos;
 
   /**
    * Creates the load of an idle backend server.
@@ -155,6 +167,7 @@
     consecutiveConnectFailures++;
     backoffUntilNanos = nowNanos + Math.min(backoffNanos, MAX_BACKOFF_NANOS);
     recovering = true;
+    unreachableNanos = nowNanos;
     cache.clear();
   }
 
@@ -189,19 +202,24 @@
    * @param nowNanos the current time, in nanoseconds of the monotonic clock
    * @param coldPerSecond the requests per second that this instance may send to it while it is cold
    */
-  public synchronized boolean acceptsWork(long nowNanos, double coldPerSecond) {
+  public synchronized boolean acceptsWork(long nowNanos, IntSupplier coldPerSecond) {
     if (backoffUntilNanos != Long.MIN_VALUE && nowNanos - backoffUntilNanos < 0) {
       return false;
     }
     boolean restricted = isCold(nowNanos) || recovering;
-    if (!restricted || coldPerSecond <= 0) {
+    if (!restricted) {
       return true;
     }
+    int limit = coldPerSecond.getAsInt();
+    if (limit == ColdRate.UNLIMITED) {
+      return true;
+    }
+    boolean abandoned = recovering && nowNanos - unreachableNanos >= RECOVERY_NANOS;
     long secondNanos = TimeUnit.SECONDS.toNanos(1);
     while (!coldSends.isEmpty() && nowNanos - coldSends.peekFirst() >= secondNanos) {
       coldSends.removeFirst();
     }
-    return coldSends.size() < Math.max(1, Math.floor(coldPerSecond));
+    return coldSends.size() < (abandoned ? Math.max(1, limit) : limit);
   }
 
   /** Records that the engine has prefilled a part of a prompt for another instance. */
@@ -214,6 +232,13 @@
   /** Records the load that other instances put on this backend server. */
   public synchronized void recordPeerLoad(LoadSource source, PeerLoad load) {
     peers.record(source, load);
+    boolean reachedByOthers =
+        recovering && load.running() > 0 && load.receivedNanos() - backoffUntilNanos >= 0;
+    if (reachedByOthers) {
+      recovering = false;
+      consecutiveConnectFailures = 0;
+      markColdUntil(load.receivedNanos() + RETURN_COLD_NANOS);
+    }
   }
 
   /** Records that a source which reports its loads puts none on this backend server. */
--- a/core/src/test/java/org/gentianslip/core/load/BackendLoadTest.java
+++ b/core/src/test/java/org/gentianslip/core/load/BackendLoadTest.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Optional;
 import org.gentianslip.core.id.InstanceId;
+import org.gentianslip.core.limit.ColdRate;
 import org.gentianslip.core.route.EngineProfile;
 import org.junit.jupiter.api.DisplayName;
 import org.junit.jupiter.api.Nested;
@@ -82,8 +83,8 @@
     @Test
     void acceptsNoWorkDuringTheBackoff() {
       reserve(0).unreachable(0);
-      assertThat(load.acceptsWork(SECOND / 10, 0), is(false));
-      assertThat(load.acceptsWork(SECOND, 0), is(true));
+      assertThat(load.acceptsWork(SECOND / 10, () -> ColdRate.UNLIMITED), is(false));
+      assertThat(load.acceptsWork(SECOND, () -> ColdRate.UNLIMITED), is(true));
     }
 
     @Test
@@ -101,7 +102,30 @@
       load.markColdUntil(5 * SECOND);
       reserve(SECOND);
       reserve(SECOND);
-      assertThat(load.acceptsWork(SECOND, 2), is(false));
+      assertThat(load.acceptsWork(SECOND, () -> 2), is(false));
+    }
+  }
+
+  @Nested
+  @DisplayName("that cannot be reached and that other instances are selected to try first")
+  class LeftToOthers {
+
+    @Test
+    void acceptsNoWorkUntilAnotherInstanceHasReachedIt() {
+      reserve(0).unreachable(0);
+      assertThat(load.acceptsWork(SECOND, () -> 0), is(false));
+      load.recordPeerLoad(LoadSource.restOfRegion(), new PeerLoad(1, 0, 0, SECOND));
+      assertThat(load.acceptsWork(SECOND, () -> 0), is(false));
+      assertThat(load.acceptsWork(4 * SECOND, () -> 0), is(true));
+    }
+
+    @Test
+    void acceptsOneRequestPerSecondIfNobodyReachesIt() {
+      reserve(0).unreachable(0);
+      assertThat(load.acceptsWork(5 * SECOND, () -> 0), is(false));
+      assertThat(load.acceptsWork(6 * SECOND, () -> 0), is(true));
+      reserve(6 * SECOND);
+      assertThat(load.acceptsWork(6 * SECOND, () -> 0), is(false));
     }
   }
 
@@ -114,13 +138,13 @@
       load.markColdUntil(10 * SECOND);
       int sent = 0;
       for (long now = 0; now < SECOND; now += SECOND / 100) {
-        if (load.acceptsWork(now, 5)) {
+        if (load.acceptsWork(now, () -> 5)) {
           reserve(now);
           sent++;
         }
       }
       assertThat(sent, is(5));
-      assertThat(load.acceptsWork(SECOND, 5), is(true));
+      assertThat(load.acceptsWork(SECOND, () -> 5), is(true));
     }
 
     @Test
@@ -129,7 +153,7 @@
       for (int i = 0; i < 6; i++) {
         reserve(0);
       }
-      assertThat(load.acceptsWork(SECOND, 5), is(true));
+      assertThat(load.acceptsWork(SECOND, () -> 5), is(true));
     }
   }
 }
--- a/entry/src/main/java/org/gentianslip/entry/gateway/BackendRegistry.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/BackendRegistry.java
@@ -13,7 +13,9 @@
 import java.util.function.Supplier;
 import org.gentianslip.core.fleet.FleetView;
 import org.gentianslip.core.id.EngineId;
+import org.gentianslip.core.id.InstanceId;
 import org.gentianslip.core.id.ServiceId;
+import org.gentianslip.core.limit.ColdRate;
 import org.gentianslip.core.load.BackendGroup;
 import org.gentianslip.core.load.BackendLoad;
 import org.gentianslip.core.load.Candidates;
@@ -36,15 +38,24 @@
   private static final int MIN_ASSUMED_INSTANCES = 3;
 
   private final Supplier<GatewayConfig> config;
+
+  /**
+   * How long a new process sends nothing to cold backend servers unless it has heard of other
+   * instances.
+   */
+  private static final long INTRODUCTION_NANOS = TimeUnit.SECONDS.toNanos(3);
+
   private final FleetView fleet;
+  private final long createdNanos;
   private final Map<EngineId, BackendLoad> loads = new ConcurrentHashMap<>();
 
   /** The backend servers of this region that accept work, by service; replaced as a whole. */
   private volatile Map<ServiceId, BackendGroup> groups = Map.of();
 
-  BackendRegistry(Supplier<GatewayConfig> config, FleetView fleet) {
+  BackendRegistry(Supplier<GatewayConfig> config, FleetView fleet, long nowNanos) {
     this.config = config;
     this.fleet = fleet;
+    this.createdNanos = nowNanos;
   }
 
   /** Updates the backend servers from one published state to the next. */
@@ -128,7 +139,7 @@
         .getOrDefault(service, BackendGroup.EMPTY)
         .candidates(
             nowNanos,
-            coldRequestsPerSecond(state, service),
+            backend -> coldPerSecond(nowNanos, state, service, backend),
             usable,
             size,
             holders,
@@ -136,16 +147,22 @@
   }
 
   /** Returns how many requests per second this instance may send to a cold backend server. */
-  private double coldRequestsPerSecond(PublishedState state, ServiceId service) {
-    double regionPerSecond = profile(state, service).map(ServiceProfile::coldPerSecond).orElse(0.0);
-    if (regionPerSecond <= 0) {
+  private int coldPerSecond(
+      long nowNanos, PublishedState state, ServiceId service, EngineId backend) {
+    double warmPerSecond = profile(state, service).map(ServiceProfile::coldPerSecond).orElse(0.0);
+    if (warmPerSecond <= 0) {
+      return ColdRate.UNLIMITED;
+    }
+    List<InstanceId> instances = fleet.peers().knownInRegion();
+    boolean uninformed = fleet.peers().count() == 1 && nowNanos - createdNanos < INTRODUCTION_NANOS;
+    if (uninformed) {
       return 0;
     }
     GatewayBounds bounds = config.get().bounds();
-    int instances = Math.max(MIN_ASSUMED_INSTANCES, fleet.peers().knownInRegion().size());
-    return GatewayBounds.SAFETY_FACTOR
-        * (regionPerSecond * bounds.coldShare() + bounds.coldExtra())
-        / instances;
+    double regionPerSecond =
+        GatewayBounds.SAFETY_FACTOR * (warmPerSecond * bounds.coldShare() + bounds.coldExtra());
+    return ColdRate.perSecond(
+        config.get().id(), instances, MIN_ASSUMED_INSTANCES, backend, regionPerSecond);
   }
 
   /**
--- a/entry/src/main/java/org/gentianslip/entry/gateway/GatewayOperatorView.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/GatewayOperatorView.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.TimeUnit;
 import org.gentianslip.core.fleet.PeerRecord;
 import org.gentianslip.core.id.RequestId;
+import org.gentianslip.core.limit.ColdRate;
 import org.gentianslip.core.load.BackendEstimate;
 import org.gentianslip.core.load.BackendLoad;
 import org.gentianslip.core.load.RequestSize;
@@ -99,7 +100,7 @@
       node.put("inFlight", load.get().localLoad(nowNanos).running());
       node.put("running", estimate.running());
       node.put("waiting", Math.max(0, estimate.running() - backend.slots()));
-      node.put("usable", open && load.get().acceptsWork(nowNanos, 0));
+      node.put("usable", open && load.get().acceptsWork(nowNanos, () -> ColdRate.UNLIMITED));
       node.put("leaving", !open);
     }
   }
--- a/entry/src/main/java/org/gentianslip/entry/gateway/GatewayState.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/GatewayState.java
@@ -57,7 +57,7 @@
   public GatewayState(GatewayConfig config, long startedMillis) {
     this.config = new AtomicReference<>(config);
     this.fleet = new FleetView(record(config, startedMillis));
-    this.backends = new BackendRegistry(this::config, fleet);
+    this.backends = new BackendRegistry(this::config, fleet, System.nanoTime());
     this.prompts = new PromptLocator(this::config);
     this.forwardTargets = new ForwardTargets(fleet, config.region());
   }
--- a/entry/src/test/java/org/gentianslip/entry/gateway/BackendRegistryTest.java
+++ b/entry/src/test/java/org/gentianslip/entry/gateway/BackendRegistryTest.java
@@ -52,7 +52,7 @@
           100,
           new GatewayBounds(0.2, 56, 10_000, 1.5, 3, 8_000));
   private final BackendRegistry registry =
-      new BackendRegistry(() -> config, new GatewayState(config, 1).fleet());
+      new BackendRegistry(() -> config, new GatewayState(config, 1).fleet(), -COLD_NANOS);
 
   private static PublishedState published(Optional<RouteTable> routes) {
     var backend = new Backend(ENGINE, FARM, "127.0.0.1:80", CENTRE, 64, false, 0, 0);
@@ -89,7 +89,7 @@
       registry.applyPublished(0, published(Optional.empty()), withService());
       BackendLoad load = candidates(withService()).options().get(0).load();
       load.reserve(0, false, PROMPT, load.estimate(0, false, PROMPT, Optional.empty()));
-      assertThat(load.acceptsWork(1, 1), is(false));
+      assertThat(load.acceptsWork(1, () -> 1), is(false));
     }
   }
 
