Prefer backend servers of the own data centre at equal cost

Change: a backend server elsewhere costs 0.002 ms for each byte of the request, its head and its answer (38 ms for a long prompt, 5 ms for a short one), less than a prefix read again and than a queue. Test: BackendSelectorTest.TwoDataCentres, of which selectsTheNearOneOfEqualOnes fails without the cost.

--- a/core/src/main/java/org/gentianslip/core/load/BackendGroup.java
+++ b/core/src/main/java/org/gentianslip/core/load/BackendGroup.java
@@ -10,6 +10,7 @@
 import java.util.function.Predicate;
 import java.util.function.ToIntFunction;
 import java.util.random.RandomGenerator;
+import org.gentianslip.core.id.DataCentreId;
 import org.gentianslip.core.id.EngineId;
 import org.gentianslip.core.published.Backend;
 
@@ -46,6 +47,7 @@
   private final List<Member> members;
   private final Map<EngineId, Integer> indexById = new HashMap<>();
   private final HashRing ring;
+  private final Optional<DataCentreId> ownDataCentre;
 
   /**
    * A backend server and its load.
@@ -55,7 +57,8 @@
    */
   public record Member(Backend backend, BackendLoad load) {}
 
-  private BackendGroup(List<Member> members) {
+  private BackendGroup(List<Member> members, Optional<DataCentreId> ownDataCentre) {
+    this.ownDataCentre = ownDataCentre;
     this.members = List.copyOf(members);
     for (int i = 0; i < members.size(); i++) {
       indexById.put(members.get(i).backend().id(), i);
@@ -67,7 +70,15 @@
 
   /** Returns a group of the given members. */
   public static BackendGroup of(List<Member> members) {
-    return new BackendGroup(members);
+    return new BackendGroup(members, Optional.empty());
+  }
+
+  /**
+   * Returns a group of the given members, of which those in the own data centre are preferred at
+   * equal cost.
+   */
+  public static BackendGroup of(List<Member> members, DataCentreId ownDataCentre) {
+    return new BackendGroup(members, Optional.of(ownDataCentre));
   }
 
   /**
@@ -108,7 +119,8 @@
     }
     return new Candidates(
         options,
-        preferred < 0 ? Optional.empty() : Optional.of(members.get(preferred).backend().id()));
+        preferred < 0 ? Optional.empty() : Optional.of(members.get(preferred).backend().id()),
+        ownDataCentre);
   }
 
   private List<Member> sample(int preferred, List<EngineId> holders, RandomGenerator random) {
--- a/core/src/main/java/org/gentianslip/core/load/BackendSelector.java
+++ b/core/src/main/java/org/gentianslip/core/load/BackendSelector.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import org.gentianslip.core.id.EngineId;
+import org.gentianslip.core.published.Backend;
 import org.gentianslip.core.route.Route;
 
 /**
@@ -25,6 +26,12 @@
   /** The cost of a byte of the body that is sent to another region, in milliseconds. */
   private static final double COST_MILLIS_PER_REMOTE_BYTE = 0.0025;
 
+  /** The cost of a byte that is sent to another data centre of the region, in milliseconds. */
+  private static final double COST_MILLIS_PER_CENTRE_BYTE = 0.002;
+
+  /** The bytes of the heads and of the answer of a usual request. */
+  private static final int HEAD_AND_ANSWER_BYTES = 2_000;
+
   /**
    * How much higher the cost of the preferred engine of a prompt may be than that of another
    * engine, in milliseconds.
@@ -89,7 +96,7 @@
       if (estimate.running() >= estimate.slots() * MAX_REQUESTS_PER_SLOT) {
         continue;
       }
-      double cost = cost(estimate);
+      double cost = cost(estimate) + distanceCost(size, option.backend(), candidates);
       boolean isPreferred = option.backend().id().equals(preferred);
       cost -= isPreferred ? PREFERENCE_MILLIS : 0;
       if (cost < bestCost) {
@@ -137,6 +144,12 @@
         + estimate.failureMillis();
   }
 
+  /** Returns the cost of the bytes that a request takes to another data centre and back. */
+  private static double distanceCost(RequestSize size, Backend backend, Candidates candidates) {
+    boolean near = candidates.ownDataCentre().map(backend.dataCentre()::equals).orElse(true);
+    return near ? 0 : (size.bodyBytes() + HEAD_AND_ANSWER_BYTES) * COST_MILLIS_PER_CENTRE_BYTE;
+  }
+
   private static double remoteMillis(RequestSize size, RegionOption region) {
     long tokens = size.promptTokens() - (region.hasPrompt() ? size.sharedTokens() : 0);
     double prefillMillis = tokens / BackendLoad.PREFILL_TOKENS_PER_MILLI;
--- a/core/src/main/java/org/gentianslip/core/load/Candidates.java
+++ b/core/src/main/java/org/gentianslip/core/load/Candidates.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Optional;
+import org.gentianslip.core.id.DataCentreId;
 import org.gentianslip.core.id.EngineId;
 
 /**
@@ -11,10 +12,14 @@
  * @param preferred the backend server that all instances prefer for the prompt as long as none is
  *     known to hold it
  */
-public record Candidates(List<BackendOption> options, Optional<EngineId> preferred) {
+public record Candidates(
+    List<BackendOption> options,
+    Optional<EngineId> preferred,
+    Optional<DataCentreId> ownDataCentre) {
 
   /** No backend server may be sent the request. */
-  public static final Candidates NONE = new Candidates(List.of(), Optional.empty());
+  public static final Candidates NONE =
+      new Candidates(List.of(), Optional.empty(), Optional.empty());
 
   /** Creates candidates with a copy of the list. */
   public Candidates {
--- a/core/src/test/java/org/gentianslip/core/fleet/FleetExchangeTest.java
+++ b/core/src/test/java/org/gentianslip/core/fleet/FleetExchangeTest.java
@@ -44,7 +44,7 @@
       FleetSimulation fleet = started(SEED, 16);
       fleet.takeStatements();
       fleet.runMillis(10_000);
-      long summaries = 10 * 6 * fleet.nodes.size();
+      long summaries = 10L * 6 * fleet.nodes.size();
       assertThat(fleet.takeStatements(), is(lessThanOrEqualTo(2 * summaries)));
     }
 
--- a/core/src/test/java/org/gentianslip/core/load/BackendSelectorTest.java
+++ b/core/src/test/java/org/gentianslip/core/load/BackendSelectorTest.java
@@ -90,6 +90,50 @@
     return ((BackendDecision.ToBackend) choice).option().backend().id().value();
   }
 
+  @Nested
+  @DisplayName("with backend servers in two data centres")
+  class TwoDataCentres {
+
+    private final List<BackendOption> options = List.of(engine("far", "y"), engine("near", "z"));
+
+    private static BackendOption engine(String id, String dataCentre) {
+      var backend =
+          new Backend(
+              EngineId.of(id),
+              ServiceId.of("farm"),
+              "127.0.0.1:80",
+              DataCentreId.of(dataCentre),
+              64,
+              false,
+              0,
+              0);
+      return new BackendOption(backend, new BackendLoad(64, ENGINE), Optional.empty());
+    }
+
+    private String select(RequestSize size) {
+      var candidates = new Candidates(options, Optional.empty(), Optional.of(DataCentreId.of("z")));
+      return selectedId(
+          BackendSelector.select(0, route(0, 1_000), size, 8_000, candidates, List.of()));
+    }
+
+    @Test
+    void selectsTheNearOneOfEqualOnes() {
+      assertThat(select(SHORT), is("near"));
+    }
+
+    @Test
+    void selectsTheFarOneIfItHasThePromptCached() {
+      reserve(options.get(0), true, LONG).firstEventReceived(0);
+      assertThat(select(LONG), is("far"));
+    }
+
+    @Test
+    void selectsTheFarOneIfTheNearOneIsBusy() {
+      reserve(options.get(1), true, LONG);
+      assertThat(select(SHORT), is("far"));
+    }
+  }
+
   @Nested
   @DisplayName("for a long shared prompt")
   class LongPrompt {
@@ -135,7 +179,7 @@
                   route(0, 1_000),
                   LONG,
                   8_000,
-                  new Candidates(List.of(copying), Optional.empty()),
+                  new Candidates(List.of(copying), Optional.empty(), Optional.empty()),
                   List.of());
       assertThat(choice.estimate().copiedTokens(), is(13_000L));
       assertThat(
--- a/entry/src/main/java/org/gentianslip/entry/gateway/BackendRegistry.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/BackendRegistry.java
@@ -78,7 +78,8 @@
       }
     }
     Map<ServiceId, BackendGroup> built = new HashMap<>();
-    members.forEach((service, list) -> built.put(service, BackendGroup.of(list)));
+    members.forEach(
+        (service, list) -> built.put(service, BackendGroup.of(list, config.get().dataCentre())));
     return Map.copyOf(built);
   }
 
--- a/entry/src/main/java/org/gentianslip/entry/gateway/PromptLocator.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/PromptLocator.java
@@ -73,7 +73,8 @@
         candidates.options().stream()
             .map(o -> withFetchSource(o, holders, millisPerToken))
             .toList(),
-        candidates.preferred());
+        candidates.preferred(),
+        candidates.ownDataCentre());
   }
 
   private static BackendOption withFetchSource(
