Name instances to callers in proportion to their capacity

Ruled out: the exchange (one relay change, no gap) and the store (copies came 0.9 s after the ports opened, while the processor was taken). Change: a response of the directory names instances drawn in proportion to their capacity (CapacitySample); equal instances are all named as before.

--- a/entry/src/main/java/org/gentianslip/entry/fleet/InstanceSelector.java
+++ b/entry/src/main/java/org/gentianslip/entry/fleet/InstanceSelector.java
@@ -1,10 +1,11 @@
 package org.gentianslip.entry.fleet;
 
 import java.util.ArrayList;
-import java.util.Collections;
 import java.util.List;
 import java.util.Locale;
 import java.util.Set;
+import java.util.concurrent.ThreadLocalRandom;
+import org.gentianslip.core.fleet.CapacitySample;
 import org.gentianslip.core.fleet.FleetSnapshot;
 import org.gentianslip.core.fleet.PeerRecord;
 import org.gentianslip.core.id.RegionId;
@@ -22,14 +23,16 @@
 
   private final GatewayState state;
 
+  private record Candidate(String address, int capacity) {}
+
   /** Creates a selector for the instances known to a state. */
   public InstanceSelector(GatewayState state) {
     this.state = state;
   }
 
   /**
-   * Returns addresses of instances in random order, or the address of this instance if none is
-   * available.
+   * Returns addresses of instances in random order, drawn in proportion to their capacity, or the
+   * address of this instance if none is available.
    *
    * @param host the host name of the caller's requests
    * @param region the caller's region
@@ -43,37 +46,41 @@
             .routes()
             .map((RouteTable r) -> r.regionsAllowedForHost(host.toLowerCase(Locale.ROOT)))
             .orElse(Set.of());
-    List<String> local = new ArrayList<>();
-    List<String> inAllowedRegions = new ArrayList<>();
-    List<String> others = new ArrayList<>();
+    List<Candidate> local = new ArrayList<>();
+    List<Candidate> inAllowedRegions = new ArrayList<>();
+    List<Candidate> others = new ArrayList<>();
     FleetSnapshot snapshot = state.fleet().snapshot(nowNanos);
     for (RegionId instanceRegion : snapshot.regions()) {
-      List<String> addresses =
+      List<Candidate> ofRegion =
           listOf(instanceRegion, region, allowed, local, inAllowedRegions, others);
       for (PeerRecord peer : snapshot.serving(instanceRegion)) {
-        addresses.add(peer.callerAddress());
+        ofRegion.add(new Candidate(peer.callerAddress(), peer.capacity()));
       }
     }
     String ownAddress = config.host() + ":" + config.callerPort();
     if (state.ready()) {
-      listOf(config.region(), region, allowed, local, inAllowedRegions, others).add(ownAddress);
+      listOf(config.region(), region, allowed, local, inAllowedRegions, others)
+          .add(new Candidate(ownAddress, config.capacity()));
     }
-    for (List<String> addresses : List.of(local, inAllowedRegions, others)) {
-      if (!addresses.isEmpty()) {
-        Collections.shuffle(addresses);
-        return List.copyOf(addresses.subList(0, Math.min(limit, addresses.size())));
+    for (List<Candidate> candidates : List.of(local, inAllowedRegions, others)) {
+      if (!candidates.isEmpty()) {
+        return CapacitySample.draw(
+                candidates, Candidate::capacity, limit, ThreadLocalRandom.current())
+            .stream()
+            .map(Candidate::address)
+            .toList();
       }
     }
     return List.of(ownAddress);
   }
 
-  private static List<String> listOf(
+  private static List<Candidate> listOf(
       RegionId instanceRegion,
       RegionId callerRegion,
       Set<RegionId> allowed,
-      List<String> local,
-      List<String> inAllowedRegions,
-      List<String> others) {
+      List<Candidate> local,
+      List<Candidate> inAllowedRegions,
+      List<Candidate> others) {
     if (instanceRegion.equals(callerRegion)) {
       return local;
     }
