--- a/core/src/main/java/org/gentianslip/core/fleet/ContactPlanner.java
+++ b/core/src/main/java/org/gentianslip/core/fleet/ContactPlanner.java
@@ -57,6 +57,9 @@
   /** The lost instances contacted at a time. */
   private static final int LOST_CONTACTS = 3;
 
+  /** The rounds from one removal of long silent instances to the next. */
+  private static final int FORGET_ROUNDS = 20;
+
   /** The unheard members probed at a time. */
   private static final int PROBES = 8;
 
@@ -127,6 +130,9 @@
       Map<ServiceId, Integer> waitMillis,
       boolean busy) {
     round++;
+    if (round % FORGET_ROUNDS == 0) {
+      view.forgetSilent(nowNanos);
+    }
     List<PeerRecord> live = new ArrayList<>(view.live(nowNanos));
     live.add(self);
     List<PeerRecord> members =
@@ -172,7 +178,6 @@
       int members) {
     if (round % REMOTE_ROUNDS == 0) {
       view.summaries().publish(nowNanos, self, waitMillis);
-      view.forgetSilent(nowNanos);
     }
     List<Contact> contacts = new ArrayList<>();
     contacts.addAll(probes(nowNanos, self, live, members));
--- /dev/null
+++ b/core/src/main/java/org/gentianslip/core/load/Availability.java
@@ -0,0 +1,116 @@
+package org.gentianslip.core.load;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.concurrent.TimeUnit;
+import java.util.function.IntSupplier;
+import org.gentianslip.core.limit.ColdRate;
+
+/**
+ * Whether one backend server may be sent work: not while it is backed off, and at a limited rate
+ * while it is cold or has not been reached again after a failed connection. Not thread-safe.
+ */
+final class Availability {
+
+  /** How long no work is sent after the first of several failed connections in a row. */
+  private static final long INITIAL_BACKOFF_NANOS = TimeUnit.MILLISECONDS.toNanos(200);
+
+  /** The maximum time for which no work is sent after a failed connection. */
+  private static final long MAX_BACKOFF_NANOS = TimeUnit.MILLISECONDS.toNanos(1_600);
+
+  /** How long no work is sent after the backend server refused a request because it was full. */
+  private static final long FULL_BACKOFF_NANOS = TimeUnit.MILLISECONDS.toNanos(50);
+
+  /** How long a backend server counts as cold after other instances have reached it again. */
+  private static final long RETURN_COLD_NANOS = TimeUnit.SECONDS.toNanos(3);
+
+  /**
+   * How long after the last failed connection an instance tries again although others are selected
+   * to send first.
+   */
+  private static final long RECOVERY_NANOS = TimeUnit.SECONDS.toNanos(6);
+
+  private static final long RATE_NANOS = TimeUnit.SECONDS.toNanos(1);
+
+  private final Deque<Long> coldSends = new ArrayDeque<>();
+  private int consecutiveConnectFailures;
+  private long backoffUntilNanos = Long.MIN_VALUE;
+  private long coldUntilNanos = Long.MIN_VALUE;
+  private boolean recovering;
+  private long unreachableNanos;
+
+  /** Counts a request that is about to be sent. */
+  void recordSend(long nowNanos) {
+    if (isRestricted(nowNanos)) {
+      coldSends.addLast(nowNanos);
+    }
+  }
+
+  /** Records that the backend server has answered. */
+  void recordAnswer() {
+    consecutiveConnectFailures = 0;
+  }
+
+  /** Blocks new work for a time that doubles with each failed connection in a row. */
+  void recordUnreachable(long nowNanos) {
+    long backoffNanos = INITIAL_BACKOFF_NANOS << Math.min(consecutiveConnectFailures, 3);
+    consecutiveConnectFailures++;
+    backoffUntilNanos = nowNanos + Math.min(backoffNanos, MAX_BACKOFF_NANOS);
+    recovering = true;
+    unreachableNanos = nowNanos;
+  }
+
+  void recordFullRefusal(long nowNanos) {
+    backoffUntilNanos = Math.max(backoffUntilNanos, nowNanos + FULL_BACKOFF_NANOS);
+  }
+
+  /** Records that requests of other instances are running at the backend server. */
+  void recordReachedByOthers(long nowNanos) {
+    if (recovering && nowNanos - backoffUntilNanos >= 0) {
+      recovering = false;
+      consecutiveConnectFailures = 0;
+      markColdUntil(nowNanos + RETURN_COLD_NANOS);
+    }
+  }
+
+  /** Marks the backend server as cold, unless it is already marked for longer. */
+  void markColdUntil(long untilNanos) {
+    coldUntilNanos = Math.max(coldUntilNanos, untilNanos);
+  }
+
+  /** Returns whether it was reached again after a failed connection, once for each such event. */
+  boolean pollRecovered() {
+    boolean recovered = recovering && consecutiveConnectFailures == 0;
+    recovering = recovering && !recovered;
+    return recovered;
+  }
+
+  private boolean isRestricted(long nowNanos) {
+    boolean cold = coldUntilNanos != Long.MIN_VALUE && nowNanos - coldUntilNanos < 0;
+    return cold || recovering;
+  }
+
+  /**
+   * Returns whether a request may be sent now.
+   *
+   * @param coldPerSecond the requests per second that this instance may send while the backend
+   *     server is cold
+   */
+  boolean acceptsWork(long nowNanos, IntSupplier coldPerSecond) {
+    if (backoffUntilNanos != Long.MIN_VALUE && nowNanos - backoffUntilNanos < 0) {
+      return false;
+    }
+    if (!isRestricted(nowNanos)) {
+      return true;
+    }
+    int limit = coldPerSecond.getAsInt();
+    if (limit == ColdRate.UNLIMITED) {
+      return true;
+    }
+    while (!coldSends.isEmpty() && nowNanos - coldSends.peekFirst() >= RATE_NANOS) {
+      coldSends.removeFirst();
+    }
+    boolean leftByOthers = recovering && nowNanos - unreachableNanos >= RECOVERY_NANOS;
+    return coldSends.size() < (leftByOthers ? Math.max(1, limit) : limit);
+  }
+}
--- a/core/src/main/java/org/gentianslip/core/load/BackendLoad.java
+++ b/core/src/main/java/org/gentianslip/core/load/BackendLoad.java
@@ -1,12 +1,8 @@
 package org.gentianslip.core.load;
 
-import java.util.ArrayDeque;
-import java.util.Deque;
 import java.util.List;
 import java.util.Optional;
-import java.util.concurrent.TimeUnit;
 import java.util.function.IntSupplier;
-import org.gentianslip.core.limit.ColdRate;
 import org.gentianslip.core.route.EngineProfile;
 
 /**
@@ -23,24 +19,6 @@
    */
   static final double PREFILL_TOKENS_PER_MILLI = 50;
 
-  /** How long no work is sent after the first of several failed connections in a row. */
-  private static final long INITIAL_BACKOFF_NANOS = TimeUnit.MILLISECONDS.toNanos(200);
-
-  /** The maximum time for which no work is sent after a failed connection. */
-  private static final long MAX_BACKOFF_NANOS = TimeUnit.MILLISECONDS.toNanos(1_600);
-
-  /** How long no work is sent after the backend server refused a request because it was full. */
-  private static final long FULL_BACKOFF_NANOS = TimeUnit.MILLISECONDS.toNanos(50);
-
-  /** How long a backend server counts as cold after other instances have reached it again. */
-  private static final long RETURN_COLD_NANOS = TimeUnit.SECONDS.toNanos(3);
-
-  /**
-   * How long after the last failed connection an instance tries again although others are selected
-   * to send first.
-   */
-  private static final long RECOVERY_NANOS = TimeUnit.SECONDS.toNanos(6);
-
   /** The share of an engine's memory that is assumed to hold cached prompts. */
   private static final double CACHE_SHARE = 0.8;
 
@@ -63,18 +41,13 @@
   private final boolean isEngine;
   private final PromptCache cache;
   private final PeerLoads peers = new PeerLoads();
-  private final Deque<Long> coldSends = new ArrayDeque<>();
+  private final Availability availability;
   private int running;
   private double urgentPrefillMillis;
   private double otherPrefillMillis;
   private double failureShare;
   private double waitRatio = 1;
   private double serviceMillis = INITIAL_SERVICE_MILLIS;
-  private int consecutiveConnectFailures;
-  private long backoffUntilNanos = Long.MIN_VALUE;
-  private long coldUntilNanos = Long.MIN_VALUE;
-  private boolean recovering;
-  private long unreachableNanos;
 
   /**
    * Creates the load of an idle backend server.
@@ -83,6 +56,11 @@
    * @param engine the properties of its model engine, or null for a plain service
    */
   public BackendLoad(int slots, EngineProfile engine) {
+    this(slots, engine, new Availability());
+  }
+
+  private BackendLoad(int slots, EngineProfile engine, Availability availability) {
+    this.availability = availability;
     this.slots = Math.max(1, slots);
     this.isEngine = engine != null;
     this.cache = new PromptCache(engine == null ? 0 : (long) (CACHE_SHARE * engine.cacheTokens()));
@@ -98,10 +76,7 @@
     if (isEngine == (engineNow != null)) {
       return this;
     }
-    var load = new BackendLoad(slots, engineNow);
-    load.coldUntilNanos = coldUntilNanos;
-    load.recovering = recovering;
-    return load;
+    return new BackendLoad(slots, engineNow, availability);
   }
 
   /** Counts a request that is about to be sent, and returns the reservation that tracks it. */
@@ -115,9 +90,7 @@
     } else {
       otherPrefillMillis += prefillMillis;
     }
-    if (isCold(nowNanos) || recovering) {
-      coldSends.addLast(nowNanos);
-    }
+    availability.recordSend(nowNanos);
     return new Reservation(this, urgent, estimate, nowNanos);
   }
 
@@ -149,11 +122,11 @@
   synchronized void recordSuccess(double millis) {
     failureShare *= 1 - SMOOTHING_FACTOR;
     serviceMillis += SMOOTHING_FACTOR * (Math.min(millis, 10 * serviceMillis) - serviceMillis);
-    consecutiveConnectFailures = 0;
+    availability.recordAnswer();
   }
 
   synchronized void recordErrorAnswer() {
-    consecutiveConnectFailures = 0;
+    availability.recordAnswer();
     failureShare += SMOOTHING_FACTOR / 2 * (1 - failureShare);
   }
 
@@ -163,23 +136,19 @@
 
   /** Blocks new work for a time that doubles with each failed connection in a row. */
   synchronized void recordUnreachable(long nowNanos) {
-    long backoffNanos = INITIAL_BACKOFF_NANOS << Math.min(consecutiveConnectFailures, 3);
-    consecutiveConnectFailures++;
-    backoffUntilNanos = nowNanos + Math.min(backoffNanos, MAX_BACKOFF_NANOS);
-    recovering = true;
-    unreachableNanos = nowNanos;
+    availability.recordUnreachable(nowNanos);
     cache.clear();
   }
 
   synchronized void recordFullRefusal(long nowNanos) {
-    backoffUntilNanos = Math.max(backoffUntilNanos, nowNanos + FULL_BACKOFF_NANOS);
+    availability.recordFullRefusal(nowNanos);
   }
 
   /**
    * Marks the backend server as cold until the given time, unless it is already marked for longer.
    */
   public synchronized void markColdUntil(long untilNanos) {
-    coldUntilNanos = Math.max(coldUntilNanos, untilNanos);
+    availability.markColdUntil(untilNanos);
   }
 
   /**
@@ -187,13 +156,7 @@
    * this state, so that each recovery is reported once.
    */
   public synchronized boolean pollRecovered() {
-    boolean recovered = recovering && consecutiveConnectFailures == 0;
-    recovering = recovering && !recovered;
-    return recovered;
-  }
-
-  private boolean isCold(long nowNanos) {
-    return coldUntilNanos != Long.MIN_VALUE && nowNanos - coldUntilNanos < 0;
+    return availability.pollRecovered();
   }
 
   /**
@@ -203,23 +166,7 @@
    * @param coldPerSecond the requests per second that this instance may send to it while it is cold
    */
   public synchronized boolean acceptsWork(long nowNanos, IntSupplier coldPerSecond) {
-    if (backoffUntilNanos != Long.MIN_VALUE && nowNanos - backoffUntilNanos < 0) {
-      return false;
-    }
-    boolean restricted = isCold(nowNanos) || recovering;
-    if (!restricted) {
-      return true;
-    }
-    int limit = coldPerSecond.getAsInt();
-    if (limit == ColdRate.UNLIMITED) {
-      return true;
-    }
-    boolean abandoned = recovering && nowNanos - unreachableNanos >= RECOVERY_NANOS;
-    long secondNanos = TimeUnit.SECONDS.toNanos(1);
-    while (!coldSends.isEmpty() && nowNanos - coldSends.peekFirst() >= secondNanos) {
-      coldSends.removeFirst();
-    }
-    return coldSends.size() < (abandoned ? Math.max(1, limit) : limit);
+    return availability.acceptsWork(nowNanos, coldPerSecond);
   }
 
   /** Records that the engine has prefilled a part of a prompt for another instance. */
@@ -232,12 +179,8 @@
   /** Records the load that other instances put on this backend server. */
   public synchronized void recordPeerLoad(LoadSource source, PeerLoad load) {
     peers.record(source, load);
-    boolean reachedByOthers =
-        recovering && load.running() > 0 && load.receivedNanos() - backoffUntilNanos >= 0;
-    if (reachedByOthers) {
-      recovering = false;
-      consecutiveConnectFailures = 0;
-      markColdUntil(load.receivedNanos() + RETURN_COLD_NANOS);
+    if (load.running() > 0) {
+      availability.recordReachedByOthers(load.receivedNanos());
     }
   }
 
--- a/core/src/test/java/org/gentianslip/core/fleet/FleetExchangeTest.java
+++ b/core/src/test/java/org/gentianslip/core/fleet/FleetExchangeTest.java
@@ -79,6 +79,20 @@
       assertThat(fleet.agreement(), is(1.0));
     }
 
+    @Test
+    void isForgottenByMembersAndRelaysAfterOneMinute() {
+      FleetSimulation fleet = started(SEED, 16);
+      Node stopped = fleet.nodes.get(3);
+      stopped.kill();
+      fleet.runMillis(70_000);
+      long remembering =
+          fleet.nodes.stream()
+              .filter(n -> n.running && n.region.equals(stopped.region))
+              .filter(n -> n.view.peers().knownInRegion().contains(stopped.id))
+              .count();
+      assertThat(remembering, is(0L));
+    }
+
     @Test
     void replacesRelayOfDataCentre() {
       FleetSimulation fleet = started(SEED, 16);
