Do not begin requests whose caller left while the event loop was busy

Ruled out: exchanges in flight, which the close cancels; these requests were never begun before the close. Change: a request is passed on after the next read of its loop (CallerConnection.dispatch), which notices such a close.

--- a/entry/src/main/java/org/gentianslip/entry/gateway/CallerConnection.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/CallerConnection.java
@@ -7,6 +7,7 @@
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
@@ -145,9 +146,26 @@
     }
   }
 
+  /**
+   * Passes the request on after the next read of the event loop, which shows whether the caller has
+   * left while the loop was busy.
+   */
   private void dispatch() {
     BufferedHttpRequest request = buildRequest();
-    handler.handle(request, writer);
+    NettyResponseWriter requestWriter = writer;
+    EventLoop loop = ctx.channel().eventLoop();
+    // A task alone would run before the next read; what a task schedules runs after it.
+    loop.execute(
+        () -> loop.schedule(() -> handle(request, requestWriter), 0, TimeUnit.NANOSECONDS));
+  }
+
+  private void handle(BufferedHttpRequest request, NettyResponseWriter requestWriter) {
+    if (requestWriter.isEnded()) {
+      LOGGER.atInfo().atMostEvery(1, TimeUnit.SECONDS).log(
+          "gateway: event=abandoned host=%s path=%s", request.host(), request.path());
+      return;
+    }
+    handler.handle(request, requestWriter);
   }
 
   private BufferedHttpRequest buildRequest() {
--- a/entry/src/main/java/org/gentianslip/entry/gateway/NettyResponseWriter.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/NettyResponseWriter.java
@@ -147,6 +147,11 @@
     }
   }
 
+  /** Returns whether the response has been written or the caller has disconnected. */
+  boolean isEnded() {
+    return ended;
+  }
+
   void onDisconnect() {
     if (!ended) {
       ended = true;
--- /dev/null
+++ b/entry/src/test/java/org/gentianslip/entry/gateway/CallerServerTest.java
@@ -0,0 +1,90 @@
+package org.gentianslip.entry.gateway;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.contains;
+import static org.hamcrest.Matchers.startsWith;
+
+import io.netty.channel.nio.NioEventLoopGroup;
+import io.netty.handler.codec.http.EmptyHttpHeaders;
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.CountDownLatch;
+import org.gentianslip.core.route.CallerLimits;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.DisplayName;
+import org.junit.jupiter.api.Test;
+
+@DisplayName("The server for callers")
+class CallerServerTest {
+
+  private static final String HOST = "127.0.0.1";
+
+  private final NioEventLoopGroup loops = new NioEventLoopGroup(1);
+  private final List<String> handled = new CopyOnWriteArrayList<>();
+  private final CallerServer server =
+      new CallerServer(loops, () -> CallerLimits.DEFAULT, () -> false, this::handle);
+  private int port;
+
+  private void handle(BufferedHttpRequest request, ResponseWriter writer) {
+    handled.add(request.path());
+    writer.writeResponse(200, EmptyHttpHeaders.INSTANCE, new byte[0]);
+  }
+
+  @BeforeEach
+  void listen() throws Exception {
+    try (var free = new ServerSocket(0)) {
+      port = free.getLocalPort();
+    }
+    server.listen(HOST, port);
+  }
+
+  @AfterEach
+  void close() {
+    server.close();
+    loops.shutdownGracefully();
+  }
+
+  private static void write(Socket socket, String path) throws IOException {
+    String head = "GET " + path + " HTTP/1.1\r\nHost: shop.example\r\n\r\n";
+    socket.getOutputStream().write(head.getBytes(StandardCharsets.US_ASCII));
+  }
+
+  private static String readStatus(Socket socket) throws IOException {
+    var reader =
+        new BufferedReader(
+            new InputStreamReader(socket.getInputStream(), StandardCharsets.US_ASCII));
+    return reader.readLine();
+  }
+
+  @Test
+  void doesNotHandleRequestsOfCallersThatHaveLeftWhileItWasBusy() throws Exception {
+    var leaver = new Socket(HOST, port);
+    write(leaver, "/first");
+    assertThat(readStatus(leaver), startsWith("HTTP/1.1 200"));
+    var blocked = new CountDownLatch(1);
+    loops.next().execute(() -> await(blocked));
+    write(leaver, "/abandoned");
+    leaver.close();
+    blocked.countDown();
+    try (var stayer = new Socket(HOST, port)) {
+      write(stayer, "/last");
+      assertThat(readStatus(stayer), startsWith("HTTP/1.1 200"));
+    }
+    assertThat(handled, contains("/first", "/last"));
+  }
+
+  private static void await(CountDownLatch latch) {
+    try {
+      latch.await();
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+}
