Make the relay flag of the contact planner visible to all threads

Cause: messages are applied by network threads, which read the flag that the round's thread writes. Change: the flag is volatile, and the class says which method belongs to one thread.

--- a/core/src/main/java/org/gentianslip/core/fleet/ContactPlanner.java
+++ b/core/src/main/java/org/gentianslip/core/fleet/ContactPlanner.java
@@ -25,8 +25,8 @@
  * <p>A member contacts the relay of its data centre. The relay contacts the relays of the other
  * data centres of its region, one data centre of some other regions, members that it has not heard,
  * and instances that were lost. An instance whose contacts all fail becomes its own relay, so that
- * it keeps looking for others. Methods other than {@link #failed} and {@link #answered} are called
- * by one thread at a time.
+ * it keeps looking for others. {@link #plan} is called by one thread; the other methods are
+ * thread-safe.
  */
 public final class ContactPlanner {
 
@@ -76,7 +76,7 @@
   private final RandomGenerator random;
   private final Map<InstanceId, Long> suspectedUntil = new ConcurrentHashMap<>();
   private long round;
-  private boolean relay;
+  private volatile boolean relay;
   private boolean wasBusy;
   private InstanceId lastRelay;
   private long relayChangeRound;
--- a/entry/src/main/java/org/gentianslip/entry/fleet/FleetExchange.java
+++ b/entry/src/main/java/org/gentianslip/entry/fleet/FleetExchange.java
@@ -78,7 +78,7 @@
     }
   }
 
-  /** Performs one round; must be called every {@link #ROUND_MILLIS}. */
+  /** Performs one round; must be called every {@link #ROUND_MILLIS}, by one thread. */
   public void round(long nowNanos) {
     List<Contact> contacts =
         planner.plan(
