Pass requests on at once during a shutdown

Cause: a shutdown waits for the requests that were passed on; one that still waited for the next read of its loop was not among them and could be cut off. Change: while the instance is leaving, a request is passed on as it is read. Test: CallerServerTest.handlesRequestsAtOnceDuringShutdown (the request was dropped before).

--- a/entry/src/main/java/org/gentianslip/entry/gateway/CallerConnection.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/CallerConnection.java
@@ -153,6 +153,11 @@
   private void dispatch() {
     BufferedHttpRequest request = buildRequest();
     NettyResponseWriter requestWriter = writer;
+    if (leaving.getAsBoolean()) {
+      // The shutdown waits only for requests that were passed on.
+      handle(request, requestWriter);
+      return;
+    }
     EventLoop loop = ctx.channel().eventLoop();
     // A task alone would run before the next read; what a task schedules runs after it.
     loop.execute(
--- a/entry/src/test/java/org/gentianslip/entry/gateway/CallerServerTest.java
+++ b/entry/src/test/java/org/gentianslip/entry/gateway/CallerServerTest.java
@@ -15,6 +15,7 @@
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.atomic.AtomicBoolean;
 import org.gentianslip.core.route.CallerLimits;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -28,8 +29,9 @@
 
   private final NioEventLoopGroup loops = new NioEventLoopGroup(1);
   private final List<String> handled = new CopyOnWriteArrayList<>();
+  private final AtomicBoolean leaving = new AtomicBoolean();
   private final CallerServer server =
-      new CallerServer(loops, () -> CallerLimits.DEFAULT, () -> false, this::handle);
+      new CallerServer(loops, () -> CallerLimits.DEFAULT, leaving::get, this::handle);
   private int port;
 
   private void handle(BufferedHttpRequest request, ResponseWriter writer) {
@@ -65,11 +67,23 @@
 
   @Test
   void doesNotHandleRequestsOfCallersThatHaveLeftWhileItWasBusy() throws Exception {
+    abandonRequestWhileBusy(false);
+    assertThat(handled, contains("/first", "/last"));
+  }
+
+  @Test
+  void handlesRequestsAtOnceDuringShutdown() throws Exception {
+    abandonRequestWhileBusy(true);
+    assertThat(handled, contains("/first", "/abandoned", "/last"));
+  }
+
+  private void abandonRequestWhileBusy(boolean leavingWhileBusy) throws Exception {
     var leaver = new Socket(HOST, port);
     write(leaver, "/first");
     assertThat(readStatus(leaver), startsWith("HTTP/1.1 200"));
     var blocked = new CountDownLatch(1);
     loops.next().execute(() -> await(blocked));
+    leaving.set(leavingWhileBusy);
     write(leaver, "/abandoned");
     leaver.close();
     blocked.countDown();
@@ -77,7 +91,6 @@
       write(stayer, "/last");
       assertThat(readStatus(stayer), startsWith("HTTP/1.1 200"));
     }
-    assertThat(handled, contains("/first", "/last"));
   }
 
   private static void await(CountDownLatch latch) {
