--- a/core/src/main/java/org/gentianslip/core/load/RequestSize.java
+++ b/core/src/main/java/org/gentianslip/core/load/RequestSize.java
@@ -28,6 +28,11 @@
     return prompt.size() < 2 ? Optional.empty() : Optional.of(prompt.get(0));
   }
 
+  /** Returns the parts of the prompt that other requests may have too: all but the last. */
+  public List<PromptPart> sharedParts() {
+    return prompt.isEmpty() ? List.of() : prompt.subList(0, prompt.size() - 1);
+  }
+
   /** Returns the number of tokens of the whole prompt. */
   public long promptTokens() {
     return prompt.stream().mapToLong(PromptPart::tokens).sum();
@@ -35,6 +40,6 @@
 
   /** Returns the number of tokens of all parts except the last, which only this request has. */
   public long sharedTokens() {
-    return prompt.isEmpty() ? 0 : promptTokens() - prompt.get(prompt.size() - 1).tokens();
+    return sharedParts().stream().mapToLong(PromptPart::tokens).sum();
   }
 }
--- a/entry/src/main/java/org/gentianslip/entry/gateway/Attempt.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/Attempt.java
@@ -42,7 +42,7 @@
   abstract void start(long nowNanos, int connectMillis);
 
   /** Records that the target failed after the request may have been written. */
-  abstract void recordFailure(long nowNanos);
+  abstract void recordFailure(long nowNanos, String cause);
 
   /** Records that the target sent nothing for too long, which may be due to load alone. */
   abstract void recordSilence(long nowNanos);
@@ -91,6 +91,11 @@
     exchange = execution.gateway().client(execution.writer().eventLoop()).send(outgoing, this);
   }
 
+  /** Returns the number of complete events of the stream that were received. */
+  int receivedEvents() {
+    return splitter.events();
+  }
+
   /** Returns when data was last received, or when this attempt was created if none was. */
   long lastReceivedNanos() {
     return lastReceivedNanos;
@@ -180,7 +185,7 @@
     ended = true;
     long now = System.nanoTime();
     if (written) {
-      recordFailure(now);
+      recordFailure(now, cause);
     } else {
       recordUnreachable(now);
     }
--- a/entry/src/main/java/org/gentianslip/entry/gateway/BackendAttempt.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/BackendAttempt.java
@@ -1,11 +1,13 @@
 package org.gentianslip.entry.gateway;
 
+import com.google.common.flogger.FluentLogger;
 import io.netty.handler.codec.http.HttpHeaders;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.gentianslip.core.id.EngineId;
 import org.gentianslip.core.load.BackendDecision;
 import org.gentianslip.core.load.PromptFetch;
+import org.gentianslip.core.load.PromptPart;
 import org.gentianslip.core.load.Reservation;
 import org.gentianslip.core.published.Backend;
 import org.gentianslip.core.route.Repeatability;
@@ -13,9 +15,15 @@
 /** An attempt at a backend server of this instance's region. Confined to one event loop. */
 final class BackendAttempt extends Attempt {
 
+  private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+
+  /** The maximum number of parts of a prompt in one log line. */
+  private static final int LOGGED_PARTS = 8;
+
   private final BackendDecision.ToBackend decision;
   private final Backend backend;
   private Reservation reservation;
+  private long sentNanos;
 
   BackendAttempt(RequestExecution execution, BackendDecision.ToBackend decision) {
     super(execution);
@@ -26,6 +34,7 @@
   @Override
   void start(long nowNanos, int connectMillis) {
     boolean urgent = execution().route().rank() == 0;
+    sentNanos = nowNanos;
     reservation =
         decision.option().load().reserve(nowNanos, urgent, execution().size(), decision.estimate());
     HttpHeaders headers = execution().requestHeaders(nowNanos);
@@ -48,8 +57,16 @@
   }
 
   @Override
-  void recordFailure(long nowNanos) {
+  void recordFailure(long nowNanos, String cause) {
     reservation.failed(nowNanos);
+    LOGGER.atInfo().log(
+        "gateway: event=backend-broke backend=%s id=%s millis=%s events=%s parts=%s cause=%s",
+        backend.id(),
+        execution().id(),
+        TimeUnit.NANOSECONDS.toMillis(nowNanos - sentNanos),
+        receivedEvents(),
+        execution().size().sharedParts().stream().map(PromptPart::id).limit(LOGGED_PARTS).toList(),
+        cause);
   }
 
   @Override
--- a/entry/src/main/java/org/gentianslip/entry/gateway/ForwardAttempt.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/ForwardAttempt.java
@@ -26,7 +26,7 @@
   }
 
   @Override
-  void recordFailure(long nowNanos) {
+  void recordFailure(long nowNanos, String cause) {
     execution().gateway().state().forwardTargets().pauseInstance(nowNanos, peer.id());
   }
 
