Keep prompts that crash engines away from the engines

Cause: an engine's end was taken as a fact about the engine alone. The request that had caused it was repeated at the next engine, its caller's retry went to a third, and new requests with the part came at every instance. Class of fault: a request that harms whoever serves it is retried without bound, because failures are counted by server and never by what was served. Change: core.quarantine. Instances exchange which prompts were waiting for their first event when an engine broke off, and which parts have completed since. A part that explains three separate crashes of two different prompts (six if it had completed answers before) is refused at once as not run; later parts of a prompt are examined before earlier ones, and crashes explained by one do not count against others. A completed answer ends it; after 30 s, doubled with each further crash, one instance may try one request. Status names the parts, event=quarantine logs begin and end.

--- a/entry/src/main/java/org/gentianslip/entry/fleet/FleetMessage.java
+++ b/entry/src/main/java/org/gentianslip/entry/fleet/FleetMessage.java
@@ -18,6 +18,8 @@
 import org.gentianslip.core.id.ServiceId;
 import org.gentianslip.core.load.PromptHolder;
 import org.gentianslip.core.load.PromptPart;
+import org.gentianslip.core.quarantine.CompletionReport;
+import org.gentianslip.core.quarantine.CrashReport;
 
 /**
  * The JSON form of a message from one instance to another. Values that are sent often are arrays.
@@ -36,6 +38,10 @@
  * @param prompts the engines that have recently prefilled shared parts of prompts
  * @param promptNumber the number up to which these are complete
  * @param promptAck what the sender has received of the receiver's prompts
+ * @param crashes the crashes of engines that the receiver does not know
+ * @param completions the completed answers with parts of prompts that were involved in crashes
+ * @param evidenceNumber the number up to which these two are complete
+ * @param evidenceAck what the sender has received of the receiver's evidence
  */
 record FleetMessage(
     Instance self,
@@ -49,7 +55,11 @@
     Map<String, int[]> loads,
     List<Prompt> prompts,
     long promptNumber,
-    Ack promptAck) {
+    Ack promptAck,
+    List<Crash> crashes,
+    List<Completion> completions,
+    long evidenceNumber,
+    Ack evidenceAck) {
 
   FleetMessage {
     peers = peers == null ? List.of() : List.copyOf(peers);
@@ -57,6 +67,9 @@
     scope = scope == null ? LoadScope.NONE : scope;
     loads = loads == null ? Map.of() : Map.copyOf(loads);
     prompts = prompts == null ? List.of() : List.copyOf(prompts);
+    crashes = crashes == null ? List.of() : List.copyOf(crashes);
+    completions = completions == null ? List.of() : List.copyOf(completions);
+    evidenceAck = evidenceAck == null ? Ack.of(SyncAck.NONE) : evidenceAck;
   }
 
   /** Returns the part of this message that concerns the fleet. */
@@ -187,4 +200,58 @@
           nowNanos - TimeUnit.MILLISECONDS.toNanos(Math.max(0, age)));
     }
   }
+
+  /**
+   * The JSON form of a {@link CrashReport}, with ages because the clocks of instances differ.
+   *
+   * @param request the id of the request
+   * @param engine the id of the engine
+   * @param parts the ids of the parts of the prompt but the last
+   * @param prompt the id of the last part
+   * @param waited the time from sending the request to the crash, in milliseconds
+   * @param age the time since the crash, in milliseconds
+   */
+  @JsonFormat(shape = JsonFormat.Shape.ARRAY)
+  record Crash(
+      String request, String engine, List<String> parts, String prompt, long waited, long age) {
+
+    static Crash of(long nowNanos, CrashReport crash) {
+      return new Crash(
+          crash.request(),
+          crash.engine().value(),
+          crash.parts(),
+          crash.prompt(),
+          TimeUnit.NANOSECONDS.toMillis(crash.crashedNanos() - crash.sentNanos()),
+          TimeUnit.NANOSECONDS.toMillis(nowNanos - crash.crashedNanos()));
+    }
+
+    CrashReport toReport(long nowNanos) {
+      long crashedNanos = nowNanos - TimeUnit.MILLISECONDS.toNanos(Math.max(0, age));
+      long sentNanos = crashedNanos - TimeUnit.MILLISECONDS.toNanos(Math.max(0, waited));
+      return new CrashReport(request, EngineId.of(engine), parts, prompt, sentNanos, crashedNanos);
+    }
+  }
+
+  /**
+   * The JSON form of a {@link CompletionReport}.
+   *
+   * @param part the id of the part
+   * @param age the time since the request was sent, in milliseconds
+   */
+  @JsonFormat(shape = JsonFormat.Shape.ARRAY)
+  record Completion(String part, long age) {
+
+    /** The longest time that a message is assumed to take; a later crash must not be refuted. */
+    private static final long TRANSIT_MILLIS = 250;
+
+    static Completion of(long nowNanos, CompletionReport completion) {
+      return new Completion(
+          completion.part(), TimeUnit.NANOSECONDS.toMillis(nowNanos - completion.sentNanos()));
+    }
+
+    CompletionReport toReport(long nowNanos) {
+      long ageMillis = Math.max(0, age) + TRANSIT_MILLIS;
+      return new CompletionReport(part, nowNanos - TimeUnit.MILLISECONDS.toNanos(ageMillis));
+    }
+  }
 }
--- a/entry/src/main/java/org/gentianslip/entry/fleet/FleetMessages.java
+++ b/entry/src/main/java/org/gentianslip/entry/fleet/FleetMessages.java
@@ -18,6 +18,8 @@
 import org.gentianslip.core.load.BackendLoad;
 import org.gentianslip.core.load.LoadSource;
 import org.gentianslip.core.load.PeerLoad;
+import org.gentianslip.core.quarantine.EvidenceBatch;
+import org.gentianslip.core.quarantine.PromptQuarantine;
 import org.gentianslip.core.route.RouteTable;
 import org.gentianslip.entry.gateway.GatewayState;
 import org.gentianslip.entry.published.PublishedStateUpdater;
@@ -34,12 +36,16 @@
   /** The age of the published state from which a newer copy is pulled from another instance. */
   private static final long STALE_NANOS = TimeUnit.MILLISECONDS.toNanos(900);
 
+  /** The maximum number of crashes and of completed answers in one message, the oldest ones. */
+  private static final int MAX_EVIDENCE = 100;
+
   /** The maximum number of prompts in one message, the newest ones. */
   private static final int MAX_PROMPTS = 200;
 
   private final GatewayState state;
   private final PublishedStateUpdater updater;
   private final SyncCursors promptCursors = new SyncCursors();
+  private final SyncCursors evidenceCursors = new SyncCursors();
   private final Set<InstanceId> knownInstances = ConcurrentHashMap.newKeySet();
 
   FleetMessages(GatewayState state, PublishedStateUpdater updater) {
@@ -54,11 +60,14 @@
   /** Returns a message for an instance of which only the address is known. */
   FleetMessage introduction() {
     return message(
+        System.nanoTime(),
         state.fleet().introduction(state.ownRecord()),
         LoadScope.NONE,
         Map.of(),
         List.of(),
         0,
+        SyncAck.NONE,
+        new EvidenceBatch(List.of(), List.of(), 0),
         SyncAck.NONE);
   }
 
@@ -77,22 +86,32 @@
             .stream()
             .map(h -> FleetMessage.Prompt.of(nowNanos, h))
             .toList();
+    EvidenceBatch evidence =
+        state
+            .quarantine()
+            .recordedAfter(evidenceCursors.acknowledgedBy(receiver), receiver, MAX_EVIDENCE);
     return message(
+        nowNanos,
         sync,
         scope,
         loads(nowNanos, receiver, scope),
         prompts,
         promptNumber,
-        promptCursors.receivedFrom(receiver));
+        promptCursors.receivedFrom(receiver),
+        evidence,
+        evidenceCursors.receivedFrom(receiver));
   }
 
   private FleetMessage message(
+      long nowNanos,
       SyncMessage sync,
       LoadScope scope,
       Map<String, int[]> loads,
       List<FleetMessage.Prompt> prompts,
       long promptNumber,
-      SyncAck promptAck) {
+      SyncAck promptAck,
+      EvidenceBatch evidence,
+      SyncAck evidenceAck) {
     return new FleetMessage(
         FleetMessage.Instance.of(sync.self()),
         sync.number(),
@@ -105,7 +124,11 @@
         loads,
         prompts,
         promptNumber,
-        FleetMessage.Ack.of(promptAck));
+        FleetMessage.Ack.of(promptAck),
+        evidence.crashes().stream().map(c -> FleetMessage.Crash.of(nowNanos, c)).toList(),
+        evidence.completions().stream().map(c -> FleetMessage.Completion.of(nowNanos, c)).toList(),
+        evidence.number(),
+        FleetMessage.Ack.of(evidenceAck));
   }
 
   private Map<String, int[]> loads(long nowNanos, InstanceId receiver, LoadScope scope) {
@@ -162,6 +185,7 @@
         new SyncAck(peer.incarnation(), message.promptNumber()),
         message.promptAck().toAck(),
         state.fleet().peers().ownIncarnation());
+    applyEvidence(nowNanos, peer, message);
     boolean behind = message.version() > routesVersion() || state.published().routes().isEmpty();
     boolean stale =
         state.confirmationAgeNanos(nowNanos) > STALE_NANOS
@@ -169,6 +193,21 @@
     return (behind || stale) && message.version() > 0;
   }
 
+  private void applyEvidence(long nowNanos, PeerRecord peer, FleetMessage message) {
+    PromptQuarantine quarantine = state.quarantine();
+    message
+        .crashes()
+        .forEach(c -> quarantine.applyCrash(nowNanos, peer.id(), c.toReport(nowNanos)));
+    message
+        .completions()
+        .forEach(c -> quarantine.applyCompletion(nowNanos, peer.id(), c.toReport(nowNanos)));
+    evidenceCursors.record(
+        peer.id(),
+        new SyncAck(peer.incarnation(), message.evidenceNumber()),
+        message.evidenceAck().toAck(),
+        state.fleet().peers().ownIncarnation());
+  }
+
   private Optional<LoadSource> source(PeerRecord peer, LoadScope scope, boolean relay) {
     boolean sameDataCentre = peer.dataCentre().equals(state.config().dataCentre());
     return switch (scope) {
--- a/entry/src/main/java/org/gentianslip/entry/gateway/AttemptPlanner.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/AttemptPlanner.java
@@ -2,7 +2,9 @@
 
 import java.util.HashSet;
 import java.util.List;
+import java.util.OptionalLong;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import org.gentianslip.core.id.EngineId;
 import org.gentianslip.core.id.ServiceId;
 import org.gentianslip.core.load.BackendDecision;
@@ -24,6 +26,9 @@
 
   private static final int MAX_FORWARDS = 2;
 
+  /** The reason for refusing a request with a part of a prompt that crashes engines. */
+  static final String QUARANTINED = "quarantined";
+
   /** The retry delay if none can be computed, in milliseconds. */
   static final long DEFAULT_RETRY_MILLIS = 300;
 
@@ -59,6 +64,12 @@
 
   /** Chooses the target of the next attempt without claiming a repeat. */
   BackendDecision choose(long nowNanos, long remainingMillis) {
+    OptionalLong holdNanos =
+        state.quarantine().holdNanos(nowNanos, size, part -> state.triesAgain(nowNanos, part));
+    if (holdNanos.isPresent()) {
+      return new BackendDecision.Refuse(
+          QUARANTINED, TimeUnit.NANOSECONDS.toMillis(holdNanos.getAsLong()));
+    }
     List<Backend> holders = state.holders(nowNanos, route, size);
     Candidates localCandidates =
         route.allows(state.config().region())
--- a/entry/src/main/java/org/gentianslip/entry/gateway/BackendAttempt.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/BackendAttempt.java
@@ -17,6 +17,9 @@
 
   private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
 
+  /** The number of events up to which a prompt may have made the backend server fail. */
+  private static final int MAX_EVENTS_OF_CRASH = 1;
+
   /** The maximum number of parts of a prompt in one log line. */
   private static final int LOGGED_PARTS = 8;
 
@@ -59,6 +62,13 @@
   @Override
   void recordFailure(long nowNanos, String cause) {
     reservation.failed(nowNanos);
+    if (receivedEvents() <= MAX_EVENTS_OF_CRASH) {
+      execution()
+          .gateway()
+          .state()
+          .quarantine()
+          .recordCrash(execution().id(), backend.id(), execution().size(), sentNanos, nowNanos);
+    }
     LOGGER.atInfo().log(
         "gateway: event=backend-broke backend=%s id=%s millis=%s events=%s parts=%s cause=%s",
         backend.id(),
@@ -104,6 +114,8 @@
   private void succeeded() {
     long now = System.nanoTime();
     reservation.succeeded(now);
+    GatewayState state = execution().gateway().state();
+    state.quarantine().recordCompletion(execution().size(), sentNanos, now);
     if (decision.option().load().pollRecovered()) {
       execution().gateway().onBackendReturned(now, backend);
     }
--- a/entry/src/main/java/org/gentianslip/entry/gateway/ForwardAttempt.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/ForwardAttempt.java
@@ -60,6 +60,11 @@
   @Override
   void onResponse(int status, HttpHeaders headers, byte[] body) {
     String outcome = headers.get(Gateway.OUTCOME, "");
+    if (outcome.equals(Gateway.NOT_RUN)
+        && headers.get(Gateway.REASON, "").equals(AttemptPlanner.QUARANTINED)) {
+      execution().onQuarantined(this);
+      return;
+    }
     if (outcome.equals(Gateway.NOT_RUN)) {
       execution().gateway().state().forwardTargets().pauseRegion(System.nanoTime(), peer.region());
       execution().onAttemptNotRun(this, "instance refused");
--- a/entry/src/main/java/org/gentianslip/entry/gateway/Gateway.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/Gateway.java
@@ -38,6 +38,9 @@
   /** The header with the outcome of a request that the gateway answered itself. */
   static final String OUTCOME = "X-Gentian-Outcome";
 
+  /** The header with the reason for refusing a request that another attempt would not help. */
+  static final String REASON = "X-Gentian-Reason";
+
   /** The outcome of a request that did not run and will not run. */
   static final String NOT_RUN = "not-run";
 
--- a/entry/src/main/java/org/gentianslip/entry/gateway/GatewayOperatorView.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/GatewayOperatorView.java
@@ -13,6 +13,7 @@
 import org.gentianslip.core.load.RequestSize;
 import org.gentianslip.core.published.Backend;
 import org.gentianslip.core.published.PublishedState;
+import org.gentianslip.core.quarantine.Verdict;
 import org.gentianslip.entry.explain.DecisionLog;
 import org.gentianslip.entry.http.Json;
 import org.gentianslip.entry.operator.OperatorView;
@@ -67,6 +68,7 @@
     body.put("queued", 0);
     addInstances(nowNanos, body.putArray("instances"));
     addEngines(nowNanos, body.putArray("engines"));
+    addQuarantine(body.putArray("quarantine"));
     return body;
   }
 
@@ -83,6 +85,12 @@
     }
   }
 
+  private void addQuarantine(ArrayNode parts) {
+    for (Verdict verdict : state.quarantine().verdicts()) {
+      parts.addObject().put("part", verdict.part()).put("crashes", verdict.crashes());
+    }
+  }
+
   private void addEngines(long nowNanos, ArrayNode engines) {
     PublishedState published = state.published();
     for (Backend backend : published.backends().values()) {
--- a/entry/src/main/java/org/gentianslip/entry/gateway/GatewayServer.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/GatewayServer.java
@@ -9,6 +9,8 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.gentianslip.core.membership.PauseDetector;
+import org.gentianslip.core.quarantine.QuarantineChange;
+import org.gentianslip.core.quarantine.Verdict;
 import org.gentianslip.core.route.CallerLimits;
 import org.gentianslip.core.route.RouteTable;
 import org.gentianslip.entry.explain.DecisionLog;
@@ -108,11 +110,19 @@
         onPause.run();
       }
       gateway.closeExpired();
+      state.quarantine().update(now).forEach(GatewayServer::log);
     } catch (RuntimeException e) {
       LOGGER.atSevere().withCause(e).atMostEvery(1, TimeUnit.SECONDS).log("gateway: event=fault");
     }
   }
 
+  private static void log(QuarantineChange change) {
+    Verdict verdict = change.verdict();
+    LOGGER.atWarning().log(
+        "gateway: event=quarantine part=%s active=%s crashes=%s",
+        verdict.part(), change.begun(), verdict.crashes());
+  }
+
   /**
    * Shuts down gracefully and returns when everything is closed. Further calls do nothing.
    *
--- a/entry/src/main/java/org/gentianslip/entry/gateway/GatewayState.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/GatewayState.java
@@ -21,8 +21,10 @@
 import org.gentianslip.core.load.PromptHolder;
 import org.gentianslip.core.load.RegionOption;
 import org.gentianslip.core.load.RequestSize;
+import org.gentianslip.core.membership.RendezvousHash;
 import org.gentianslip.core.published.Backend;
 import org.gentianslip.core.published.PublishedState;
+import org.gentianslip.core.quarantine.PromptQuarantine;
 import org.gentianslip.core.route.Route;
 
 /**
@@ -45,6 +47,7 @@
   private final BackendRegistry backends;
   private final PromptLocator prompts;
   private final ForwardTargets forwardTargets;
+  private final PromptQuarantine quarantine;
   private volatile boolean leaving;
   private volatile boolean refusing;
   private volatile long confirmedNanos = System.nanoTime();
@@ -60,6 +63,7 @@
     this.backends = new BackendRegistry(this::config, fleet, System.nanoTime());
     this.prompts = new PromptLocator(this::config);
     this.forwardTargets = new ForwardTargets(fleet, config.region());
+    this.quarantine = new PromptQuarantine(config.id(), System.nanoTime());
   }
 
   /** Returns the configuration of this instance. */
@@ -204,6 +208,21 @@
     return forwardTargets;
   }
 
+  /** Returns the parts of prompts that are kept away from engines. */
+  public PromptQuarantine quarantine() {
+    return quarantine;
+  }
+
+  /**
+   * Returns whether this instance, of all that it knows, tries a part of prompts whose quarantine
+   * is over.
+   */
+  boolean triesAgain(long nowNanos, String part) {
+    long own = RendezvousHash.hash(part, config().id().value());
+    return fleet.known(nowNanos).stream()
+        .noneMatch(p -> RendezvousHash.hash(part, p.id().value()) > own);
+  }
+
   /** Returns the repeat budget of a service. */
   RepeatWindow repeats(ServiceId service) {
     GatewayBounds bounds = config().bounds();
--- a/entry/src/main/java/org/gentianslip/entry/gateway/RequestExecution.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/RequestExecution.java
@@ -29,6 +29,9 @@
   /** The connect timeout for instances of other regions, in milliseconds. */
   private static final int FORWARD_CONNECT_MILLIS = 800;
 
+  /** The retry delay if another instance holds the prompt back, in milliseconds. */
+  private static final double UNKNOWN_HOLD_MILLIS = 30_000;
+
   private final Gateway gateway;
   private final BufferedHttpRequest request;
   private final ResponseWriter writer;
@@ -203,6 +206,13 @@
     startNextAttempt();
   }
 
+  /** Called when an instance has refused a part of the prompt, as any other one would. */
+  void onQuarantined(Attempt attempt) {
+    if (isCurrent(attempt)) {
+      refuseOrAbort(AttemptPlanner.QUARANTINED, UNKNOWN_HOLD_MILLIS);
+    }
+  }
+
   /** Called when an attempt has ended without a usable response. */
   void onAttemptFailed(Attempt attempt, boolean written, String reason) {
     if (!isCurrent(attempt)) {
@@ -296,11 +306,19 @@
     }
     if (finish("refused reason=" + reason)) {
       gateway.metrics().countRefusal(rank(), reason);
-      long leftMillis = remainingMillis(System.nanoTime());
-      double fraction = ThreadLocalRandom.current().nextDouble();
-      long retryAfterMillis = RetryDelay.millis(excessMillis, leftMillis, fraction);
-      response.writeResponse(503, gateway.notRunHeaders(id, retryAfterMillis), new byte[0]);
+      response.writeResponse(503, refusalHeaders(reason, excessMillis), new byte[0]);
+    }
+  }
+
+  private HttpHeaders refusalHeaders(String reason, double excessMillis) {
+    if (reason.equals(AttemptPlanner.QUARANTINED)) {
+      HttpHeaders headers = gateway.notRunHeaders(id, (long) excessMillis);
+      headers.set(Gateway.REASON, reason);
+      return headers;
     }
+    long leftMillis = remainingMillis(System.nanoTime());
+    double fraction = ThreadLocalRandom.current().nextDouble();
+    return gateway.notRunHeaders(id, RetryDelay.millis(excessMillis, leftMillis, fraction));
   }
 
   private void abort(String reason) {
