Log the limits that backend servers name

Ruled out: nothing yet. Change: event=limit when the limit in the answers of a backend server changes. The limit is recorded and not yet used.

--- a/core/src/main/java/org/gentianslip/core/load/BackendLoad.java
+++ b/core/src/main/java/org/gentianslip/core/load/BackendLoad.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.function.IntSupplier;
+import org.gentianslip.core.limit.StatedLimit;
 import org.gentianslip.core.route.EngineProfile;
 
 /**
@@ -47,6 +48,7 @@
   private double otherPrefillMillis;
   private double failureShare;
   private double waitRatio = 1;
+  private StatedLimit limit;
   private double serviceMillis = INITIAL_SERVICE_MILLIS;
 
   /**
@@ -151,6 +153,33 @@
     availability.markColdUntil(untilNanos);
   }
 
+  /**
+   * Records what the backend server has said about the requests that it takes, unless something
+   * newer is known.
+   *
+   * @return whether the limit has changed
+   */
+  public synchronized boolean applyLimit(StatedLimit next) {
+    if (limit != null && !next.isNewerThan(limit)) {
+      return false;
+    }
+    boolean changed = limit == null ? next.isLimited() : next.perSecond() != limit.perSecond();
+    limit = next;
+    return changed;
+  }
+
+  /**
+   * Records an answer that names no limit, which ends a limit that was known when the request was
+   * sent.
+   *
+   * @param sentNanos when the request was sent
+   * @return whether the limit has changed
+   */
+  public synchronized boolean endLimit(long sentNanos, long nowNanos) {
+    boolean ends = limit != null && sentNanos - limit.heardNanos() >= 0;
+    return ends && applyLimit(StatedLimit.none(nowNanos));
+  }
+
   /**
    * Returns whether the backend server has answered again after it could not be reached, and resets
    * this state, so that each recovery is reported once.
--- a/entry/src/main/java/org/gentianslip/entry/gateway/BackendAttempt.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/BackendAttempt.java
@@ -3,9 +3,12 @@
 import com.google.common.flogger.FluentLogger;
 import io.netty.handler.codec.http.HttpHeaders;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.concurrent.TimeUnit;
 import org.gentianslip.core.id.EngineId;
+import org.gentianslip.core.limit.StatedLimit;
 import org.gentianslip.core.load.BackendDecision;
+import org.gentianslip.core.load.BackendLoad;
 import org.gentianslip.core.load.PromptFetch;
 import org.gentianslip.core.load.PromptPart;
 import org.gentianslip.core.load.Reservation;
@@ -99,6 +102,29 @@
     reservation.released();
   }
 
+  @Override
+  public void onHead(int status, HttpHeaders headers) {
+    super.onHead(status, headers);
+    EdgeHeaders edgeHeaders = execution().gateway().edgeHeaders();
+    if (!edgeHeaders.isOtherBackend(status, headers)) {
+      recordLimit(edgeHeaders.requestsPerSecond(headers));
+    }
+  }
+
+  private void recordLimit(OptionalDouble perSecond) {
+    long now = System.nanoTime();
+    BackendLoad load = decision.option().load();
+    boolean changed =
+        perSecond.isPresent()
+            ? load.applyLimit(new StatedLimit(perSecond.getAsDouble(), now))
+            : load.endLimit(sentNanos, now);
+    if (changed) {
+      LOGGER.atInfo().log(
+          "gateway: event=limit backend=%s per-second=%s",
+          backend.id(), perSecond.isPresent() ? perSecond.getAsDouble() : "none");
+    }
+  }
+
   @Override
   void onFirstEvent() {
     long now = System.nanoTime();
--- a/entry/src/main/java/org/gentianslip/entry/gateway/EdgeHeaders.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/EdgeHeaders.java
@@ -2,6 +2,7 @@
 
 import io.netty.handler.codec.http.HttpHeaders;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import org.gentianslip.core.load.RequestSize;
 import org.gentianslip.core.published.Backend;
 
@@ -47,6 +48,12 @@
   /** Returns whether a response comes from a different backend server than expected. */
   boolean isOtherBackend(int status, HttpHeaders headers);
 
+  /**
+   * Returns the requests per second that the backend server takes from all instances together, if
+   * it names a limit.
+   */
+  OptionalDouble requestsPerSecond(HttpHeaders headers);
+
   /** Returns how long the backend server reports to stay cold, in milliseconds, if it does. */
   Optional<Long> coldMillis(HttpHeaders headers);
 }
