Divide the limit that a backend server names among the instances

The backend server saw far more requests than the limit that it had named (LIMIT). The limit in answers was passed on to callers and read by nobody. Class of fault: a bound that all instances share and that only the backend server states is no part of the choice of backend servers. Change: the limit of the latest answer is kept with the load of the backend server and told to the instances of the region. A signed answer without a limit to a later request ends it. Backend servers beyond their share are no candidates, as it is for cold ones (SendRates holds both). Status shows the limit.

--- a/bench/src/main/java/org/gentianslip/bench/micro/BackendChoiceBenchmark.java
+++ b/bench/src/main/java/org/gentianslip/bench/micro/BackendChoiceBenchmark.java
@@ -9,7 +9,6 @@
 import org.gentianslip.core.id.EngineId;
 import org.gentianslip.core.id.InstanceId;
 import org.gentianslip.core.id.ServiceId;
-import org.gentianslip.core.limit.ColdRate;
 import org.gentianslip.core.load.BackendGroup;
 import org.gentianslip.core.load.BackendLoad;
 import org.gentianslip.core.load.BackendSelector;
@@ -18,6 +17,7 @@
 import org.gentianslip.core.load.PeerLoad;
 import org.gentianslip.core.load.PromptPart;
 import org.gentianslip.core.load.RequestSize;
+import org.gentianslip.core.load.SendRates;
 import org.gentianslip.core.published.Backend;
 import org.gentianslip.core.route.EngineProfile;
 import org.gentianslip.core.route.Repeatability;
@@ -100,7 +100,7 @@
     next = (next + 1) % PROMPTS;
     RequestSize size = sizes.get(next);
     Candidates found =
-        group.candidates(0, e -> ColdRate.UNLIMITED, id -> true, size, List.of(), random);
+        group.candidates(0, SendRates.UNRESTRICTED, id -> true, size, List.of(), random);
     return BackendSelector.select(0, route, size, 8_000, found, List.of());
   }
 }
--- a/core/src/main/java/org/gentianslip/core/load/BackendGroup.java
+++ b/core/src/main/java/org/gentianslip/core/load/BackendGroup.java
@@ -8,7 +8,6 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Predicate;
-import java.util.function.ToIntFunction;
 import java.util.random.RandomGenerator;
 import org.gentianslip.core.id.DataCentreId;
 import org.gentianslip.core.id.EngineId;
@@ -55,7 +54,14 @@
    * @param backend the backend server
    * @param load its load
    */
-  public record Member(Backend backend, BackendLoad load) {}
+  public record Member(Backend backend, BackendLoad load) {
+
+    private boolean acceptsWork(long nowNanos, SendRates rates) {
+      EngineId id = backend.id();
+      return load.acceptsWork(nowNanos, () -> rates.coldPerSecond(id))
+          && load.isWithinLimit(nowNanos, perSecond -> rates.intervalNanos(id, perSecond));
+    }
+  }
 
   private BackendGroup(List<Member> members, Optional<DataCentreId> ownDataCentre) {
     this.ownDataCentre = ownDataCentre;
@@ -85,8 +91,7 @@
    * Returns the backend servers to choose from for a request.
    *
    * @param nowNanos the current time, in nanoseconds of the monotonic clock
-   * @param coldPerSecond the requests per second that this instance may send to each cold backend
-   *     server
+   * @param rates the rates at which this instance may send to backend servers that restrict them
    * @param usable accepts the backend servers that the request may use
    * @param size the size of the request
    * @param holders the engines that hold the shared part of its prompt, the best first
@@ -94,7 +99,7 @@
    */
   public Candidates candidates(
       long nowNanos,
-      ToIntFunction<EngineId> coldPerSecond,
+      SendRates rates,
       Predicate<EngineId> usable,
       RequestSize size,
       List<EngineId> holders,
@@ -103,9 +108,7 @@
       return Candidates.NONE;
     }
     Predicate<Member> eligible =
-        m ->
-            usable.test(m.backend().id())
-                && m.load().acceptsWork(nowNanos, () -> coldPerSecond.applyAsInt(m.backend().id()));
+        m -> usable.test(m.backend().id()) && m.acceptsWork(nowNanos, rates);
     int preferred =
         size.sharedPart()
             .map(p -> ring.find(p.id(), MAX_PROBES, i -> eligible.test(members.get(i))))
--- a/core/src/main/java/org/gentianslip/core/load/BackendLoad.java
+++ b/core/src/main/java/org/gentianslip/core/load/BackendLoad.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.function.DoubleToLongFunction;
 import java.util.function.IntSupplier;
 import org.gentianslip.core.limit.StatedLimit;
 import org.gentianslip.core.route.EngineProfile;
@@ -49,6 +50,7 @@
   private double failureShare;
   private double waitRatio = 1;
   private StatedLimit limit;
+  private long lastSentNanos = Long.MIN_VALUE;
   private double serviceMillis = INITIAL_SERVICE_MILLIS;
 
   /**
@@ -93,6 +95,7 @@
       otherPrefillMillis += prefillMillis;
     }
     availability.recordSend(nowNanos);
+    lastSentNanos = nowNanos;
     return new Reservation(this, urgent, estimate, nowNanos);
   }
 
@@ -198,6 +201,26 @@
     return availability.acceptsWork(nowNanos, coldPerSecond);
   }
 
+  /**
+   * Returns whether a request would keep to the limit that the backend server has named, if any.
+   *
+   * @param intervalNanos returns the time between two requests of this instance for a limit per
+   *     second of all instances, in nanoseconds
+   */
+  public synchronized boolean isWithinLimit(long nowNanos, DoubleToLongFunction intervalNanos) {
+    if (limit == null || !limit.isLimited()) {
+      return true;
+    }
+    long interval = intervalNanos.applyAsLong(limit.perSecond());
+    boolean neverSent = lastSentNanos == Long.MIN_VALUE;
+    return interval != Long.MAX_VALUE && (neverSent || nowNanos - lastSentNanos >= interval);
+  }
+
+  /** Returns what the backend server has said about the requests that it takes, if anything. */
+  public synchronized Optional<StatedLimit> limit() {
+    return Optional.ofNullable(limit);
+  }
+
   /** Records that the engine has prefilled a part of a prompt for another instance. */
   public synchronized void recordPrefill(PromptPart part) {
     if (isEngine) {
--- a/core/src/test/java/org/gentianslip/core/load/BackendGroupTest.java
+++ b/core/src/test/java/org/gentianslip/core/load/BackendGroupTest.java
@@ -22,7 +22,6 @@
 import org.gentianslip.core.id.EngineId;
 import org.gentianslip.core.id.InstanceId;
 import org.gentianslip.core.id.ServiceId;
-import org.gentianslip.core.limit.ColdRate;
 import org.gentianslip.core.published.Backend;
 import org.gentianslip.core.route.EngineProfile;
 import org.junit.jupiter.api.DisplayName;
@@ -69,7 +68,7 @@
 
   private Candidates candidates(
       BackendGroup group, Predicate<EngineId> usable, RequestSize size, List<EngineId> holders) {
-    return group.candidates(0, e -> ColdRate.UNLIMITED, usable, size, holders, random);
+    return group.candidates(0, SendRates.UNRESTRICTED, usable, size, holders, random);
   }
 
   private static Set<EngineId> ids(Candidates candidates) {
@@ -170,7 +169,7 @@
       for (int i = 0; i < 13_000; i++) {
         var size = new RequestSize(List.of(new PromptPart("own" + i, 500)), 10, 0);
         Candidates candidates =
-            group.candidates(0, e -> ColdRate.UNLIMITED, ANY, size, List.of(), random);
+            group.candidates(0, SendRates.UNRESTRICTED, ANY, size, List.of(), random);
         BackendOption best = null;
         double shortestMillis = Double.MAX_VALUE;
         for (BackendOption option : candidates.options()) {
--- a/core/src/test/java/org/gentianslip/core/load/BackendLoadTest.java
+++ b/core/src/test/java/org/gentianslip/core/load/BackendLoadTest.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import org.gentianslip.core.id.InstanceId;
 import org.gentianslip.core.limit.ColdRate;
+import org.gentianslip.core.limit.StatedLimit;
 import org.gentianslip.core.route.EngineProfile;
 import org.junit.jupiter.api.DisplayName;
 import org.junit.jupiter.api.Nested;
@@ -156,4 +157,45 @@
       assertThat(load.acceptsWork(SECOND, () -> 5), is(true));
     }
   }
+
+  @Nested
+  @DisplayName("with a limit that the backend server has named")
+  class NamedLimit {
+
+    private boolean isWithinLimit(long now) {
+      return load.isWithinLimit(now, perSecond -> (long) (SECOND / perSecond));
+    }
+
+    @Test
+    void allowsOneRequestInEachInterval() {
+      load.applyLimit(new StatedLimit(2, 0));
+      assertThat(isWithinLimit(0), is(true));
+      reserve(0);
+      assertThat(isWithinLimit(SECOND / 4), is(false));
+      assertThat(isWithinLimit(SECOND / 2), is(true));
+    }
+
+    @Test
+    void allowsNothingToInstancesThatAreNotSelected() {
+      load.applyLimit(new StatedLimit(2, 0));
+      assertThat(load.isWithinLimit(SECOND, perSecond -> Long.MAX_VALUE), is(false));
+    }
+
+    @Test
+    void endsWithAnAnswerToLaterRequests() {
+      load.applyLimit(new StatedLimit(2, SECOND));
+      reserve(SECOND);
+      assertThat(load.endLimit(SECOND - 1, SECOND + 1), is(false));
+      assertThat(isWithinLimit(SECOND + 1), is(false));
+      assertThat(load.endLimit(SECOND, SECOND + 2), is(true));
+      assertThat(isWithinLimit(SECOND + 2), is(true));
+    }
+
+    @Test
+    void ignoresOlderStatements() {
+      load.applyLimit(new StatedLimit(2, SECOND));
+      load.applyLimit(StatedLimit.none(SECOND - 1));
+      assertThat(load.limit().get().isLimited(), is(true));
+    }
+  }
 }
--- a/core/src/test/java/org/gentianslip/core/load/BackendSelectorTest.java
+++ b/core/src/test/java/org/gentianslip/core/load/BackendSelectorTest.java
@@ -14,7 +14,6 @@
 import org.gentianslip.core.id.EngineId;
 import org.gentianslip.core.id.RegionId;
 import org.gentianslip.core.id.ServiceId;
-import org.gentianslip.core.limit.ColdRate;
 import org.gentianslip.core.published.Backend;
 import org.gentianslip.core.route.EngineProfile;
 import org.gentianslip.core.route.Repeatability;
@@ -78,7 +77,7 @@
         options.stream().map(o -> new BackendGroup.Member(o.backend(), o.load())).toList();
     return BackendGroup.of(members)
         .candidates(
-            0, e -> ColdRate.UNLIMITED, id -> true, size, List.of(), new SplittableRandom(1));
+            0, SendRates.UNRESTRICTED, id -> true, size, List.of(), new SplittableRandom(1));
   }
 
   private static Reservation reserve(BackendOption option, boolean urgent, RequestSize size) {
--- a/entry/src/main/java/org/gentianslip/entry/fleet/FleetMessage.java
+++ b/entry/src/main/java/org/gentianslip/entry/fleet/FleetMessage.java
@@ -16,6 +16,7 @@
 import org.gentianslip.core.id.InstanceId;
 import org.gentianslip.core.id.RegionId;
 import org.gentianslip.core.id.ServiceId;
+import org.gentianslip.core.limit.StatedLimit;
 import org.gentianslip.core.load.PromptHolder;
 import org.gentianslip.core.load.PromptPart;
 import org.gentianslip.core.quarantine.CompletionReport;
@@ -42,6 +43,8 @@
  * @param completions the completed answers with parts of prompts that were involved in crashes
  * @param evidenceNumber the number up to which these two are complete
  * @param evidenceAck what the sender has received of the receiver's evidence
+ * @param limits what backend servers of the region have said about the requests that they take, by
+ *     id
  */
 record FleetMessage(
     Instance self,
@@ -59,7 +62,8 @@
     List<Crash> crashes,
     List<Completion> completions,
     long evidenceNumber,
-    Ack evidenceAck) {
+    Ack evidenceAck,
+    Map<String, Limit> limits) {
 
   FleetMessage {
     peers = peers == null ? List.of() : List.copyOf(peers);
@@ -69,6 +73,7 @@
     prompts = prompts == null ? List.of() : List.copyOf(prompts);
     crashes = crashes == null ? List.of() : List.copyOf(crashes);
     completions = completions == null ? List.of() : List.copyOf(completions);
+    limits = limits == null ? Map.of() : Map.copyOf(limits);
     evidenceAck = evidenceAck == null ? Ack.of(SyncAck.NONE) : evidenceAck;
   }
 
@@ -201,6 +206,25 @@
     }
   }
 
+  /**
+   * The JSON form of a {@link StatedLimit}, with an age because the clocks of instances differ.
+   *
+   * @param perSecond the requests per second, or a negative number if there is no limit
+   * @param age the time since the backend server said so, in milliseconds
+   */
+  @JsonFormat(shape = JsonFormat.Shape.ARRAY)
+  record Limit(double perSecond, long age) {
+
+    static Limit of(long nowNanos, StatedLimit limit) {
+      return new Limit(
+          limit.perSecond(), TimeUnit.NANOSECONDS.toMillis(nowNanos - limit.heardNanos()));
+    }
+
+    StatedLimit toLimit(long nowNanos) {
+      return new StatedLimit(perSecond, nowNanos - TimeUnit.MILLISECONDS.toNanos(age));
+    }
+  }
+
   /**
    * The JSON form of a {@link CrashReport}, with ages because the clocks of instances differ.
    *
--- a/entry/src/main/java/org/gentianslip/entry/fleet/FleetMessages.java
+++ b/entry/src/main/java/org/gentianslip/entry/fleet/FleetMessages.java
@@ -36,6 +36,9 @@
   /** The age of the published state from which a newer copy is pulled from another instance. */
   private static final long STALE_NANOS = TimeUnit.MILLISECONDS.toNanos(900);
 
+  /** How long other instances are told that a backend server has ceased to name a limit. */
+  private static final long END_SHARED_NANOS = TimeUnit.SECONDS.toNanos(10);
+
   /** The maximum number of crashes and of completed answers in one message, the oldest ones. */
   private static final int MAX_EVIDENCE = 100;
 
@@ -128,7 +131,8 @@
         evidence.crashes().stream().map(c -> FleetMessage.Crash.of(nowNanos, c)).toList(),
         evidence.completions().stream().map(c -> FleetMessage.Completion.of(nowNanos, c)).toList(),
         evidence.number(),
-        FleetMessage.Ack.of(evidenceAck));
+        FleetMessage.Ack.of(evidenceAck),
+        scope == LoadScope.NONE ? Map.of() : limits(nowNanos));
   }
 
   private Map<String, int[]> loads(long nowNanos, InstanceId receiver, LoadScope scope) {
@@ -150,6 +154,19 @@
     return loads;
   }
 
+  /** Returns what backend servers have said about the requests that they take. */
+  private Map<String, FleetMessage.Limit> limits(long nowNanos) {
+    Map<String, FleetMessage.Limit> limits = new HashMap<>();
+    state
+        .loads()
+        .forEach(
+            (id, load) ->
+                load.limit()
+                    .filter(l -> l.isLimited() || nowNanos - l.heardNanos() < END_SHARED_NANOS)
+                    .ifPresent(l -> limits.put(id.value(), FleetMessage.Limit.of(nowNanos, l))));
+    return limits;
+  }
+
   private static PeerLoad load(
       long nowNanos, BackendLoad load, InstanceId receiver, LoadScope scope) {
     return switch (scope) {
@@ -186,6 +203,11 @@
         message.promptAck().toAck(),
         state.fleet().peers().ownIncarnation());
     applyEvidence(nowNanos, peer, message);
+    message
+        .limits()
+        .forEach(
+            (id, limit) ->
+                state.load(EngineId.of(id)).ifPresent(l -> l.applyLimit(limit.toLimit(nowNanos))));
     boolean behind = message.version() > routesVersion() || state.published().routes().isEmpty();
     boolean stale =
         state.confirmationAgeNanos(nowNanos) > STALE_NANOS
--- a/entry/src/main/java/org/gentianslip/entry/gateway/BackendAttempt.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/BackendAttempt.java
@@ -107,17 +107,17 @@
     super.onHead(status, headers);
     EdgeHeaders edgeHeaders = execution().gateway().edgeHeaders();
     if (!edgeHeaders.isOtherBackend(status, headers)) {
-      recordLimit(edgeHeaders.requestsPerSecond(headers));
+      recordLimit(edgeHeaders.requestsPerSecond(headers), edgeHeaders.isSigned(headers));
     }
   }
 
-  private void recordLimit(OptionalDouble perSecond) {
+  private void recordLimit(OptionalDouble perSecond, boolean signed) {
     long now = System.nanoTime();
     BackendLoad load = decision.option().load();
     boolean changed =
         perSecond.isPresent()
             ? load.applyLimit(new StatedLimit(perSecond.getAsDouble(), now))
-            : load.endLimit(sentNanos, now);
+            : signed && load.endLimit(sentNanos, now);
     if (changed) {
       LOGGER.atInfo().log(
           "gateway: event=limit backend=%s per-second=%s",
--- a/entry/src/main/java/org/gentianslip/entry/gateway/BackendRegistry.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/BackendRegistry.java
@@ -16,10 +16,12 @@
 import org.gentianslip.core.id.InstanceId;
 import org.gentianslip.core.id.ServiceId;
 import org.gentianslip.core.limit.ColdRate;
+import org.gentianslip.core.limit.LimitShare;
 import org.gentianslip.core.load.BackendGroup;
 import org.gentianslip.core.load.BackendLoad;
 import org.gentianslip.core.load.Candidates;
 import org.gentianslip.core.load.RequestSize;
+import org.gentianslip.core.load.SendRates;
 import org.gentianslip.core.published.Backend;
 import org.gentianslip.core.published.PublishedState;
 import org.gentianslip.core.route.EngineProfile;
@@ -140,13 +142,31 @@
         .getOrDefault(service, BackendGroup.EMPTY)
         .candidates(
             nowNanos,
-            backend -> coldPerSecond(nowNanos, state, service, backend),
+            new SendRates() {
+              @Override
+              public int coldPerSecond(EngineId backend) {
+                return BackendRegistry.this.coldPerSecond(nowNanos, state, service, backend);
+              }
+
+              @Override
+              public long intervalNanos(EngineId backend, double perSecond) {
+                return LimitShare.intervalNanos(
+                    config.get().id(), liveInRegion(nowNanos), backend, perSecond);
+              }
+            },
             usable,
             size,
             holders,
             ThreadLocalRandom.current());
   }
 
+  private List<InstanceId> liveInRegion(long nowNanos) {
+    List<InstanceId> ids = new ArrayList<>();
+    ids.add(config.get().id());
+    fleet.snapshot(nowNanos).serving(config.get().region()).forEach(p -> ids.add(p.id()));
+    return ids;
+  }
+
   /** Returns how many requests per second this instance may send to a cold backend server. */
   private int coldPerSecond(
       long nowNanos, PublishedState state, ServiceId service, EngineId backend) {
--- a/entry/src/main/java/org/gentianslip/entry/gateway/GatewayOperatorView.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/GatewayOperatorView.java
@@ -8,6 +8,7 @@
 import org.gentianslip.core.fleet.PeerRecord;
 import org.gentianslip.core.id.RequestId;
 import org.gentianslip.core.limit.ColdRate;
+import org.gentianslip.core.limit.StatedLimit;
 import org.gentianslip.core.load.BackendEstimate;
 import org.gentianslip.core.load.BackendLoad;
 import org.gentianslip.core.load.RequestSize;
@@ -110,6 +111,10 @@
       node.put("waiting", Math.max(0, estimate.running() - backend.slots()));
       node.put("usable", open && load.get().acceptsWork(nowNanos, () -> ColdRate.UNLIMITED));
       node.put("leaving", !open);
+      load.get()
+          .limit()
+          .filter(StatedLimit::isLimited)
+          .ifPresent(l -> node.put("limitPerSecond", l.perSecond()));
     }
   }
 
