Do not complete streams that end with their connection before any event

Callers could get an empty stream as a complete success: a backend server that sends neither a length nor chunks and ends before its first event, as a crashing one does, looked as if it had answered. Cause: for such responses the end of the connection is the end of the body, and only an unfinished event counted as broken off. The quarantine would have taken it for a completed answer. Ruled out: a stream that ends inside an event (its test passes before the change too). Change: a stream without length or chunks needs one event to be complete. A connection that ends between two events still looks complete; nothing in the protocol tells it from the end.

--- a/entry/src/main/java/org/gentianslip/entry/gateway/Attempt.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/Attempt.java
@@ -27,6 +27,7 @@
   private int status;
   private HttpHeaders headers;
   private boolean streamed;
+  private boolean endsWithConnection;
   private long lastReceivedNanos = System.nanoTime();
   private boolean ended;
 
@@ -125,6 +126,9 @@
     status = receivedStatus;
     headers = receivedHeaders;
     lastReceivedNanos = System.nanoTime();
+    endsWithConnection =
+        !receivedHeaders.contains(HttpHeaderNames.CONTENT_LENGTH)
+            && !receivedHeaders.contains(HttpHeaderNames.TRANSFER_ENCODING);
     String type = receivedHeaders.get(HttpHeaderNames.CONTENT_TYPE, "").toLowerCase(Locale.ROOT);
     streamed =
         status == 200
@@ -172,6 +176,10 @@
       onFailure(true, "the stream ended inside an event");
       return;
     }
+    if (endsWithConnection && splitter.events() == 0) {
+      onFailure(true, "the stream ended without an event");
+      return;
+    }
     ended = true;
     onStreamComplete();
     execution.completeStream(execution.responseHeaders(headers));
