Count only complete events as progress of a stream

A stalled stream whose backend server sent a byte now and then was kept until the timeout of its route, though another backend server could have continued it. Cause: any byte renewed the time of the last progress that the silence monitor reads. Ruled out: the monitor itself; a stream that falls fully silent is continued elsewhere. Change: for streams the time is renewed by complete events only.

--- a/entry/src/main/java/org/gentianslip/entry/gateway/Attempt.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/Attempt.java
@@ -97,7 +97,10 @@
     return splitter.events();
   }
 
-  /** Returns when data was last received, or when this attempt was created if none was. */
+  /**
+   * Returns when a complete event of a stream, or any other data, was last received, or when this
+   * attempt was created if none was.
+   */
   long lastReceivedNanos() {
     return lastReceivedNanos;
   }
@@ -139,11 +142,11 @@
 
   @Override
   public void onBodyPart(byte[] bytes) {
-    lastReceivedNanos = System.nanoTime();
     if (ended) {
       return;
     }
     if (!streamed) {
+      lastReceivedNanos = System.nanoTime();
       body.writeBytes(bytes);
       if (body.size() > MAX_PLAIN_BYTES) {
         exchange.cancel();
@@ -156,6 +159,7 @@
     if (events.length == 0) {
       return;
     }
+    lastReceivedNanos = System.nanoTime();
     if (before == 0) {
       onFirstEvent();
     }
