Bound what is read of responses that never end

A backend server in trouble could send bytes without end: an event that is never complete was buffered until the timeout of the route, and responses to other requests and informational ones were read as long. Cause: only the head and the plain body had a limit. Ruled out, by tests that pass before the change: a head, blank lines before a head, and a plain body without end. Change: an event of more than 1 MiB, 1 MiB of skipped bodies or 100 skipped responses close the connection. Plain bodies of up to 16 MiB each are still buffered; their sum has no bound.

--- a/core/src/main/java/org/gentianslip/core/stream/EventSplitter.java
+++ b/core/src/main/java/org/gentianslip/core/stream/EventSplitter.java
@@ -67,6 +67,11 @@
     return events;
   }
 
+  /** Returns the number of bytes of an incomplete event that are buffered. */
+  public int pendingBytes() {
+    return pending.size();
+  }
+
   /** Returns whether bytes of an incomplete event are buffered. */
   public boolean hasIncompleteEvent() {
     return pending.size() > 0;
--- a/entry/src/main/java/org/gentianslip/entry/gateway/Attempt.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/Attempt.java
@@ -18,6 +18,9 @@
   /** The largest plain response that is buffered, in bytes. */
   private static final int MAX_PLAIN_BYTES = 16 << 20;
 
+  /** The largest event of a stream, in bytes. */
+  private static final int MAX_EVENT_BYTES = 1 << 20;
+
   private static final String EVENT_STREAM = "text/event-stream";
 
   private final RequestExecution execution;
@@ -149,13 +152,16 @@
       lastReceivedNanos = System.nanoTime();
       body.writeBytes(bytes);
       if (body.size() > MAX_PLAIN_BYTES) {
-        exchange.cancel();
-        onFailure(true, "the answer is larger than " + MAX_PLAIN_BYTES + " bytes");
+        giveUp("the answer is larger than " + MAX_PLAIN_BYTES + " bytes");
       }
       return;
     }
-    int before = splitter.events();
+    final int before = splitter.events();
     byte[] events = splitter.append(bytes);
+    if (splitter.pendingBytes() > MAX_EVENT_BYTES) {
+      giveUp("an event is larger than " + MAX_EVENT_BYTES + " bytes");
+      return;
+    }
     if (events.length == 0) {
       return;
     }
@@ -166,6 +172,11 @@
     execution.writeEvents(execution.responseHeaders(headers), events, splitter.lastId());
   }
 
+  private void giveUp(String cause) {
+    exchange.cancel();
+    onFailure(true, cause);
+  }
+
   @Override
   public void onComplete() {
     if (ended) {
--- a/entry/src/main/java/org/gentianslip/entry/gateway/BackendConnection.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/BackendConnection.java
@@ -29,11 +29,19 @@
 
   private static final int FIRST_FINAL_STATUS = 200;
 
+  /** The bytes of skipped responses that are read before the connection is closed. */
+  private static final int MAX_SKIPPED_BYTES = 1 << 20;
+
+  /** The number of responses that are skipped before the connection is closed. */
+  private static final int MAX_SKIPPED_RESPONSES = 100;
+
   private final BackendClient client;
   private final String address;
   private Channel channel;
   private Exchange exchange;
   private boolean skippingResponse;
+  private int skippedBytes;
+  private int skippedResponses;
   private boolean reusable = true;
   private long keepAliveNanos = Long.MAX_VALUE;
   private long idleSinceNanos;
@@ -59,6 +67,8 @@
   void assign(Exchange next) {
     exchange = next;
     skippingResponse = false;
+    skippedBytes = 0;
+    skippedResponses = 0;
   }
 
   void markIdleUntil(long nanos) {
@@ -114,6 +124,8 @@
         status < FIRST_FINAL_STATUS || (id != null && !id.equals(exchange.request().id()));
     if (skippingResponse) {
       reusable = reusable && status < FIRST_FINAL_STATUS;
+      skippedResponses++;
+      closeIfTooMuchIsSkipped();
       return;
     }
     boolean closeDelimited =
@@ -136,6 +148,8 @@
       return;
     }
     if (skippingResponse) {
+      skippedBytes += content.content().readableBytes();
+      closeIfTooMuchIsSkipped();
       skippingResponse = !(content instanceof LastHttpContent);
       return;
     }
@@ -149,6 +163,12 @@
     }
   }
 
+  private void closeIfTooMuchIsSkipped() {
+    if (skippedBytes > MAX_SKIPPED_BYTES || skippedResponses > MAX_SKIPPED_RESPONSES) {
+      closeAndFail("not an answer to this request");
+    }
+  }
+
   private void finishExchange() {
     exchange = null;
     channel.config().setAutoRead(true);
