Bound the bytes of responses that are buffered together

A backend server that sends plain bodies without end to several requests at once could use up the memory of an instance: each body had a limit of 16 MiB, all together had none, and an instance has 160 MB. Cause: the limit was one of a response only. Ruled out: streams; their unfinished events were bounded before, and count here now too. Change: BufferQuota, 32 MiB for all responses of an instance; the attempt that would exceed it is given up.

--- a/entry/src/main/java/org/gentianslip/entry/gateway/Attempt.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/Attempt.java
@@ -5,6 +5,7 @@
 import java.io.ByteArrayOutputStream;
 import java.util.Locale;
 import org.gentianslip.core.id.EngineId;
+import org.gentianslip.core.limit.BufferQuota;
 import org.gentianslip.core.stream.EventSplitter;
 
 /**
@@ -32,6 +33,7 @@
   private boolean streamed;
   private boolean endsWithConnection;
   private long lastReceivedNanos = System.nanoTime();
+  private int bufferedBytes;
   private boolean ended;
 
   Attempt(RequestExecution execution) {
@@ -111,7 +113,7 @@
   /** Cancels the attempt unless it has ended. */
   void cancel() {
     if (exchange != null && !ended) {
-      ended = true;
+      end();
       exchange.cancel();
       onCancelled();
     }
@@ -150,19 +152,14 @@
     }
     if (!streamed) {
       lastReceivedNanos = System.nanoTime();
-      body.writeBytes(bytes);
-      if (body.size() > MAX_PLAIN_BYTES) {
-        giveUp("the answer is larger than " + MAX_PLAIN_BYTES + " bytes");
+      if (mayBuffer(body.size() + bytes.length, MAX_PLAIN_BYTES)) {
+        body.writeBytes(bytes);
       }
       return;
     }
     final int before = splitter.events();
     byte[] events = splitter.append(bytes);
-    if (splitter.pendingBytes() > MAX_EVENT_BYTES) {
-      giveUp("an event is larger than " + MAX_EVENT_BYTES + " bytes");
-      return;
-    }
-    if (events.length == 0) {
+    if (!mayBuffer(splitter.pendingBytes(), MAX_EVENT_BYTES) || events.length == 0) {
       return;
     }
     lastReceivedNanos = System.nanoTime();
@@ -172,9 +169,22 @@
     execution.writeEvents(execution.responseHeaders(headers), events, splitter.lastId());
   }
 
-  private void giveUp(String cause) {
+  /** Gives the attempt up if its buffer would be too large; returns whether it goes on. */
+  private boolean mayBuffer(int bytes, int maxBytes) {
+    BufferQuota quota = execution.gateway().responseBuffers();
+    if (bytes <= maxBytes && quota.tryTake(bytes - bufferedBytes)) {
+      bufferedBytes = bytes;
+      return true;
+    }
     exchange.cancel();
-    onFailure(true, cause);
+    onFailure(true, "more than " + bufferedBytes + " bytes would be buffered");
+    return false;
+  }
+
+  private void end() {
+    ended = true;
+    execution.gateway().responseBuffers().giveBack(bufferedBytes);
+    bufferedBytes = 0;
   }
 
   @Override
@@ -183,7 +193,7 @@
       return;
     }
     if (!streamed) {
-      ended = true;
+      end();
       onResponse(status, headers, body.toByteArray());
       return;
     }
@@ -195,7 +205,7 @@
       onFailure(true, "the stream ended without an event");
       return;
     }
-    ended = true;
+    end();
     onStreamComplete();
     execution.completeStream(execution.responseHeaders(headers));
   }
@@ -205,7 +215,7 @@
     if (ended) {
       return;
     }
-    ended = true;
+    end();
     long now = System.nanoTime();
     if (written) {
       recordFailure(now, cause);
