Count only backend servers that are down as crashed by a prompt

Callers of a common prompt could be refused though it was sound: a held part needs no crash of an engine if connections break for another reason. Cause: an exchange that broke before its answer counted as a crash of its engine. Ruled out: more crashes as threshold; answers that are spoiled with a fixed share reach any number. Change: CrashDetector tries one connection to the engine, and the crash is reported only if that fails; a connection that succeeds serves a later request.

--- a/entry/src/main/java/org/gentianslip/entry/gateway/BackendAttempt.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/BackendAttempt.java
@@ -13,6 +13,7 @@
 import org.gentianslip.core.load.PromptPart;
 import org.gentianslip.core.load.Reservation;
 import org.gentianslip.core.published.Backend;
+import org.gentianslip.core.quarantine.PromptQuarantine;
 import org.gentianslip.core.route.Repeatability;
 
 /** An attempt at a backend server of this instance's region. Confined to one event loop. */
@@ -65,12 +66,8 @@
   @Override
   void recordFailure(long nowNanos, String cause) {
     reservation.failed(nowNanos);
-    if (receivedEvents() <= MAX_EVENTS_OF_CRASH) {
-      execution()
-          .gateway()
-          .state()
-          .quarantine()
-          .recordCrash(execution().id(), backend.id(), execution().size(), sentNanos, nowNanos);
+    if (receivedEvents() <= MAX_EVENTS_OF_CRASH && !execution().size().sharedParts().isEmpty()) {
+      reportCrashIfDown(nowNanos);
     }
     LOGGER.atInfo().log(
         "gateway: event=backend-broke backend=%s id=%s millis=%s events=%s parts=%s cause=%s",
@@ -82,6 +79,19 @@
         cause);
   }
 
+  private void reportCrashIfDown(long brokeNanos) {
+    Gateway gateway = execution().gateway();
+    PromptQuarantine quarantine = gateway.state().quarantine();
+    gateway
+        .client(execution().writer().eventLoop())
+        .crashDetector()
+        .ifDown(
+            backend,
+            () ->
+                quarantine.recordCrash(
+                    execution().id(), backend.id(), execution().size(), sentNanos, brokeNanos));
+  }
+
   @Override
   void recordSilence(long nowNanos) {
     reservation.failed(nowNanos);
--- a/entry/src/main/java/org/gentianslip/entry/gateway/BackendClient.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/BackendClient.java
@@ -22,6 +22,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 
 /**
  * An HTTP client with a connection pool that sends each request to a backend server or another
@@ -44,11 +45,17 @@
 
   private final EventLoop loop;
   private final Map<String, Deque<BackendConnection>> idle = new HashMap<>();
+  private final CrashDetector crashDetector = new CrashDetector(this);
 
   BackendClient(EventLoop loop) {
     this.loop = loop;
   }
 
+  /** Returns the detector of backend servers that are down. */
+  CrashDetector crashDetector() {
+    return crashDetector;
+  }
+
   /** Sends a request and passes its response to a listener. */
   Exchange send(OutgoingRequest request, ResponseListener listener) {
     var exchange = new Exchange(request, listener);
@@ -74,30 +81,49 @@
     return null;
   }
 
+  /** Tries a new connection to an address, which is kept for a later request if it succeeds. */
+  void checkReachable(String address, int connectMillis, Consumer<Boolean> onResult) {
+    ChannelFuture connected = connect(address, connectMillis);
+    connected.addListener(
+        f -> {
+          BackendConnection connection =
+              connected.isSuccess()
+                  ? connected.channel().pipeline().get(BackendConnection.class)
+                  : null;
+          if (connection != null && connected.channel().isActive()) {
+            release(connection);
+          }
+          onResult.accept(connected.isSuccess());
+        });
+  }
+
   private void connect(Exchange exchange) {
     OutgoingRequest request = exchange.request();
-    ChannelFuture connected =
-        new Bootstrap()
-            .group(loop)
-            .channel(NioSocketChannel.class)
-            .option(ChannelOption.TCP_NODELAY, true)
-            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, request.connectMillis())
-            .handler(
-                new ChannelInitializer<SocketChannel>() {
-                  @Override
-                  protected void initChannel(SocketChannel channel) {
-                    var config = new HttpDecoderConfig().setMaxHeaderSize(MAX_HEADER_BYTES);
-                    channel
-                        .pipeline()
-                        .addLast(
-                            new HttpClientCodec(config, false, false),
-                            new BackendConnection(BackendClient.this, request.address()));
-                  }
-                })
-            .connect(parseAddress(request.address()));
+    ChannelFuture connected = connect(request.address(), request.connectMillis());
     connected.addListener(f -> onConnected(exchange, connected));
   }
 
+  private ChannelFuture connect(String address, int connectMillis) {
+    return new Bootstrap()
+        .group(loop)
+        .channel(NioSocketChannel.class)
+        .option(ChannelOption.TCP_NODELAY, true)
+        .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, connectMillis)
+        .handler(
+            new ChannelInitializer<SocketChannel>() {
+              @Override
+              protected void initChannel(SocketChannel channel) {
+                var config = new HttpDecoderConfig().setMaxHeaderSize(MAX_HEADER_BYTES);
+                channel
+                    .pipeline()
+                    .addLast(
+                        new HttpClientCodec(config, false, false),
+                        new BackendConnection(BackendClient.this, address));
+              }
+            })
+        .connect(parseAddress(address));
+  }
+
   private void onConnected(Exchange exchange, ChannelFuture connected) {
     if (!connected.isSuccess()) {
       exchange.fail("no connection: " + connected.cause());
