Read the loads once for each message between instances

Cause: each message copied the map of all backend servers twice, for loads and for named limits, and the analysis of crashes searched with a loop inside a loop. Ruled out: a change of behaviour; messages and verdicts are the same. Change: one copy serves both; the search is one stream; two constants are private.

--- a/core/src/main/java/org/gentianslip/core/quarantine/CrashAnalysis.java
+++ b/core/src/main/java/org/gentianslip/core/quarantine/CrashAnalysis.java
@@ -6,6 +6,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
@@ -31,10 +32,10 @@
   private static final long SEPARATE_CRASH_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
 
   /** The crashes that suffice for a part with which no answer has completed. */
-  static final int MIN_CRASHES = 3;
+  private static final int MIN_CRASHES = 3;
 
   /** The crashes that suffice for a part with which answers have completed before. */
-  static final int MIN_CRASHES_OF_COMPLETED = 6;
+  private static final int MIN_CRASHES_OF_COMPLETED = 6;
 
   /** The number of different prompts with the part that were involved. */
   private static final int MIN_PROMPTS = 2;
@@ -88,19 +89,15 @@
     List<Crash> crashes = group(reports);
     Map<String, Verdict> verdicts = new HashMap<>();
     while (true) {
-      List<Suspect> suspects = suspects(crashes, completed);
-      Suspect found = null;
-      for (Suspect s : suspects) {
-        if (isConvincing(s, completed.apply(s.part).isPresent())) {
-          found = s;
-          break;
-        }
-      }
-      if (found == null) {
+      Optional<Suspect> found =
+          suspects(crashes, completed).stream()
+              .filter(s -> isConvincing(s, completed.apply(s.part).isPresent()))
+              .findFirst();
+      if (found.isEmpty()) {
         return verdicts;
       }
-      String part = found.part;
-      verdicts.put(part, verdict(found, completed.apply(part).isPresent()));
+      String part = found.get().part;
+      verdicts.put(part, verdict(found.get(), completed.apply(part).isPresent()));
       crashes.removeIf(c -> c.reports().stream().anyMatch(r -> r.parts().contains(part)));
     }
   }
--- a/entry/src/main/java/org/gentianslip/entry/fleet/FleetMessages.java
+++ b/entry/src/main/java/org/gentianslip/entry/fleet/FleetMessages.java
@@ -71,7 +71,8 @@
         0,
         SyncAck.NONE,
         new EvidenceBatch(List.of(), List.of(), 0),
-        SyncAck.NONE);
+        SyncAck.NONE,
+        Map.of());
   }
 
   /**
@@ -93,16 +94,18 @@
         state
             .quarantine()
             .recordedAfter(evidenceCursors.acknowledgedBy(receiver), receiver, MAX_EVIDENCE);
+    Map<EngineId, BackendLoad> backends = scope == LoadScope.NONE ? Map.of() : state.loads();
     return message(
         nowNanos,
         sync,
         scope,
-        loads(nowNanos, receiver, scope),
+        loads(nowNanos, backends, receiver, scope),
         prompts,
         promptNumber,
         promptCursors.receivedFrom(receiver),
         evidence,
-        evidenceCursors.receivedFrom(receiver));
+        evidenceCursors.receivedFrom(receiver),
+        limits(nowNanos, backends));
   }
 
   private FleetMessage message(
@@ -114,7 +117,8 @@
       long promptNumber,
       SyncAck promptAck,
       EvidenceBatch evidence,
-      SyncAck evidenceAck) {
+      SyncAck evidenceAck,
+      Map<String, FleetMessage.Limit> limits) {
     return new FleetMessage(
         FleetMessage.Instance.of(sync.self()),
         sync.number(),
@@ -132,38 +136,33 @@
         evidence.completions().stream().map(c -> FleetMessage.Completion.of(nowNanos, c)).toList(),
         evidence.number(),
         FleetMessage.Ack.of(evidenceAck),
-        scope == LoadScope.NONE ? Map.of() : limits(nowNanos));
+        limits);
   }
 
-  private Map<String, int[]> loads(long nowNanos, InstanceId receiver, LoadScope scope) {
+  private static Map<String, int[]> loads(
+      long nowNanos, Map<EngineId, BackendLoad> backends, InstanceId receiver, LoadScope scope) {
     Map<String, int[]> loads = new HashMap<>();
-    if (scope == LoadScope.NONE) {
-      return loads;
-    }
-    state
-        .loads()
-        .forEach(
-            (id, load) -> {
-              PeerLoad sum = load(nowNanos, load, receiver, scope);
-              int urgentMillis = (int) Math.round(sum.urgentPrefillMillis());
-              int otherMillis = (int) Math.round(sum.otherPrefillMillis());
-              if (sum.running() != 0 || urgentMillis != 0 || otherMillis != 0) {
-                loads.put(id.value(), new int[] {sum.running(), urgentMillis, otherMillis});
-              }
-            });
+    backends.forEach(
+        (id, load) -> {
+          PeerLoad sum = load(nowNanos, load, receiver, scope);
+          int urgentMillis = (int) Math.round(sum.urgentPrefillMillis());
+          int otherMillis = (int) Math.round(sum.otherPrefillMillis());
+          if (sum.running() != 0 || urgentMillis != 0 || otherMillis != 0) {
+            loads.put(id.value(), new int[] {sum.running(), urgentMillis, otherMillis});
+          }
+        });
     return loads;
   }
 
   /** Returns what backend servers have said about the requests that they take. */
-  private Map<String, FleetMessage.Limit> limits(long nowNanos) {
+  private static Map<String, FleetMessage.Limit> limits(
+      long nowNanos, Map<EngineId, BackendLoad> backends) {
     Map<String, FleetMessage.Limit> limits = new HashMap<>();
-    state
-        .loads()
-        .forEach(
-            (id, load) ->
-                load.limit()
-                    .filter(l -> l.isLimited() || nowNanos - l.heardNanos() < END_SHARED_NANOS)
-                    .ifPresent(l -> limits.put(id.value(), FleetMessage.Limit.of(nowNanos, l))));
+    backends.forEach(
+        (id, load) ->
+            load.limit()
+                .filter(l -> l.isLimited() || nowNanos - l.heardNanos() < END_SHARED_NANOS)
+                .ifPresent(l -> limits.put(id.value(), FleetMessage.Limit.of(nowNanos, l))));
     return limits;
   }
 
