--- a/entry/src/main/java/org/gentianslip/entry/published/PublishedStateUpdater.java
+++ b/entry/src/main/java/org/gentianslip/entry/published/PublishedStateUpdater.java
@@ -151,9 +151,14 @@
   public void replace(List<PublishedItem> listing, long atRevision) {
     long now = System.nanoTime();
     boolean changed;
+    long before;
     synchronized (this) {
+      before = items.revision();
       changed = items.replace(now, listing, atRevision, isRecovering(now));
     }
+    LOGGER.atInfo().log(
+        "published: event=listing revision=%s before=%s after=%s changed=%s items=%s",
+        atRevision, before, revision(), changed, listing.size());
     notifyConfirmed(now, changed);
   }
 
