Order revisions by the era of the store

Cause: a revision was compared as a plain number, though a restored store gives numbers out again. Its listing was dropped as older than what was known, items and the decoder's cache were compared with revisions of the earlier history, and instances told each other that they knew more than the store. Change: a revision holds the era that the store names, and eras are compared first, in the items, the cache and the copies between instances. Values of two eras are ordered by their writer's own count, as the copy shows older ones until they are written again; what the copy lacks is kept for 2.3 s; servers that were removed are not used until they write again or outlive their lease. Conclusion: the history of a number is now part of it, so no later comparison can mix two histories.

--- a/core/src/main/java/org/gentianslip/core/published/ItemChange.java
+++ b/core/src/main/java/org/gentianslip/core/published/ItemChange.java
@@ -7,7 +7,7 @@
   String key();
 
   /** Returns the revision of the change. */
-  long revision();
+  Revision revision();
 
   /**
    * The item was written.
@@ -21,7 +21,7 @@
     }
 
     @Override
-    public long revision() {
+    public Revision revision() {
       return item.revision();
     }
   }
@@ -32,5 +32,5 @@
    * @param key the key of the item
    * @param revision the revision of the removal
    */
-  record Removed(String key, long revision) implements ItemChange {}
+  record Removed(String key, Revision revision) implements ItemChange {}
 }
--- a/core/src/main/java/org/gentianslip/core/published/PublishedItem.java
+++ b/core/src/main/java/org/gentianslip/core/published/PublishedItem.java
@@ -11,4 +11,4 @@
  * @param revision the revision of the last change
  */
 @SuppressWarnings("ArrayRecordComponent")
-public record PublishedItem(String key, byte[] value, long revision) {}
+public record PublishedItem(String key, byte[] value, Revision revision) {}
--- a/core/src/main/java/org/gentianslip/core/published/PublishedState.java
+++ b/core/src/main/java/org/gentianslip/core/published/PublishedState.java
@@ -16,14 +16,14 @@
  * @param evacuated the data centres whose backend servers must not be sent work
  */
 public record PublishedState(
-    long revision,
+    Revision revision,
     Optional<RouteTable> routes,
     Map<EngineId, Backend> backends,
     Set<DataCentreId> evacuated) {
 
   /** The state before anything is known. */
   public static final PublishedState NONE =
-      new PublishedState(0, Optional.empty(), Map.of(), Set.of());
+      new PublishedState(Revision.NONE, Optional.empty(), Map.of(), Set.of());
 
   /** Creates a state with copies of the collections. */
   public PublishedState {
--- a/entry/src/main/java/org/gentianslip/entry/fleet/FleetExchange.java
+++ b/entry/src/main/java/org/gentianslip/entry/fleet/FleetExchange.java
@@ -15,6 +15,7 @@
 import org.gentianslip.core.fleet.Contact;
 import org.gentianslip.core.fleet.ContactPlanner;
 import org.gentianslip.core.fleet.PeerRecord;
+import org.gentianslip.core.published.Revision;
 import org.gentianslip.entry.gateway.GatewayState;
 import org.gentianslip.entry.http.Json;
 import org.gentianslip.entry.published.PublishedStateUpdater;
@@ -160,11 +161,12 @@
   }
 
   private void applyCopy(PeerRecord peer, PublishedCopy copy) {
-    long before = updater.revision();
-    if (copy.revision() > before) {
-      updater.replace(copy.toItems(), copy.revision());
+    Revision before = updater.revision();
+    Revision revision = copy.publishedRevision();
+    if (revision.isAfter(before)) {
+      updater.replace(copy.toItems(), revision);
       LOGGER.atInfo().log(
-          "fleet: event=copied from=%s revision=%s before=%s", peer.id(), copy.revision(), before);
+          "fleet: event=copied from=%s revision=%s before=%s", peer.id(), revision, before);
     }
   }
 
--- a/entry/src/main/java/org/gentianslip/entry/fleet/FleetMessage.java
+++ b/entry/src/main/java/org/gentianslip/entry/fleet/FleetMessage.java
@@ -19,6 +19,7 @@
 import org.gentianslip.core.limit.StatedLimit;
 import org.gentianslip.core.load.PromptHolder;
 import org.gentianslip.core.load.PromptPart;
+import org.gentianslip.core.published.Revision;
 import org.gentianslip.core.quarantine.CompletionReport;
 import org.gentianslip.core.quarantine.CrashReport;
 
@@ -30,7 +31,8 @@
  * @param ack what the sender has received from the receiver
  * @param peers the changes of other instances
  * @param centres the changes of data centres
- * @param revision the published revision known to the sender
+ * @param revision the number of the published revision known to the sender
+ * @param era the era of that revision
  * @param version the version of the configuration in force at the sender
  * @param scope whose loads are reported
  * @param loads the loads of backend servers by id, without those that are zero. Each array holds
@@ -53,6 +55,7 @@
     List<Statement> peers,
     List<Summary> centres,
     long revision,
+    long era,
     long version,
     LoadScope scope,
     Map<String, int[]> loads,
@@ -77,6 +80,11 @@
     evidenceAck = evidenceAck == null ? Ack.of(SyncAck.NONE) : evidenceAck;
   }
 
+  /** Returns the published revision known to the sender. */
+  Revision publishedRevision() {
+    return Revision.of(era, revision);
+  }
+
   /** Returns the part of this message that concerns the fleet. */
   SyncMessage toSync() {
     return new SyncMessage(
--- a/entry/src/main/java/org/gentianslip/entry/fleet/FleetMessages.java
+++ b/entry/src/main/java/org/gentianslip/entry/fleet/FleetMessages.java
@@ -18,6 +18,7 @@
 import org.gentianslip.core.load.BackendLoad;
 import org.gentianslip.core.load.LoadSource;
 import org.gentianslip.core.load.PeerLoad;
+import org.gentianslip.core.published.Revision;
 import org.gentianslip.core.quarantine.EvidenceBatch;
 import org.gentianslip.core.quarantine.PromptQuarantine;
 import org.gentianslip.core.route.RouteTable;
@@ -119,13 +120,15 @@
       EvidenceBatch evidence,
       SyncAck evidenceAck,
       Map<String, FleetMessage.Limit> limits) {
+    Revision published = updater.revision();
     return new FleetMessage(
         FleetMessage.Instance.of(sync.self()),
         sync.number(),
         FleetMessage.Ack.of(sync.ack()),
         sync.peers().stream().map(FleetMessage.Statement::of).toList(),
         sync.summaries().stream().map(FleetMessage.Summary::of).toList(),
-        updater.revision(),
+        published.number(),
+        published.era(),
         routesVersion(),
         scope,
         loads,
@@ -210,7 +213,7 @@
     boolean behind = message.version() > routesVersion() || state.published().routes().isEmpty();
     boolean stale =
         state.confirmationAgeNanos(nowNanos) > STALE_NANOS
-            && message.revision() > updater.revision();
+            && message.publishedRevision().isAfter(updater.revision());
     return (behind || stale) && message.version() > 0;
   }
 
--- a/entry/src/main/java/org/gentianslip/entry/gateway/GatewayOperatorView.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/GatewayOperatorView.java
@@ -62,7 +62,7 @@
     body.put("ready", state.ready());
     body.put("leaving", state.leaving());
     body.put("settingsRevision", gateway.version());
-    body.put("listVersion", state.published().revision());
+    body.put("listVersion", state.published().revision().number());
     body.put(
         "confirmedMillisAgo", TimeUnit.NANOSECONDS.toMillis(state.confirmationAgeNanos(nowNanos)));
     body.put("inFlight", gateway.inFlight());
--- a/entry/src/main/java/org/gentianslip/entry/published/PublishedSource.java
+++ b/entry/src/main/java/org/gentianslip/entry/published/PublishedSource.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import org.gentianslip.core.published.ItemChange;
 import org.gentianslip.core.published.PublishedItem;
+import org.gentianslip.core.published.Revision;
 
 /** A source of published items. Implementations block and are confined to one thread. */
 public interface PublishedSource {
@@ -15,16 +16,17 @@
    * @param items the items
    * @param revision the revision after which changes must be watched
    */
-  record Listing(List<PublishedItem> items, long revision) {}
+  record Listing(List<PublishedItem> items, Revision revision) {}
 
   /**
    * The changes after a revision.
    *
    * @param changes the changes in order
    * @param revision the revision up to which the changes are complete
-   * @param historyLost whether changes are missing, so that all items must be listed again
+   * @param historyLost whether changes are missing or the publisher was restored, so that all items
+   *     must be listed again
    */
-  record Changes(List<ItemChange> changes, long revision, boolean historyLost) {}
+  record Changes(List<ItemChange> changes, Revision revision, boolean historyLost) {}
 
   /**
    * Lists all items.
@@ -40,5 +42,5 @@
    * @param wait the maximum time to wait
    * @throws IOException if the publisher returns no usable response
    */
-  Changes watch(long after, Duration wait) throws IOException;
+  Changes watch(Revision after, Duration wait) throws IOException;
 }
--- a/entry/src/main/java/org/gentianslip/entry/published/PublishedStateUpdater.java
+++ b/entry/src/main/java/org/gentianslip/entry/published/PublishedStateUpdater.java
@@ -8,6 +8,7 @@
 import org.gentianslip.core.published.PublishedItem;
 import org.gentianslip.core.published.PublishedItemStore;
 import org.gentianslip.core.published.PublishedState;
+import org.gentianslip.core.published.Revision;
 
 /**
  * Keeps the published state up to date.
@@ -34,6 +35,12 @@
   /** How long an item that expired during an outage is kept, so that its writer can renew it. */
   private static final long REMOVAL_HOLD_NANOS = TimeUnit.MILLISECONDS.toNanos(2_300);
 
+  /**
+   * How long an item that was removed before the publisher was restored is not used unless it is
+   * written again: longer than the lease of a writer that is gone.
+   */
+  private static final long CONFIRMATION_NANOS = TimeUnit.MILLISECONDS.toNanos(5_000);
+
   /** How long after an outage a removal may be a consequence of the outage. */
   private static final long RECOVERY_NANOS = TimeUnit.MILLISECONDS.toNanos(2_000);
 
@@ -44,7 +51,7 @@
   private final Thread thread = new Thread(this::run, "published");
   private volatile boolean closed;
   private volatile boolean failing;
-  private long recoveredNanos;
+  private volatile long recoveredNanos;
   private boolean listingRead;
 
   /** Receives updates of the published state. */
@@ -62,7 +69,7 @@
     this.source = source;
     this.decoder = decoder;
     this.listener = listener;
-    this.items = new PublishedItemStore(decoder::isLeased, REMOVAL_HOLD_NANOS);
+    this.items = new PublishedItemStore(decoder, REMOVAL_HOLD_NANOS, CONFIRMATION_NANOS);
     this.recoveredNanos = System.nanoTime() - RECOVERY_NANOS;
     thread.setDaemon(true);
   }
@@ -138,7 +145,7 @@
   }
 
   /** Returns the revision up to which all changes are known. */
-  public synchronized long revision() {
+  public synchronized Revision revision() {
     return items.revision();
   }
 
@@ -148,12 +155,15 @@
   }
 
   /** Replaces all items by those of the publisher or another instance, unless they are older. */
-  public void replace(List<PublishedItem> listing, long atRevision) {
+  public void replace(List<PublishedItem> listing, Revision atRevision) {
     long now = System.nanoTime();
     boolean changed;
-    long before;
+    Revision before;
     synchronized (this) {
       before = items.revision();
+      if (atRevision.era() > before.era()) {
+        recoveredNanos = now;
+      }
       changed = items.replace(now, listing, atRevision, isRecovering(now));
     }
     LOGGER.atInfo().log(
@@ -162,7 +172,7 @@
     notifyConfirmed(now, changed);
   }
 
-  /** Removes expired items; must be called periodically. */
+  /** Applies delayed changes; must be called periodically. */
   public void expireItems(long nowNanos) {
     boolean changed;
     synchronized (this) {
--- a/entry/src/test/java/org/gentianslip/entry/gateway/BackendRegistryTest.java
+++ b/entry/src/test/java/org/gentianslip/entry/gateway/BackendRegistryTest.java
@@ -19,6 +19,7 @@
 import org.gentianslip.core.load.RequestSize;
 import org.gentianslip.core.published.Backend;
 import org.gentianslip.core.published.PublishedState;
+import org.gentianslip.core.published.Revision;
 import org.gentianslip.core.route.CallerLimits;
 import org.gentianslip.core.route.EngineProfile;
 import org.gentianslip.core.route.RouteTable;
@@ -56,7 +57,7 @@
 
   private static PublishedState published(Optional<RouteTable> routes) {
     var backend = new Backend(ENGINE, FARM, "127.0.0.1:80", CENTRE, 64, false, 0, 0);
-    return new PublishedState(1, routes, Map.of(ENGINE, backend), Set.of());
+    return new PublishedState(Revision.of(1, 1), routes, Map.of(ENGINE, backend), Set.of());
   }
 
   private static PublishedState withService() {
