Log the fingerprint and the last part of broken requests

Cause: the logs cannot tell one repeated request from several whose prompts have a part in common. What was ruled out: nothing yet. Change: event=backend-broke names the last part of the prompt and a fingerprint of host, method, path and body.

--- a/core/src/main/java/org/gentianslip/core/load/RequestSize.java
+++ b/core/src/main/java/org/gentianslip/core/load/RequestSize.java
@@ -33,6 +33,11 @@
     return prompt.isEmpty() ? List.of() : prompt.subList(0, prompt.size() - 1);
   }
 
+  /** Returns the last part of the prompt, which only this request or its session has. */
+  public Optional<PromptPart> ownPart() {
+    return prompt.isEmpty() ? Optional.empty() : Optional.of(prompt.get(prompt.size() - 1));
+  }
+
   /** Returns the number of tokens of the whole prompt. */
   public long promptTokens() {
     return prompt.stream().mapToLong(PromptPart::tokens).sum();
--- a/entry/src/main/java/org/gentianslip/entry/gateway/BackendAttempt.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/BackendAttempt.java
@@ -70,12 +70,15 @@
       reportCrashIfDown(nowNanos);
     }
     LOGGER.atInfo().log(
-        "gateway: event=backend-broke backend=%s id=%s millis=%s events=%s parts=%s cause=%s",
+        "gateway: event=backend-broke backend=%s id=%s millis=%s events=%s parts=%s prompt=%s"
+            + " fingerprint=%s cause=%s",
         backend.id(),
         execution().id(),
         TimeUnit.NANOSECONDS.toMillis(nowNanos - sentNanos),
         receivedEvents(),
         execution().size().sharedParts().stream().map(PromptPart::id).limit(LOGGED_PARTS).toList(),
+        execution().size().ownPart().map(PromptPart::id).orElse("none"),
+        execution().request().fingerprint(),
         cause);
   }
 
--- a/entry/src/main/java/org/gentianslip/entry/gateway/BufferedHttpRequest.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/BufferedHttpRequest.java
@@ -3,6 +3,7 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import java.util.concurrent.TimeUnit;
+import org.gentianslip.core.quarantine.RequestFingerprint;
 
 /**
  * An HTTP request that has been read completely.
@@ -32,6 +33,11 @@
     return colon < 0 ? host : host.substring(0, colon);
   }
 
+  /** Returns a text that identifies requests for the same work. */
+  String fingerprint() {
+    return RequestFingerprint.of(host(), method.name(), target, body);
+  }
+
   /** Returns the time since the request was received, in milliseconds. */
   long elapsedMillis(long nowNanos) {
     return TimeUnit.NANOSECONDS.toMillis(nowNanos - receivedNanos);
