Keep requests that are repeated unchanged and crash engines away

Cause: crashes were counted by the parts that prompts share and needed two different prompts. A repeated request had no name of its own, while prompts with the same first part run at the same engine and so looked guilty. Change: crash reports carry a fingerprint of host, method, path and body. Three crashes of one fingerprint hold the request; its crashes count once against its parts; an answer that completes ends the hold. Requests to plain services are counted too. Each further crash makes the hold four times as long, so that a fourth try comes after 40 minutes. Conclusion: what crashes engines is now counted by the smallest name that explains it.

--- a/core/src/main/java/org/gentianslip/core/quarantine/CrashAnalysis.java
+++ b/core/src/main/java/org/gentianslip/core/quarantine/CrashAnalysis.java
@@ -1,6 +1,7 @@
 package org.gentianslip.core.quarantine;
 
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -13,12 +14,16 @@
 import java.util.function.Function;
 
 /**
- * Finds the parts of prompts that explain the crashes of engines.
+ * Finds the requests and the parts of prompts that explain the crashes of engines.
  *
  * <p>A crash counts against a part if a request with it was waiting for its answer then and no
  * request with the part that was sent later has completed. Parts are examined from the last to the
  * first position in their prompts, as a part occurs in all prompts in which a later one occurs. The
- * crashes that a part explains do not count against others. Stateless and thread-safe.
+ * crashes that a part explains do not count against others.
+ *
+ * <p>Requests that are repeated unchanged are examined first, by their fingerprint: other requests
+ * with the same parts run at the same engines and so are broken off by the same crashes. All
+ * crashes that such a request explains count once against its parts. Stateless and thread-safe.
  */
 final class CrashAnalysis {
 
@@ -42,9 +47,15 @@
 
   private static final long FIRST_HOLD_NANOS = TimeUnit.SECONDS.toNanos(30);
   private static final long MAX_HOLD_NANOS = TimeUnit.MINUTES.toNanos(5);
+  private static final long MAX_REQUEST_HOLD_NANOS = TimeUnit.MINUTES.toNanos(30);
 
   /** A crash of an engine and the requests that were waiting for their answers from it. */
-  private record Crash(long nanos, List<CrashReport> reports) {}
+  private record Crash(long nanos, List<CrashReport> reports) {
+
+    boolean hasAny(Set<String> fingerprints) {
+      return reports.stream().anyMatch(r -> fingerprints.contains(r.fingerprint()));
+    }
+  }
 
   /** What counts against one part. */
   private static final class Suspect {
@@ -79,18 +90,19 @@
   }
 
   /**
-   * Returns the verdicts by part.
+   * Returns the verdicts by part or fingerprint.
    *
    * @param reports the known crashes
    * @param completed returns when the last request with a part that has completed was sent
    */
   static Map<String, Verdict> verdicts(
       List<CrashReport> reports, Function<String, OptionalLong> completed) {
-    List<Crash> crashes = group(reports);
-    Map<String, Verdict> verdicts = new HashMap<>();
+    List<Crash> all = group(reports);
+    Map<String, Verdict> verdicts = new HashMap<>(requestVerdicts(all, completed));
+    List<Crash> crashes = mergeExplained(all, Set.copyOf(verdicts.keySet()));
     while (true) {
       Optional<Suspect> found =
-          suspects(crashes, completed).stream()
+          suspects(crashes, completed, CrashReport::parts).stream()
               .filter(s -> isConvincing(s, completed.apply(s.part).isPresent()))
               .findFirst();
       if (found.isEmpty()) {
@@ -102,6 +114,51 @@
     }
   }
 
+  private static Map<String, Verdict> requestVerdicts(
+      List<Crash> crashes, Function<String, OptionalLong> completed) {
+    Map<String, Verdict> verdicts = new HashMap<>();
+    List<Crash> unexplained = new ArrayList<>(crashes);
+    while (true) {
+      List<Suspect> suspects = suspects(unexplained, completed, CrashReport::knownFingerprint);
+      int most = suspects.stream().mapToInt(Suspect::crashes).max().orElse(0);
+      if (most < MIN_CRASHES) {
+        return verdicts;
+      }
+      suspects.stream()
+          .filter(s -> s.crashes == most)
+          .forEach(s -> verdicts.put(s.part, requestVerdict(s)));
+      unexplained.removeIf(c -> c.hasAny(verdicts.keySet()));
+    }
+  }
+
+  private static Verdict requestVerdict(Suspect suspect) {
+    int shift = Math.min(10, 2 * (suspect.crashes - MIN_CRASHES));
+    long holdNanos = Math.min(MAX_REQUEST_HOLD_NANOS, FIRST_HOLD_NANOS << shift);
+    return new Verdict(suspect.part, suspect.crashes, suspect.lastCrashNanos + holdNanos);
+  }
+
+  /** Keeps only the last of the crashes that each of the given requests explains. */
+  private static List<Crash> mergeExplained(List<Crash> crashes, Set<String> requests) {
+    Set<String> seen = new HashSet<>();
+    List<Crash> merged = new ArrayList<>();
+    for (int i = crashes.size() - 1; i >= 0; i--) {
+      Crash crash = crashes.get(i);
+      if (!crash.hasAny(requests)) {
+        merged.add(crash);
+        continue;
+      }
+      List<CrashReport> first =
+          crash.reports().stream()
+              .filter(r -> requests.contains(r.fingerprint()) && seen.add(r.fingerprint()))
+              .toList();
+      if (!first.isEmpty()) {
+        merged.add(new Crash(crash.nanos(), first));
+      }
+    }
+    Collections.reverse(merged);
+    return merged;
+  }
+
   private static boolean isConvincing(Suspect suspect, boolean completedBefore) {
     return suspect.crashes >= required(completedBefore) && suspect.prompts.size() >= MIN_PROMPTS;
   }
@@ -133,14 +190,20 @@
     return crashes;
   }
 
-  /** Returns the suspects in the order in which they are examined. */
+  /**
+   * Returns the suspects in the order in which they are examined.
+   *
+   * @param partsOf returns the parts of a broken request that are suspects
+   */
   private static List<Suspect> suspects(
-      List<Crash> crashes, Function<String, OptionalLong> completed) {
+      List<Crash> crashes,
+      Function<String, OptionalLong> completed,
+      Function<CrashReport, List<String>> partsOf) {
     Map<String, Suspect> suspects = new HashMap<>();
     for (Crash crash : crashes) {
       Map<String, Long> lastSent = new HashMap<>();
       for (CrashReport r : crash.reports()) {
-        addReport(r, completed, suspects, lastSent);
+        addReport(r, partsOf.apply(r), completed, suspects, lastSent);
       }
       lastSent.forEach((part, sentNanos) -> count(suspects.get(part), sentNanos, crash.nanos()));
     }
@@ -155,11 +218,12 @@
 
   private static void addReport(
       CrashReport report,
+      List<String> parts,
       Function<String, OptionalLong> completed,
       Map<String, Suspect> suspects,
       Map<String, Long> lastSent) {
-    for (int i = 0; i < report.parts().size(); i++) {
-      String part = report.parts().get(i);
+    for (int i = 0; i < parts.size(); i++) {
+      String part = parts.get(i);
       OptionalLong completedNanos = completed.apply(part);
       if (completedNanos.isPresent() && report.sentNanos() - completedNanos.getAsLong() <= 0) {
         continue;
--- a/core/src/main/java/org/gentianslip/core/quarantine/CrashReport.java
+++ b/core/src/main/java/org/gentianslip/core/quarantine/CrashReport.java
@@ -10,6 +10,7 @@
  * @param engine the engine
  * @param parts the ids of the parts of the prompt that other requests may have, in order
  * @param prompt the id of the last part, which tells prompts apart
+ * @param fingerprint the {@link RequestFingerprint}, or an empty text if it is unknown
  * @param sentNanos when the request was sent, in nanoseconds of the monotonic clock
  * @param crashedNanos when the engine broke off, in nanoseconds of the monotonic clock
  */
@@ -18,6 +19,7 @@
     EngineId engine,
     List<String> parts,
     String prompt,
+    String fingerprint,
     long sentNanos,
     long crashedNanos) {
 
@@ -25,4 +27,9 @@
   public CrashReport {
     parts = List.copyOf(parts);
   }
+
+  /** Returns the fingerprint, or an empty list if it is unknown. */
+  List<String> knownFingerprint() {
+    return fingerprint.isEmpty() ? List.of() : List.of(fingerprint);
+  }
 }
--- a/core/src/main/java/org/gentianslip/core/quarantine/PromptQuarantine.java
+++ b/core/src/main/java/org/gentianslip/core/quarantine/PromptQuarantine.java
@@ -9,18 +9,18 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Predicate;
+import java.util.stream.Stream;
 import org.gentianslip.core.id.EngineId;
 import org.gentianslip.core.id.InstanceId;
-import org.gentianslip.core.load.PromptPart;
-import org.gentianslip.core.load.RequestSize;
 
 /**
- * Keeps requests away from engines if a part of their prompt crashes engines.
+ * Keeps requests away from engines if they, or a part of their prompts, crash engines.
  *
- * <p>Crashes and completed answers of all instances are the evidence. A part stays in quarantine
- * for a time that doubles with each further crash; then one instance may try a single request with
- * it. A completed answer ends the quarantine. Verdicts are replaced as a whole, so that requests
- * read them without a lock; the object's lock guards the evidence. Thread-safe.
+ * <p>Crashes and completed answers of all instances are the evidence, counted for the parts of a
+ * prompt and for the request as a whole, by its fingerprint; both are called parts here. A part
+ * stays in quarantine for a time that doubles with each further crash; then one instance may try a
+ * single request with it. A completed answer ends the quarantine. Verdicts are replaced as a whole,
+ * so that requests read them without a lock; the object's lock guards the evidence. Thread-safe.
  */
 public final class PromptQuarantine {
 
@@ -78,14 +78,14 @@
    *
    * @param tries tests whether this instance tries a part whose quarantine is over
    */
-  public OptionalLong holdNanos(long nowNanos, RequestSize size, Predicate<String> tries) {
+  public OptionalLong holdNanos(long nowNanos, RequestTraits traits, Predicate<String> tries) {
     refreshIfOutdated(nowNanos);
     Map<String, Verdict> current = verdicts;
     if (current.isEmpty()) {
       return OptionalLong.empty();
     }
-    for (PromptPart part : size.sharedParts()) {
-      Verdict verdict = current.get(part.id());
+    for (String part : partsOf(traits)) {
+      Verdict verdict = current.get(part);
       if (verdict != null) {
         long holdNanos = holdNanos(nowNanos, verdict, tries);
         if (holdNanos > 0) {
@@ -115,6 +115,12 @@
     return claimed ? 0 : TRY_NANOS;
   }
 
+  private static List<String> partsOf(RequestTraits traits) {
+    List<String> parts = new ArrayList<>(traits.sharedParts());
+    parts.add(traits.fingerprint());
+    return parts;
+  }
+
   /** Returns the present findings. */
   public Collection<Verdict> verdicts() {
     return verdicts.values();
@@ -122,14 +128,18 @@
 
   /** Records that an engine broke off a request of this instance before its answer had begun. */
   public void recordCrash(
-      String request, EngineId engine, RequestSize size, long sentNanos, long nowNanos) {
-    List<String> parts = size.sharedParts().stream().map(PromptPart::id).toList();
-    if (parts.isEmpty()) {
-      return;
-    }
-    String prompt = size.prompt().get(size.prompt().size() - 1).id();
+      String request, EngineId engine, RequestTraits traits, long sentNanos, long nowNanos) {
     applyCrash(
-        nowNanos, self, new CrashReport(request, engine, parts, prompt, sentNanos, nowNanos));
+        nowNanos,
+        self,
+        new CrashReport(
+            request,
+            engine,
+            traits.sharedParts(),
+            traits.prompt(),
+            traits.fingerprint(),
+            sentNanos,
+            nowNanos));
   }
 
   /** Records a crash that another instance reports. */
@@ -138,23 +148,33 @@
     if (expired || !log.addCrash(source, crash)) {
       return;
     }
-    for (String part : crash.parts()) {
-      crashSent.merge(part, crash.sentNanos(), PromptQuarantine::later);
-      Long completedNanos = completed.get(part);
-      if (completedNanos != null) {
-        reportCompletion(nowNanos, part, completedNanos);
-      }
-    }
+    Stream.concat(crash.parts().stream(), crash.knownFingerprint().stream())
+        .forEach(part -> recordCrashOf(nowNanos, part, crash.sentNanos()));
     outdated = true;
   }
 
+  private void recordCrashOf(long nowNanos, String part, long sentNanos) {
+    crashSent.merge(part, sentNanos, PromptQuarantine::later);
+    Long completedNanos = completed.get(part);
+    if (completedNanos != null) {
+      reportCompletion(nowNanos, part, completedNanos);
+    }
+  }
+
   /** Records that an engine has completed an answer to a request of this instance. */
-  public void recordCompletion(RequestSize size, long sentNanos, long nowNanos) {
-    for (PromptPart part : size.sharedParts()) {
-      completed.merge(part.id(), sentNanos, PromptQuarantine::later);
-      if (hasUnrefutedCrash(part.id())) {
-        reportCompletion(nowNanos, part.id(), sentNanos);
-      }
+  public void recordCompletion(RequestTraits traits, long sentNanos, long nowNanos) {
+    for (String part : traits.sharedParts()) {
+      recordCompletion(part, sentNanos, nowNanos);
+    }
+    if (!crashSent.isEmpty() && crashSent.containsKey(traits.fingerprint())) {
+      recordCompletion(traits.fingerprint(), sentNanos, nowNanos);
+    }
+  }
+
+  private void recordCompletion(String part, long sentNanos, long nowNanos) {
+    completed.merge(part, sentNanos, PromptQuarantine::later);
+    if (hasUnrefutedCrash(part)) {
+      reportCompletion(nowNanos, part, sentNanos);
     }
   }
 
--- a/core/src/test/java/org/gentianslip/core/quarantine/PromptQuarantineTest.java
+++ b/core/src/test/java/org/gentianslip/core/quarantine/PromptQuarantineTest.java
@@ -27,13 +27,14 @@
   private int requests;
   private int engines;
 
-  private static RequestSize prompt(String... parts) {
+  private static RequestTraits prompt(String... parts) {
     List<PromptPart> list = Arrays.stream(parts).map(p -> new PromptPart(p, 100)).toList();
-    return new RequestSize(list, 10, 10);
+    String fingerprint = "request:" + String.join("+", parts);
+    return RequestTraits.of(new RequestSize(list, 10, 10), () -> fingerprint);
   }
 
   /** Returns a prompt that ends with a part of its own. */
-  private RequestSize uniquePrompt(String... shared) {
+  private RequestTraits uniquePrompt(String... shared) {
     List<String> parts = new ArrayList<>(List.of(shared));
     parts.add("own" + requests++);
     return prompt(parts.toArray(String[]::new));
@@ -43,7 +44,7 @@
     return EngineId.of("e" + engines++);
   }
 
-  private void crash(RequestSize size, EngineId engine, long sentNanos, long crashedNanos) {
+  private void crash(RequestTraits size, EngineId engine, long sentNanos, long crashedNanos) {
     quarantine.recordCrash("r" + requests++, engine, size, sentNanos, crashedNanos);
   }
 
@@ -55,7 +56,7 @@
     }
   }
 
-  private boolean isHeld(long nowNanos, RequestSize size) {
+  private boolean isHeld(long nowNanos, RequestTraits size) {
     return quarantine.holdNanos(nowNanos, size, part -> true).isPresent();
   }
 
@@ -126,7 +127,7 @@
 
     @Test
     void holdsNothingIfOnePromptIsRepeated() {
-      RequestSize repeated = uniquePrompt("doc");
+      RequestTraits repeated = uniquePrompt("doc");
       for (int i = 1; i <= 4; i++) {
         crash(repeated, newEngine(), i * SECOND - 100 * MILLI, i * SECOND);
       }
@@ -143,11 +144,103 @@
     }
   }
 
+  @Nested
+  @DisplayName("with one request that is repeated unchanged")
+  class RepeatedRequest {
+
+    private final RequestTraits deadly = uniquePrompt("doc", "session");
+
+    /** Crashes an engine each second, at which other requests with the same first part run. */
+    private void crashWithOthers(int times, long fromNanos) {
+      for (int i = 0; i < times; i++) {
+        EngineId engine = newEngine();
+        long crashedNanos = fromNanos + i * SECOND;
+        crash(deadly, engine, crashedNanos - 200 * MILLI, crashedNanos);
+        for (int j = 0; j < 5; j++) {
+          crash(uniquePrompt("doc"), engine, crashedNanos - 300 * MILLI, crashedNanos + MILLI);
+        }
+      }
+    }
+
+    @Test
+    void holdsItAfterThreeCrashes() {
+      crashWithOthers(2, SECOND);
+      assertThat(isHeld(3 * SECOND, deadly), is(false));
+      crashWithOthers(1, 4 * SECOND);
+      assertThat(isHeld(5 * SECOND, deadly), is(true));
+    }
+
+    @Test
+    void holdsItAlsoWithoutParts() {
+      RequestTraits plain = RequestTraits.of(RequestSize.UNKNOWN, () -> "request:plain");
+      for (int i = 1; i <= 3; i++) {
+        crash(plain, newEngine(), i * SECOND - 100 * MILLI, i * SECOND);
+      }
+      assertThat(isHeld(4 * SECOND, plain), is(true));
+    }
+
+    @Test
+    void doesNotHoldThePartsThatOthersShareWithIt() {
+      crashWithOthers(5, SECOND);
+      assertThat(isHeld(7 * SECOND, uniquePrompt("doc")), is(false));
+      assertThat(isHeld(7 * SECOND, uniquePrompt("doc", "session")), is(false));
+    }
+
+    @Test
+    void doesNotHoldAnotherRequestThatWasBrokenOffLessOften() {
+      RequestTraits other = uniquePrompt("doc");
+      EngineId[] engines = {newEngine(), newEngine(), newEngine(), newEngine()};
+      for (int i = 0; i < engines.length; i++) {
+        crash(deadly, engines[i], (i + 1) * SECOND - 200 * MILLI, (i + 1) * SECOND);
+      }
+      for (int i = 0; i < 3; i++) {
+        crash(other, engines[i], (i + 1) * SECOND - 100 * MILLI, (i + 1) * SECOND);
+      }
+      assertThat(isHeld(6 * SECOND, deadly), is(true));
+      assertThat(isHeld(6 * SECOND, other), is(false));
+    }
+
+    @Test
+    void triesItSeldomOnceItIsHeld() {
+      crashWithOthers(3, SECOND);
+      int tries = 0;
+      for (long now = 4 * SECOND; now < 10 * 60 * SECOND; now += SECOND) {
+        if (!isHeld(now, deadly)) {
+          tries++;
+          crash(deadly, newEngine(), now, now + 100 * MILLI);
+        }
+      }
+      assertThat(tries, is(lessThanOrEqualTo(3)));
+    }
+
+    @Test
+    void releasesItWhenAnAnswerCompletes() {
+      crashWithOthers(3, SECOND);
+      assertThat(isHeld(5 * SECOND, deadly), is(true));
+      quarantine.recordCompletion(deadly, 5 * SECOND, 6 * SECOND);
+      assertThat(isHeld(7 * SECOND, deadly), is(false));
+    }
+
+    @Test
+    void holdsThePartIfSeveralSuchRequestsHaveItInCommon() {
+      for (int i = 0; i < 3; i++) {
+        RequestTraits request = uniquePrompt("doc", "dead");
+        for (int j = 0; j < 3; j++) {
+          long crashedNanos = (1 + 3 * i + j) * SECOND;
+          crash(request, newEngine(), crashedNanos - 200 * MILLI, crashedNanos);
+        }
+        quarantine.recordCompletion(uniquePrompt("doc"), (4 + 3 * i) * SECOND, 20 * SECOND);
+      }
+      assertThat(isHeld(21 * SECOND, uniquePrompt("doc", "dead")), is(true));
+      assertThat(isHeld(21 * SECOND, uniquePrompt("doc")), is(false));
+    }
+  }
+
   @Nested
   @DisplayName("once a part is held")
   class Held {
 
-    private final RequestSize dead = prompt("doc", "dead", "own");
+    private final RequestTraits dead = prompt("doc", "dead", "own");
 
     private void hold() {
       crashEachSecond(3, SECOND, "doc", "dead");
@@ -217,7 +310,7 @@
       crashEachSecond(2, SECOND, "doc", "dead");
       peer.recordCrash("p1", newEngine(), uniquePrompt("doc", "dead"), 2 * SECOND, 3 * SECOND);
       pass(3 * SECOND, quarantine, selfId, peer);
-      RequestSize dead = uniquePrompt("dead");
+      RequestTraits dead = uniquePrompt("dead");
       assertThat(peer.holdNanos(4 * SECOND, dead, p -> true).isPresent(), is(true));
     }
 
@@ -227,7 +320,7 @@
       crashEachSecond(4, SECOND, "doc");
       quarantine.recordCompletion(uniquePrompt("doc"), 5 * SECOND, 6 * SECOND);
       pass(6 * SECOND, quarantine, selfId, peer);
-      RequestSize doc = uniquePrompt("doc");
+      RequestTraits doc = uniquePrompt("doc");
       assertThat(peer.holdNanos(7 * SECOND, doc, p -> true).isPresent(), is(false));
     }
 
@@ -243,12 +336,13 @@
                   crash.engine(),
                   crash.parts(),
                   crash.prompt(),
+                  crash.fingerprint(),
                   crash.sentNanos() + delayNanos,
                   crash.crashedNanos() + delayNanos);
           peer.applyCrash(20 * SECOND, selfId, delayed);
         }
       }
-      RequestSize dead = uniquePrompt("dead");
+      RequestTraits dead = uniquePrompt("dead");
       assertThat(peer.holdNanos(21 * SECOND, dead, p -> true).isPresent(), is(false));
     }
 
--- a/entry/src/main/java/org/gentianslip/entry/fleet/FleetMessage.java
+++ b/entry/src/main/java/org/gentianslip/entry/fleet/FleetMessage.java
@@ -242,10 +242,17 @@
    * @param prompt the id of the last part
    * @param waited the time from sending the request to the crash, in milliseconds
    * @param age the time since the crash, in milliseconds
+   * @param fingerprint the fingerprint of the request; null in messages of earlier versions
    */
   @JsonFormat(shape = JsonFormat.Shape.ARRAY)
   record Crash(
-      String request, String engine, List<String> parts, String prompt, long waited, long age) {
+      String request,
+      String engine,
+      List<String> parts,
+      String prompt,
+      long waited,
+      long age,
+      String fingerprint) {
 
     static Crash of(long nowNanos, CrashReport crash) {
       return new Crash(
@@ -254,13 +261,21 @@
           crash.parts(),
           crash.prompt(),
           TimeUnit.NANOSECONDS.toMillis(crash.crashedNanos() - crash.sentNanos()),
-          TimeUnit.NANOSECONDS.toMillis(nowNanos - crash.crashedNanos()));
+          TimeUnit.NANOSECONDS.toMillis(nowNanos - crash.crashedNanos()),
+          crash.fingerprint());
     }
 
     CrashReport toReport(long nowNanos) {
       long crashedNanos = nowNanos - TimeUnit.MILLISECONDS.toNanos(Math.max(0, age));
       long sentNanos = crashedNanos - TimeUnit.MILLISECONDS.toNanos(Math.max(0, waited));
-      return new CrashReport(request, EngineId.of(engine), parts, prompt, sentNanos, crashedNanos);
+      return new CrashReport(
+          request,
+          EngineId.of(engine),
+          parts,
+          prompt,
+          fingerprint == null ? "" : fingerprint,
+          sentNanos,
+          crashedNanos);
     }
   }
 
--- a/entry/src/main/java/org/gentianslip/entry/gateway/AttemptPlanner.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/AttemptPlanner.java
@@ -13,6 +13,7 @@
 import org.gentianslip.core.load.RegionOption;
 import org.gentianslip.core.load.RequestSize;
 import org.gentianslip.core.published.Backend;
+import org.gentianslip.core.quarantine.RequestTraits;
 import org.gentianslip.core.route.Route;
 
 /**
@@ -26,7 +27,7 @@
 
   private static final int MAX_FORWARDS = 2;
 
-  /** The reason for refusing a request with a part of a prompt that crashes engines. */
+  /** The reason for refusing a request that, or a part of whose prompt, crashes engines. */
   static final String QUARANTINED = "quarantined";
 
   /** The retry delay if none can be computed, in milliseconds. */
@@ -36,6 +37,7 @@
   private final Route route;
   private final ServiceId service;
   private final RequestSize size;
+  private final RequestTraits traits;
   private final boolean forwarded;
   private final Set<EngineId> possibleRuns = new HashSet<>();
   private final Set<EngineId> excluded = new HashSet<>();
@@ -43,11 +45,17 @@
   private int forwards;
 
   AttemptPlanner(
-      GatewayState state, Route route, ServiceId service, RequestSize size, boolean forwarded) {
+      GatewayState state,
+      Route route,
+      ServiceId service,
+      RequestSize size,
+      RequestTraits traits,
+      boolean forwarded) {
     this.state = state;
     this.route = route;
     this.service = service;
     this.size = size;
+    this.traits = traits;
     this.forwarded = forwarded;
   }
 
@@ -55,6 +63,10 @@
     return size;
   }
 
+  RequestTraits traits() {
+    return traits;
+  }
+
   /** Counts the request towards the repeat budget, unless the forwarding instance counts it. */
   void countRequest(long nowNanos) {
     if (!forwarded) {
@@ -65,7 +77,7 @@
   /** Chooses the target of the next attempt without claiming a repeat. */
   BackendDecision choose(long nowNanos, long remainingMillis) {
     OptionalLong holdNanos =
-        state.quarantine().holdNanos(nowNanos, size, part -> state.triesAgain(nowNanos, part));
+        state.quarantine().holdNanos(nowNanos, traits, part -> state.triesAgain(nowNanos, part));
     if (holdNanos.isPresent()) {
       return new BackendDecision.Refuse(
           QUARANTINED, TimeUnit.NANOSECONDS.toMillis(holdNanos.getAsLong()));
--- a/entry/src/main/java/org/gentianslip/entry/gateway/BackendAttempt.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/BackendAttempt.java
@@ -21,7 +21,7 @@
 
   private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
 
-  /** The number of events up to which a prompt may have made the backend server fail. */
+  /** The number of events up to which a request may have made the backend server fail. */
   private static final int MAX_EVENTS_OF_CRASH = 1;
 
   /** The maximum number of parts of a prompt in one log line. */
@@ -66,7 +66,7 @@
   @Override
   void recordFailure(long nowNanos, String cause) {
     reservation.failed(nowNanos);
-    if (receivedEvents() <= MAX_EVENTS_OF_CRASH && !execution().size().sharedParts().isEmpty()) {
+    if (receivedEvents() <= MAX_EVENTS_OF_CRASH) {
       reportCrashIfDown(nowNanos);
     }
     LOGGER.atInfo().log(
@@ -78,7 +78,7 @@
         receivedEvents(),
         execution().size().sharedParts().stream().map(PromptPart::id).limit(LOGGED_PARTS).toList(),
         execution().size().ownPart().map(PromptPart::id).orElse("none"),
-        execution().request().fingerprint(),
+        execution().traits().fingerprint(),
         cause);
   }
 
@@ -92,7 +92,7 @@
             backend,
             () ->
                 quarantine.recordCrash(
-                    execution().id(), backend.id(), execution().size(), sentNanos, brokeNanos));
+                    execution().id(), backend.id(), execution().traits(), sentNanos, brokeNanos));
   }
 
   @Override
@@ -154,7 +154,7 @@
     long now = System.nanoTime();
     reservation.succeeded(now);
     GatewayState state = execution().gateway().state();
-    state.quarantine().recordCompletion(execution().size(), sentNanos, now);
+    state.quarantine().recordCompletion(execution().traits(), sentNanos, now);
     if (decision.option().load().pollRecovered()) {
       execution().gateway().onBackendReturned(now, backend);
     }
--- a/entry/src/main/java/org/gentianslip/entry/gateway/RequestExecution.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/RequestExecution.java
@@ -9,6 +9,7 @@
 import org.gentianslip.core.load.BackendDecision;
 import org.gentianslip.core.load.RequestSize;
 import org.gentianslip.core.load.RetryDelay;
+import org.gentianslip.core.quarantine.RequestTraits;
 import org.gentianslip.core.route.Route;
 
 /**
@@ -60,12 +61,14 @@
     this.route = route;
     this.id = request.headers().get(gateway.edgeHeaders().requestId(), "");
     this.requestLog = new RequestLog(id, request, route, forwarded, gateway.openTrace(id));
+    RequestSize size = gateway.edgeHeaders().sizeOf(request.headers(), request.body().length);
     this.planner =
         new AttemptPlanner(
             gateway.state(),
             route,
             route.serviceFor(gateway.splitFraction(id)),
-            gateway.edgeHeaders().sizeOf(request.headers(), request.body().length),
+            size,
+            RequestTraits.of(size, request::fingerprint),
             forwarded);
     this.deadlineNanos = request.receivedNanos() + TimeUnit.MILLISECONDS.toNanos(remainingMillis);
   }
@@ -98,6 +101,10 @@
     return planner.size();
   }
 
+  RequestTraits traits() {
+    return planner.traits();
+  }
+
   String id() {
     return id;
   }
