Bound the removals of published items that are remembered

Cause: since the last value of a removed item is kept to compare it with a restored copy, each removed backend server left some hundred bytes, without bound. What was ruled out: dropping them by age, as a copy may be of any age. Change: the latest 10,000 removals are remembered. Figures: none; a test with more removals than that. Conclusion: the state is bounded; a restored store that is older than 10,000 removals may show a server that was removed as present until its lease expires.

--- a/core/src/main/java/org/gentianslip/core/published/PublishedItemStore.java
+++ b/core/src/main/java/org/gentianslip/core/published/PublishedItemStore.java
@@ -3,6 +3,7 @@
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -23,11 +24,14 @@
  */
 public final class PublishedItemStore {
 
+  /** The maximum number of removals that are remembered, the latest ones. */
+  static final int MAX_REMOVALS = 10_000;
+
   private final ItemSchema schema;
   private final long removalDelayNanos;
   private final long confirmationDelayNanos;
   private final Map<String, PublishedItem> items = new HashMap<>();
-  private final Map<String, Removal> removals = new HashMap<>();
+  private final Map<String, Removal> removals = new LinkedHashMap<>();
   private final Map<String, Long> removalDueNanos = new HashMap<>();
   private final Map<String, Unconfirmed> unconfirmed = new HashMap<>();
   private Revision revision = Revision.NONE;
@@ -126,6 +130,7 @@
     items.put(item.key(), item);
   }
 
+  /** Returns whether an item of another era was written before its removal. */
   private boolean isFromBefore(PublishedItem item, Removal removal) {
     return removal
         .last()
@@ -172,9 +177,15 @@
   }
 
   private void recordRemoval(String key, Revision atRevision, PublishedItem previous) {
-    Removal known = removals.getOrDefault(key, new Removal(Revision.NONE, Optional.empty()));
+    Removal known = removals.remove(key);
+    if (known == null) {
+      known = new Removal(Revision.NONE, Optional.empty());
+    }
     Optional<PublishedItem> last = Optional.ofNullable(previous).or(known::last);
     removals.put(key, new Removal(Revision.latest(known.revision(), atRevision), last));
+    if (removals.size() > MAX_REMOVALS) {
+      removals.remove(removals.keySet().iterator().next());
+    }
   }
 
   /**
--- a/core/src/test/java/org/gentianslip/core/published/PublishedItemStoreTest.java
+++ b/core/src/test/java/org/gentianslip/core/published/PublishedItemStoreTest.java
@@ -94,6 +94,19 @@
       assertThat(keys(), containsInAnyOrder("a"));
     }
 
+    @Test
+    void remembersOnlySoManyRemovals() {
+      store.apply(0, List.of(removed("first", 5)), at(5), false);
+      for (int i = 1; i < PublishedItemStore.MAX_REMOVALS; i++) {
+        store.apply(0, List.of(removed("k" + i, 5 + i)), at(5 + i), false);
+      }
+      store.apply(0, List.of(written("first", 4)), at(4), false);
+      assertThat(keys(), is(empty()));
+      store.apply(0, List.of(removed("last", 20_000)), at(20_000), false);
+      store.apply(0, List.of(written("first", 4), written("last", 4)), at(4), false);
+      assertThat(keys(), containsInAnyOrder("first"));
+    }
+
     @Test
     void neverGoesBackToAnOlderRevision() {
       store.apply(0, List.of(), at(9), false);
