--- a/review/rig/Client.java
+++ b/review/rig/Client.java
@@ -11,7 +11,13 @@
   private Client() {}
 
   /** The end of a request: its status, or 0 if the connection ended without a complete answer. */
-  public record Result(int status, String body, String error, long millis) {}
+  public record Result(int status, String body, String error, long millis, String retryAfter) {
+
+    /** Returns the time of Retry-After, in milliseconds; 0 if there is none. */
+    public long retryAfterMillis() {
+      return retryAfter.isEmpty() ? 0 : (long) (1_000 * Double.parseDouble(retryAfter));
+    }
+  }
 
   /** Sends a request and waits for its answer. */
   public static Result send(
@@ -35,10 +41,15 @@
       Http.Message answer = Http.read(socket.getInputStream());
       result =
           answer == null
-              ? new Result(0, "", "closed without an answer", millisSince(start))
-              : new Result(answer.status(), answer.text(), "", millisSince(start));
+              ? failure("closed without an answer", start)
+              : new Result(
+                  answer.status(),
+                  answer.text().replace("\n", " "),
+                  "",
+                  millisSince(start),
+                  answer.header("Retry-After"));
     } catch (IOException e) {
-      result = new Result(0, "", e.toString(), millisSince(start));
+      result = failure(e.toString(), start);
     }
     record.add(
         "client: request %s ends after %d ms: status %d %s%s",
@@ -46,6 +57,10 @@
     return result;
   }
 
+  private static Result failure(String error, long startNanos) {
+    return new Result(0, "", error, millisSince(startNanos), "");
+  }
+
   private static long millisSince(long startNanos) {
     return (System.nanoTime() - startNanos) / 1_000_000;
   }
--- a/review/rig/Server.java
+++ b/review/rig/Server.java
@@ -6,22 +6,49 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.Random;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.Semaphore;
+import java.util.concurrent.atomic.AtomicInteger;
 
-/** A stand-in of a plain backend server, which answers each request after some work. */
+/**
+ * A stand-in of a backend server, which answers each request after some work.
+ *
+ * <p>It runs six requests at once and queues 24 more; beyond that, it refuses. Requests below
+ * {@code /care/} are answered by a short stream of events.
+ */
 public final class Server {
 
+  /** The requests that wait beside those that run. */
+  private static final int QUEUE = 24;
+
+  /** The standard deviation of the logarithm of the work. */
+  private static final double SPREAD = 0.47;
+
   private final String id;
   private final String service;
   private final RunLog record;
   private final ServerSocket server;
   private final Set<Socket> sockets = ConcurrentHashMap.newKeySet();
   private final Set<String> runs = ConcurrentHashMap.newKeySet();
-  private volatile int workMillis;
+  private final Semaphore slots;
+  private final int slotCount;
+  private final AtomicInteger accepted = new AtomicInteger();
+  private final int workMillis;
+  private final Random random = new Random(7);
+  private volatile double slowness = 1;
 
-  /** Starts a server that works a while on each request. */
+  /** Starts a server with six slots that works a while on each request. */
   public Server(String id, String service, int workMillis, RunLog record) throws IOException {
+    this(id, service, workMillis, 6, record);
+  }
+
+  /** Starts a server that works a while on each request. */
+  public Server(String id, String service, int workMillis, int slots, RunLog record)
+      throws IOException {
+    this.slots = new Semaphore(slots, true);
+    this.slotCount = slots;
     this.id = id;
     this.service = service;
     this.workMillis = workMillis;
@@ -44,8 +71,8 @@
   public String entry(String zone, String state) {
     return String.format(
         "{\"service\":\"%s\",\"address\":\"127.0.0.1:%d\",\"zone\":\"%s\",\"version\":\"1\","
-            + "\"slots\":6,\"state\":\"%s\",\"cold_left_ms\":0,\"seq\":1,\"born\":1700000000000}",
-        service, server.getLocalPort(), zone, state);
+            + "\"slots\":%d,\"state\":\"%s\",\"cold_left_ms\":0,\"seq\":1,\"born\":1700000000000}",
+        service, server.getLocalPort(), zone, slotCount, state);
   }
 
   /** Returns whether this server has begun to run a request. */
@@ -53,9 +80,10 @@
     return runs.contains(requestId);
   }
 
-  /** Sets the work of each later request. */
-  public void setWorkMillis(int millis) {
-    workMillis = millis;
+  /** Makes later work take so many times as long. */
+  public void setSlowness(double times) {
+    record.add("server %s: works %s times as long", id, times);
+    slowness = times;
   }
 
   /** Ends this server and all that it runs. */
@@ -111,11 +139,35 @@
       Http.respond(out, 421, echo + "Gentianslip-Not-Run: 1\r\n", new byte[0]);
       return;
     }
-    record.add("server %s: runs request %s (%s)", id, requestId, request.start());
-    runs.add(requestId);
-    Thread.sleep(workMillis);
-    byte[] body = ("answer to " + requestId + " by " + id).getBytes(StandardCharsets.UTF_8);
-    Http.respond(out, 200, echo + "Gentianslip-Server-Stamp: " + id + "\r\n", body);
+    if (accepted.incrementAndGet() > slotCount + QUEUE) {
+      accepted.decrementAndGet();
+      record.add("server %s: is full for request %s", id, requestId);
+      Http.respond(out, 503, echo + "Gentianslip-Not-Run: 1\r\n", new byte[0]);
+      return;
+    }
+    slots.acquire();
+    try {
+      record.add("server %s: runs request %s (%s)", id, requestId, request.start());
+      runs.add(requestId);
+      Thread.sleep((long) (nextWorkMillis() * slowness));
+    } finally {
+      slots.release();
+      accepted.decrementAndGet();
+    }
+    boolean stream = request.target().startsWith("/care/");
+    String body = stream ? "id: 1\ndata: x\n\nid: 2\ndata: x\n\n" : "answer by " + id;
+    String type = stream ? "Content-Type: text/event-stream\r\n" : "";
+    Http.respond(
+        out,
+        200,
+        echo + type + "Gentianslip-Server-Stamp: " + id + "\r\n",
+        body.getBytes(StandardCharsets.UTF_8));
+  }
+
+  /** Draws the work of a request: spread by a half around the mean, at most five times the mean. */
+  private synchronized double nextWorkMillis() {
+    double spread = Math.exp(SPREAD * random.nextGaussian() - SPREAD * SPREAD / 2);
+    return Math.min(5.0 * workMillis, workMillis * spread);
   }
 
   private static void start(Runnable task) {
