--- a/review/rig/Client.java
+++ b/review/rig/Client.java
@@ -21,8 +21,26 @@
 
   /** Sends a request and waits for its answer. */
   public static Result send(
-      RunLog record, int port, String method, String path, String id, int deadlineMillis,
+      RunLog record,
+      int port,
+      String method,
+      String path,
+      String id,
+      int deadlineMillis,
       byte[] body) {
+    return send(record, port, method, path, id, deadlineMillis, body, "");
+  }
+
+  /** Sends a request with further headers, each with its line end, and waits for its answer. */
+  public static Result send(
+      RunLog record,
+      int port,
+      String method,
+      String path,
+      String id,
+      int deadlineMillis,
+      byte[] body,
+      String headers) {
     record.add("client: sends %s %s as request %s to port %d", method, path, id, port);
     long start = System.nanoTime();
     Result result;
@@ -33,8 +51,8 @@
       String head =
           String.format(
               "%s %s HTTP/1.1\r\nHost: shop.example\r\nGentianslip-Request-Id: %s\r\n"
-                  + "Gentianslip-Deadline-Ms: %d\r\nContent-Length: %d\r\n\r\n",
-              method, path, id, deadlineMillis, body.length);
+                  + "Gentianslip-Deadline-Ms: %d\r\n%sContent-Length: %d\r\n\r\n",
+              method, path, id, deadlineMillis, headers, body.length);
       bytes.writeBytes(head.getBytes(StandardCharsets.ISO_8859_1));
       bytes.writeBytes(body);
       socket.getOutputStream().write(bytes.toByteArray());
