--- a/review/2/Case.java
+++ b/review/2/Case.java
@@ -59,6 +59,7 @@
         for (Instance i : instances) {
           i.kill();
         }
+        Instance.deleteFolder(folder);
       }
       log.add("exit code %d", exit);
     }
--- a/review/3/Case.java
+++ b/review/3/Case.java
@@ -45,6 +45,7 @@
         log.add("the case could not run: %s", e);
       } finally {
         instance.kill();
+        Instance.deleteFolder(folder);
       }
       log.add("exit code %d", exit);
     }
--- a/review/rig/Instance.java
+++ b/review/rig/Instance.java
@@ -8,6 +8,7 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.stream.Stream;
 
 /** A process of the project, started with the command of the deploy file. */
 public final class Instance {
@@ -22,8 +23,7 @@
   private Process process;
 
   /** Prepares an instance; {@code folder} is for its settings and its log. */
-  public Instance(
-      String name, String zone, String region, Path root, Path folder, RunLog record)
+  public Instance(String name, String zone, String region, Path root, Path folder, RunLog record)
       throws IOException {
     this.name = name;
     this.zone = zone;
@@ -159,6 +159,7 @@
     builder.redirectOutput(
         ProcessBuilder.Redirect.appendTo(folder.resolve(name + ".log").toFile()));
     process = builder.start();
+    Runtime.getRuntime().addShutdownHook(new Thread(process::destroyForcibly));
     record.add("instance %s: starts as process %d", name, process.pid());
   }
 
@@ -168,6 +169,16 @@
     new ProcessBuilder("kill", "-" + signal, Long.toString(process.pid())).start().waitFor();
   }
 
+  /** Deletes the folder with the settings and the logs. */
+  public static void deleteFolder(Path folder) throws IOException {
+    try (Stream<Path> files = Files.list(folder)) {
+      for (Path file : files.toList()) {
+        Files.delete(file);
+      }
+    }
+    Files.delete(folder);
+  }
+
   /** Kills the process and waits for its end. */
   public void kill() throws InterruptedException {
     if (process != null) {
