Carry delayed removals in copies of published items

Callers: after a region had been cut from the store, an instance sent half of its requests to a server that had left, until the server exited; requests that run at most once then got 502.

Cause: after an outage the removal of an entry is delayed by 2.3 s, but the revision is raised at once. A copy for another instance held the items in use with that revision, so whoever copied them watched the store from the revision on and was never told of the removal. Items of a restored store that are not used yet were lost from copies in the same way.

Instance 2 copies three items at 0/16 at 47.779, the server that has left among them; instance 1 drops it at 50.013; instance 2 never does. Ruled out: the delay of the copying instance itself, which logged no removal at any time.

Change: a copy lists delayed removals and unconfirmed items apart, each with the time left, and the receiver applies them then, never later than by its own delay. An equal value that is read again no longer cancels a delayed removal.

CopiedItemsTest on: "Condition ... was not fulfilled within 5 seconds" at the copying instance; passes now.

Conclusion: a copy now says as much as its revision. Old instances still send copies without it.

--- a/core/src/main/java/org/gentianslip/core/published/PublishedItemStore.java
+++ b/core/src/main/java/org/gentianslip/core/published/PublishedItemStore.java
@@ -1,13 +1,15 @@
 package org.gentianslip.core.published;
 
+import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
+import java.util.stream.Collectors;
 
 /**
  * The published items as of a revision.
@@ -24,26 +26,15 @@
  */
 public final class PublishedItemStore {
 
-  /** The maximum number of removals that are remembered, the latest ones. */
-  static final int MAX_REMOVALS = 10_000;
-
   private final ItemSchema schema;
   private final long removalDelayNanos;
   private final long confirmationDelayNanos;
   private final Map<String, PublishedItem> items = new HashMap<>();
-  private final Map<String, Removal> removals = new LinkedHashMap<>();
+  private final RemovalHistory removals = new RemovalHistory();
   private final Map<String, Long> removalDueNanos = new HashMap<>();
   private final Map<String, Unconfirmed> unconfirmed = new HashMap<>();
   private Revision revision = Revision.NONE;
 
-  /**
-   * The removal of an item.
-   *
-   * @param revision the revision of the removal
-   * @param last the last known value
-   */
-  private record Removal(Revision revision, Optional<PublishedItem> last) {}
-
   /**
    * An item of a restored publisher that had been removed before.
    *
@@ -78,6 +69,28 @@
     return List.copyOf(items.values());
   }
 
+  /**
+   * Returns the items together with the delayed changes.
+   *
+   * @param nowNanos the current time, in nanoseconds of the monotonic clock
+   */
+  public ItemSnapshot snapshot(long nowNanos) {
+    List<DelayedRemoval> delayed = new ArrayList<>();
+    removalDueNanos.forEach(
+        (key, dueNanos) ->
+            delayed.add(new DelayedRemoval(key, removalRevision(key), dueNanos - nowNanos)));
+    List<UnconfirmedItem> awaiting = new ArrayList<>();
+    unconfirmed.forEach(
+        (key, u) ->
+            awaiting.add(
+                new UnconfirmedItem(u.item(), removalRevision(key), u.dueNanos() - nowNanos)));
+    return new ItemSnapshot(revision, List.copyOf(items.values()), delayed, awaiting);
+  }
+
+  private Revision removalRevision(String key) {
+    return removals.find(key).map(RemovalHistory.Removal::revision).orElse(revision);
+  }
+
   /**
    * Applies changes up to a revision.
    *
@@ -102,15 +115,16 @@
       return write(nowNanos, written.item());
     }
     boolean delayed = afterOutage && schema.isLeased(change.key());
-    return remove(nowNanos, change.key(), change.revision(), delayed);
+    return remove(change.key(), change.revision(), dueNanos(nowNanos, delayed));
   }
 
   private boolean write(long nowNanos, PublishedItem item) {
     PublishedItem previous = items.get(item.key());
-    if (previous != null && isOlder(item, previous)) {
+    if (previous != null
+        && (previous.revision().equals(item.revision()) || isOlder(item, previous))) {
       return false;
     }
-    Removal removal = removals.get(item.key());
+    RemovalHistory.Removal removal = removals.find(item.key()).orElse(null);
     if (removal != null && item.revision().era() == removal.revision().era()) {
       if (removal.revision().isAfter(item.revision())) {
         return false;
@@ -120,18 +134,18 @@
       return false;
     }
     put(item);
-    return previous == null || !previous.revision().equals(item.revision());
+    return true;
   }
 
   private void put(PublishedItem item) {
     unconfirmed.remove(item.key());
     removalDueNanos.remove(item.key());
-    removals.remove(item.key());
+    removals.forget(item.key());
     items.put(item.key(), item);
   }
 
   /** Returns whether an item of another era was written before its removal. */
-  private boolean isFromBefore(PublishedItem item, Removal removal) {
+  private boolean isFromBefore(PublishedItem item, RemovalHistory.Removal removal) {
     return removal
         .last()
         .map(last -> schema.sequence(last).isPresent() && compareSequences(item, last) <= 0)
@@ -157,18 +171,23 @@
     return first.isPresent() && second.isPresent() ? first.get().compareTo(second.get()) : 0;
   }
 
-  private boolean remove(long nowNanos, String key, Revision atRevision, boolean delayed) {
+  private OptionalLong dueNanos(long nowNanos, boolean delayed) {
+    return delayed ? OptionalLong.of(nowNanos + removalDelayNanos) : OptionalLong.empty();
+  }
+
+  /** Removes an item, at once or at the given time; an earlier time that is known holds. */
+  private boolean remove(String key, Revision atRevision, OptionalLong dueNanos) {
     PublishedItem previous = items.get(key);
     if (previous != null && previous.revision().isAfter(atRevision)) {
       return false;
     }
     unconfirmed.remove(key);
-    recordRemoval(key, atRevision, previous);
+    removals.record(key, atRevision, Optional.ofNullable(previous));
     if (previous == null) {
       return false;
     }
-    if (delayed) {
-      removalDueNanos.putIfAbsent(key, nowNanos + removalDelayNanos);
+    if (dueNanos.isPresent()) {
+      removalDueNanos.merge(key, dueNanos.getAsLong(), PublishedItemStore::earlier);
       return false;
     }
     removalDueNanos.remove(key);
@@ -176,16 +195,8 @@
     return true;
   }
 
-  private void recordRemoval(String key, Revision atRevision, PublishedItem previous) {
-    Removal known = removals.remove(key);
-    if (known == null) {
-      known = new Removal(Revision.NONE, Optional.empty());
-    }
-    Optional<PublishedItem> last = Optional.ofNullable(previous).or(known::last);
-    removals.put(key, new Removal(Revision.latest(known.revision(), atRevision), last));
-    if (removals.size() > MAX_REMOVALS) {
-      removals.remove(removals.keySet().iterator().next());
-    }
+  private static long earlier(long someNanos, long otherNanos) {
+    return someNanos - otherNanos < 0 ? someNanos : otherNanos;
   }
 
   /**
@@ -199,11 +210,64 @@
    */
   public boolean replace(
       long nowNanos, Collection<PublishedItem> listing, Revision atRevision, boolean afterOutage) {
-    if (revision.isAfter(atRevision)) {
+    return !revision.isAfter(atRevision)
+        && applyListing(nowNanos, listing, Set.of(), atRevision, afterOutage);
+  }
+
+  /**
+   * Replaces all items by those of another instance, unless they are older than the applied
+   * changes.
+   *
+   * <p>The changes that are delayed there are applied here when their delay has passed, and no
+   * later than if the publisher had been read here.
+   *
+   * @param nowNanos the current time, in nanoseconds of the monotonic clock
+   * @param copy the items and delayed changes of the other instance
+   * @param afterOutage whether the publisher has just recovered from an outage
+   * @return whether an item changed
+   */
+  public boolean replace(long nowNanos, ItemSnapshot copy, boolean afterOutage) {
+    if (revision.isAfter(copy.revision())) {
       return false;
     }
+    Set<String> unconfirmedKeys =
+        copy.unconfirmed().stream().map(u -> u.item().key()).collect(Collectors.toSet());
+    boolean changed =
+        applyListing(nowNanos, copy.items(), unconfirmedKeys, copy.revision(), afterOutage);
+    for (DelayedRemoval removal : copy.removals()) {
+      long delayNanos = Math.min(removal.remainingNanos(), removalDelayNanos);
+      changed |= remove(removal.key(), removal.revision(), OptionalLong.of(nowNanos + delayNanos));
+    }
+    for (UnconfirmedItem item : copy.unconfirmed()) {
+      changed |= awaitConfirmation(nowNanos, item);
+    }
+    return changed;
+  }
+
+  private boolean awaitConfirmation(long nowNanos, UnconfirmedItem other) {
+    PublishedItem item = other.item();
+    PublishedItem previous = items.get(item.key());
+    if (previous != null
+        && (previous.revision().era() == item.revision().era() || isOlder(item, previous))) {
+      return false;
+    }
+    removals.record(item.key(), other.removed(), Optional.of(previous == null ? item : previous));
+    items.remove(item.key());
+    removalDueNanos.remove(item.key());
+    long delayNanos = Math.min(other.remainingNanos(), confirmationDelayNanos);
+    unconfirmed.putIfAbsent(item.key(), new Unconfirmed(item, nowNanos + delayNanos));
+    return previous != null;
+  }
+
+  private boolean applyListing(
+      long nowNanos,
+      Collection<PublishedItem> listing,
+      Set<String> unconfirmedKeys,
+      Revision atRevision,
+      boolean afterOutage) {
     Set<String> missing = new HashSet<>(items.keySet());
     missing.addAll(unconfirmed.keySet());
+    missing.removeAll(unconfirmedKeys);
     boolean changed = false;
     for (PublishedItem item : listing) {
       missing.remove(item.key());
@@ -211,7 +275,7 @@
     }
     for (String key : missing) {
       boolean delayed = isFromEarlierEra(key, atRevision) || afterOutage && schema.isLeased(key);
-      changed |= remove(nowNanos, key, atRevision, delayed);
+      changed |= remove(key, atRevision, dueNanos(nowNanos, delayed));
     }
     revision = atRevision;
     return changed;
--- a/core/src/test/java/org/gentianslip/core/published/PublishedItemStoreTest.java
+++ b/core/src/test/java/org/gentianslip/core/published/PublishedItemStoreTest.java
@@ -97,7 +97,7 @@
     @Test
     void remembersOnlySoManyRemovals() {
       store.apply(0, List.of(removed("first", 5)), at(5), false);
-      for (int i = 1; i < PublishedItemStore.MAX_REMOVALS; i++) {
+      for (int i = 1; i < RemovalHistory.MAX_REMOVALS; i++) {
         store.apply(0, List.of(removed("k" + i, 5 + i)), at(5 + i), false);
       }
       store.apply(0, List.of(written("first", 4)), at(4), false);
--- a/entry/src/main/java/org/gentianslip/entry/fleet/FleetExchange.java
+++ b/entry/src/main/java/org/gentianslip/entry/fleet/FleetExchange.java
@@ -15,7 +15,7 @@
 import org.gentianslip.core.fleet.Contact;
 import org.gentianslip.core.fleet.ContactPlanner;
 import org.gentianslip.core.fleet.PeerRecord;
-import org.gentianslip.core.published.Revision;
+import org.gentianslip.core.published.ItemSnapshot;
 import org.gentianslip.entry.gateway.GatewayState;
 import org.gentianslip.entry.http.Json;
 import org.gentianslip.entry.published.PublishedStateUpdater;
@@ -58,7 +58,7 @@
         PUBLISHED,
         ctx -> {
           ctx.setResponseType(MediaType.json);
-          return ctx.send(Json.bytes(PublishedCopy.of(updater.snapshot())));
+          return ctx.send(Json.bytes(PublishedCopy.of(updater.snapshot(System.nanoTime()))));
         });
   }
 
@@ -161,12 +161,9 @@
   }
 
   private void applyCopy(PeerRecord peer, PublishedCopy copy) {
-    Revision before = updater.revision();
-    Revision revision = copy.publishedRevision();
-    if (revision.isAfter(before)) {
-      updater.replace(copy.toItems(), revision);
-      LOGGER.atInfo().log(
-          "fleet: event=copied from=%s revision=%s before=%s", peer.id(), revision, before);
+    ItemSnapshot snapshot = copy.toSnapshot();
+    if (snapshot.revision().isAfter(updater.revision())) {
+      updater.replace(peer.id().value(), snapshot);
     }
   }
 
--- a/entry/src/main/java/org/gentianslip/entry/fleet/PublishedCopy.java
+++ b/entry/src/main/java/org/gentianslip/entry/fleet/PublishedCopy.java
@@ -1,9 +1,12 @@
 package org.gentianslip.entry.fleet;
 
 import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.gentianslip.core.published.DelayedRemoval;
+import org.gentianslip.core.published.ItemSnapshot;
 import org.gentianslip.core.published.PublishedItem;
 import org.gentianslip.core.published.Revision;
-import org.gentianslip.entry.published.PublishedSource;
+import org.gentianslip.core.published.UnconfirmedItem;
 
 /**
  * The JSON form of all published items, as copied to another instance.
@@ -11,8 +14,20 @@
  * @param revision the number of the revision up to which the items are complete
  * @param era the era of that revision
  * @param items the items
+ * @param removals the delayed removals; null in copies of earlier versions
+ * @param unconfirmed the items that are not in use yet; null in copies of earlier versions
  */
-record PublishedCopy(long revision, long era, List<Item> items) {
+record PublishedCopy(
+    long revision,
+    long era,
+    List<Item> items,
+    List<Removal> removals,
+    List<Unconfirmed> unconfirmed) {
+
+  PublishedCopy {
+    removals = removals == null ? List.of() : List.copyOf(removals);
+    unconfirmed = unconfirmed == null ? List.of() : List.copyOf(unconfirmed);
+  }
 
   /**
    * The JSON form of a published item.
@@ -34,16 +49,68 @@
     }
   }
 
-  static PublishedCopy of(PublishedSource.Listing listing) {
-    List<Item> items = listing.items().stream().map(Item::of).toList();
-    return new PublishedCopy(listing.revision().number(), listing.revision().era(), items);
+  /**
+   * The JSON form of a {@link DelayedRemoval}.
+   *
+   * @param key the key of the item
+   * @param revision the number of the revision of the removal
+   * @param era the era of that revision
+   * @param remaining how long the item may still be used, in milliseconds
+   */
+  record Removal(String key, long revision, long era, long remaining) {
+
+    static Removal of(DelayedRemoval removal) {
+      return new Removal(
+          removal.key(),
+          removal.revision().number(),
+          removal.revision().era(),
+          TimeUnit.NANOSECONDS.toMillis(removal.remainingNanos()));
+    }
+
+    DelayedRemoval toRemoval() {
+      return new DelayedRemoval(
+          key, Revision.of(era, revision), TimeUnit.MILLISECONDS.toNanos(remaining));
+    }
+  }
+
+  /**
+   * The JSON form of an {@link UnconfirmedItem}.
+   *
+   * @param item the item
+   * @param revision the number of the revision of its removal
+   * @param era the era of that revision
+   * @param remaining after which time the item counts as confirmed, in milliseconds
+   */
+  record Unconfirmed(Item item, long revision, long era, long remaining) {
+
+    static Unconfirmed of(UnconfirmedItem item) {
+      return new Unconfirmed(
+          Item.of(item.item()),
+          item.removed().number(),
+          item.removed().era(),
+          TimeUnit.NANOSECONDS.toMillis(item.remainingNanos()));
+    }
+
+    UnconfirmedItem toItem() {
+      return new UnconfirmedItem(
+          item.toItem(), Revision.of(era, revision), TimeUnit.MILLISECONDS.toNanos(remaining));
+    }
   }
 
-  Revision publishedRevision() {
-    return Revision.of(era, revision);
+  static PublishedCopy of(ItemSnapshot snapshot) {
+    return new PublishedCopy(
+        snapshot.revision().number(),
+        snapshot.revision().era(),
+        snapshot.items().stream().map(Item::of).toList(),
+        snapshot.removals().stream().map(Removal::of).toList(),
+        snapshot.unconfirmed().stream().map(Unconfirmed::of).toList());
   }
 
-  List<PublishedItem> toItems() {
-    return items.stream().map(Item::toItem).toList();
+  ItemSnapshot toSnapshot() {
+    return new ItemSnapshot(
+        Revision.of(era, revision),
+        items.stream().map(Item::toItem).toList(),
+        removals.stream().map(Removal::toRemoval).toList(),
+        unconfirmed.stream().map(Unconfirmed::toItem).toList());
   }
 }
--- a/entry/src/main/java/org/gentianslip/entry/published/PublishedStateUpdater.java
+++ b/entry/src/main/java/org/gentianslip/entry/published/PublishedStateUpdater.java
@@ -3,9 +3,8 @@
 import com.google.common.flogger.FluentLogger;
 import java.io.IOException;
 import java.time.Duration;
-import java.util.List;
 import java.util.concurrent.TimeUnit;
-import org.gentianslip.core.published.PublishedItem;
+import org.gentianslip.core.published.ItemSnapshot;
 import org.gentianslip.core.published.PublishedItemStore;
 import org.gentianslip.core.published.PublishedState;
 import org.gentianslip.core.published.Revision;
@@ -101,8 +100,7 @@
 
   private void poll() throws IOException {
     if (!listingRead) {
-      PublishedSource.Listing listing = source.list();
-      replace(listing.items(), listing.revision());
+      replace(source.list());
       listingRead = true;
       return;
     }
@@ -149,29 +147,62 @@
     return items.revision();
   }
 
-  /** Returns all items, for a copy to another instance. */
-  public synchronized PublishedSource.Listing snapshot() {
-    return new PublishedSource.Listing(List.copyOf(items.items()), items.revision());
+  /** Returns all items and delayed changes, for a copy to another instance. */
+  public synchronized ItemSnapshot snapshot(long nowNanos) {
+    return items.snapshot(nowNanos);
   }
 
-  /** Replaces all items by those of the publisher or another instance, unless they are older. */
-  public void replace(List<PublishedItem> listing, Revision atRevision) {
+  /** Replaces all items by those of the publisher, unless they are older. */
+  private void replace(PublishedSource.Listing listing) {
     long now = System.nanoTime();
     boolean changed;
     Revision before;
     synchronized (this) {
       before = items.revision();
-      if (atRevision.era() > before.era()) {
-        recoveredNanos = now;
-      }
-      changed = items.replace(now, listing, atRevision, isRecovering(now));
+      noteEra(now, listing.revision());
+      changed = items.replace(now, listing.items(), listing.revision(), isRecovering(now));
     }
     LOGGER.atInfo().log(
         "published: event=listing revision=%s before=%s after=%s changed=%s items=%s",
-        atRevision, before, revision(), changed, listing.size());
+        listing.revision(), before, revision(), changed, listing.items().size());
+    notifyConfirmed(now, changed);
+  }
+
+  /**
+   * Replaces all items by those of another instance, unless they are older.
+   *
+   * @param source the name of the other instance, for the log
+   */
+  public void replace(String source, ItemSnapshot copy) {
+    long now = System.nanoTime();
+    boolean changed;
+    Revision before;
+    synchronized (this) {
+      before = items.revision();
+      noteEra(now, copy.revision());
+      changed = items.replace(now, copy, isRecovering(now));
+    }
+    LOGGER.atInfo().log(
+        "published: event=copied from=%s revision=%s before=%s after=%s changed=%s items=%s "
+            + "removals=%s unconfirmed=%s",
+        source,
+        copy.revision(),
+        before,
+        revision(),
+        changed,
+        copy.items().size(),
+        copy.removals().size(),
+        copy.unconfirmed().size());
     notifyConfirmed(now, changed);
   }
 
+  /** A new era is an outage, in which leases may have expired. */
+  private void noteEra(long nowNanos, Revision revision) {
+    if (revision.era() > items.revision().era()) {
+      recoveredNanos = nowNanos;
+    }
+  }
+
   /** Applies delayed changes; must be called periodically. */
   public void expireItems(long nowNanos) {
     boolean changed;
