Refuse requests whose body has no known end

Callers: the body of a request with Transfer-Encoding identity, gzip or xchunked was run as a request of its own, also on routes whose requests run at most once, and the caller got a second answer.

Cause: the HTTP decoder takes a request with neither chunked nor a length as one without a body. The instance refused only a coding beside a length. Ruled out: the decoding of chunks, which these forms never reach; with a length the same bodies arrive unchanged.

Related paths with the same cause: the port for forwarded requests, the ports of the own edge, and responses with codings before chunked, which were passed on undecoded.

A response with any other transfer coding is no answer.

Conclusion: the end of each body is known before a byte of it is read.

--- a/entry/src/main/java/org/gentianslip/entry/gateway/BackendConnection.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/BackendConnection.java
@@ -13,6 +13,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
+import org.gentianslip.entry.http.TransferCodings;
 
 /**
  * A connection to a backend server or another instance that carries one exchange at a time.
@@ -118,6 +119,11 @@
       return;
     }
     HttpHeaders headers = response.headers();
+    TransferCodings codings = TransferCodings.of(headers);
+    if (!codings.isEmpty() && !codings.isChunkedOnly()) {
+      closeAndFail("not an answer: unknown transfer codings " + codings.names());
+      return;
+    }
     int status = response.status().code();
     String id = headers.get(exchange.request().idHeader());
     skippingResponse =
--- a/entry/src/main/java/org/gentianslip/entry/gateway/CallerConnection.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/CallerConnection.java
@@ -22,10 +22,12 @@
 import io.netty.util.ReferenceCountUtil;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 import org.gentianslip.core.route.CallerLimits;
+import org.gentianslip.entry.http.RequestFraming;
 
 /**
  * Reads the requests of one connection, one after the other.
@@ -98,10 +100,12 @@
       reject(statusOf(request.decoderResult().cause()));
       return;
     }
-    boolean ambiguous =
-        request.headers().contains(HttpHeaderNames.TRANSFER_ENCODING)
-            && request.headers().contains(HttpHeaderNames.CONTENT_LENGTH);
-    if (ambiguous || request.headers().getAll(HttpHeaderNames.HOST).size() != 1) {
+    Optional<HttpResponseStatus> badFraming = RequestFraming.refusalStatus(request);
+    if (badFraming.isPresent()) {
+      reject(badFraming.get());
+      return;
+    }
+    if (request.headers().getAll(HttpHeaderNames.HOST).size() != 1) {
       reject(HttpResponseStatus.BAD_REQUEST);
       return;
     }
--- a/entry/src/main/java/org/gentianslip/entry/http/RequestGuard.java
+++ b/entry/src/main/java/org/gentianslip/entry/http/RequestGuard.java
@@ -74,6 +74,11 @@
     if (request.decoderResult().isFailure()) {
       return Optional.of(malformed(request.decoderResult().cause()));
     }
+    if (RequestFraming.refusalStatus(request).isPresent()) {
+      return Optional.of(
+          ErrorReply.notRun(
+              ErrorCode.MALFORMED_REQUEST, "The end of the request's body is not known."));
+    }
     if (HttpUtil.getContentLength(request, 0L) > maxBodyBytes) {
       return Optional.of(bodyTooLarge());
     }
--- a/entry/src/test/java/org/gentianslip/entry/http/RequestGuardTest.java
+++ b/entry/src/test/java/org/gentianslip/entry/http/RequestGuardTest.java
@@ -9,6 +9,7 @@
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpVersion;
 import org.junit.jupiter.api.Test;
@@ -41,6 +42,17 @@
     assertThat(channel.readOutbound(), is(nullValue()));
   }
 
+  @Test
+  void refusesBodiesWithoutKnownEnd() {
+    var request = new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST, "/");
+    request.headers().set(HttpHeaderNames.TRANSFER_ENCODING, "identity");
+    channel.writeInbound(request);
+    FullHttpResponse response = channel.readOutbound();
+    assertThat(response.status().code(), is(400));
+    assertThat(channel.isOpen(), is(false));
+    response.release();
+  }
+
   private void beginRequest() {
     channel.writeInbound(new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST, "/"));
   }
