Send a request on a connection once

Callers: successes where the server had answered with a failure, 8 and 10 cases on the users' own machines with servers that may answer twice, the second time late.

Cause: an answer is matched to its request by the echoed id, which is unambiguous only while an id is sent on a connection once. A repeat at the same server took the connection used last. If the server repeats its first answer there, it is taken for the second run's, the connection is pooled while that run is at work, and its answer is taken for the third run's. An instance that received a forwarded request may use no second server, so it repeats each failure in this way; both cases of the record came over a forward.

Ruled out: answers to other requests, which are skipped by their id, and answers on idle connections, which close them.

That the users' cases are these is concluded from the record; their run can't be played here.

--- a/entry/src/main/java/org/gentianslip/entry/gateway/BackendClient.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/BackendClient.java
@@ -19,6 +19,7 @@
 import java.util.ArrayList;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
@@ -59,7 +60,7 @@
   /** Sends a request and passes its response to a listener. */
   Exchange send(OutgoingRequest request, ResponseListener listener) {
     var exchange = new Exchange(request, listener);
-    BackendConnection reused = request.fresh() ? null : pollIdle(request.address());
+    BackendConnection reused = request.fresh() ? null : pollIdle(request);
     if (reused != null) {
       write(reused, exchange);
     } else {
@@ -68,15 +69,23 @@
     return exchange;
   }
 
-  private BackendConnection pollIdle(String address) {
-    Deque<BackendConnection> queue = idle.get(address);
+  /** Returns the connection that was used last, of those on which the request was never sent. */
+  private BackendConnection pollIdle(OutgoingRequest request) {
+    Deque<BackendConnection> queue = idle.get(request.address());
+    if (queue == null) {
+      return null;
+    }
     long now = System.nanoTime();
-    while (queue != null && !queue.isEmpty()) {
-      BackendConnection connection = queue.removeLast();
-      if (connection.isUsable(now, ALWAYS_USABLE_NANOS)) {
+    Iterator<BackendConnection> latestFirst = queue.descendingIterator();
+    while (latestFirst.hasNext()) {
+      BackendConnection connection = latestFirst.next();
+      if (!connection.isUsable(now, ALWAYS_USABLE_NANOS)) {
+        latestFirst.remove();
+        connection.close();
+      } else if (!connection.hasSent(request.id())) {
+        latestFirst.remove();
         return connection;
       }
-      connection.close();
     }
     return null;
   }
--- a/entry/src/main/java/org/gentianslip/entry/gateway/BackendConnection.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/BackendConnection.java
@@ -19,7 +19,8 @@
  * A connection to a backend server or another instance that carries one exchange at a time.
  *
  * <p>Unsolicited bytes close the connection. A response that names another request is skipped, and
- * the connection is closed after the current exchange. Confined to its event loop.
+ * the connection is closed after the current exchange. Each request is sent at most once on a
+ * connection, as the responses to two sends could not be told apart. Confined to its event loop.
  */
 final class BackendConnection extends ChannelInboundHandlerAdapter {
 
@@ -38,6 +39,7 @@
 
   private final BackendClient client;
   private final String address;
+  private final SentRequests sent = new SentRequests();
   private Channel channel;
   private Exchange exchange;
   private boolean skippingResponse;
@@ -67,11 +69,20 @@
 
   void assign(Exchange next) {
     exchange = next;
+    sent.add(next.request().id());
     skippingResponse = false;
     skippedBytes = 0;
     skippedResponses = 0;
   }
 
+  /**
+   * Returns whether a request was sent on this connection before, so that an earlier response to it
+   * could be taken for the one to come.
+   */
+  boolean hasSent(String requestId) {
+    return sent.contains(requestId);
+  }
+
   void markIdleUntil(long nanos) {
     idleSinceNanos = System.nanoTime();
     idleUntilNanos = nanos;
