Accept answers without an id on new connections only

Callers: none seen here; reported by another operator as refusals that are written once more on a kept connection. Shown here: the caller of a stream that must not be repeated got 503 while the server ran it, and a caller got the answer to an earlier request.

Cause: an answer without an id was taken for the answer to the request that waits, also on a connection on which others were sent before. Ruled out: answers that name another request, which are skipped, and plain requests that run at most once, which always use a new connection.

Change: an answer without an id is accepted for the first request of a connection only; otherwise the connection is closed and the outcome is unknown. Several ids must all be the request's.

Conclusion: what is told to a caller rests on an answer that can only be its own.

--- a/entry/src/main/java/org/gentianslip/entry/gateway/BackendConnection.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/BackendConnection.java
@@ -10,6 +10,7 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
+import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
@@ -19,8 +20,10 @@
  * A connection to a backend server or another instance that carries one exchange at a time.
  *
  * <p>Unsolicited bytes close the connection. A response that names another request is skipped, and
- * the connection is closed after the current exchange. Each request is sent at most once on a
- * connection, as the responses to two sends could not be told apart. Confined to its event loop.
+ * the connection is closed after the current exchange. A response without an id is accepted only
+ * for the first request, as it may otherwise answer an earlier one. Each request is sent at most
+ * once on a connection, as the responses to two sends could not be told apart. Confined to its
+ * event loop.
  */
 final class BackendConnection extends ChannelInboundHandlerAdapter {
 
@@ -136,9 +139,13 @@
       return;
     }
     int status = response.status().code();
-    String id = headers.get(exchange.request().idHeader());
+    List<String> ids = headers.getAll(exchange.request().idHeader());
+    if (status >= FIRST_FINAL_STATUS && ids.isEmpty() && sent.count() > 1) {
+      closeAndFail("not an answer: without an id, which may be to an earlier request");
+      return;
+    }
     skippingResponse =
-        status < FIRST_FINAL_STATUS || (id != null && !id.equals(exchange.request().id()));
+        status < FIRST_FINAL_STATUS || !ids.stream().allMatch(exchange.request().id()::equals);
     if (skippingResponse) {
       reusable = reusable && status < FIRST_FINAL_STATUS;
       skippedResponses++;
--- a/entry/src/main/java/org/gentianslip/entry/gateway/SentRequests.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/SentRequests.java
@@ -14,18 +14,18 @@
   static final int CAPACITY = 256;
 
   private final long[] hashes = new long[CAPACITY];
-  private int count;
+  private long count;
 
   /** Adds a request; the earliest one is forgotten if there are too many. */
   void add(String id) {
-    hashes[count % CAPACITY] = hash(id);
+    hashes[(int) (count % CAPACITY)] = hash(id);
     count++;
   }
 
   /** Returns whether a request is among the latest ones. */
   boolean contains(String id) {
     long hash = hash(id);
-    int known = Math.min(count, CAPACITY);
+    long known = Math.min(count, CAPACITY);
     for (int i = 0; i < known; i++) {
       if (hashes[i] == hash) {
         return true;
@@ -34,6 +34,11 @@
     return false;
   }
 
+  /** Returns how many requests were added. */
+  long count() {
+    return count;
+  }
+
   private static long hash(String id) {
     long hash = id.length();
     for (int i = 0; i < id.length(); i++) {
