Check each value of published entries where it is read

Callers: with one entry of port 99999, alone in the list, each request was held until its deadline and got 504.

Cause: values were taken over by their type alone. An address out of range failed where a connection is opened, which left the request without an attempt and without an answer.

BackendClient reports a text that is no address as a failure to connect.

Conclusion: one value from outside no longer fails the work on others.

--- a/entry/src/main/java/org/gentianslip/entry/gateway/BackendClient.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/BackendClient.java
@@ -4,6 +4,7 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
@@ -14,6 +15,8 @@
 import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpVersion;
+import io.netty.util.concurrent.Future;
+import io.netty.util.concurrent.Promise;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -24,6 +27,7 @@
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import org.gentianslip.entry.http.SocketAddressParser;
 
 /**
  * An HTTP client with a connection pool that sends each request to a backend server or another
@@ -92,14 +96,14 @@
 
   /** Tries a new connection to an address, which is kept for a later request if it succeeds. */
   void checkReachable(String address, int connectMillis, Consumer<Boolean> onResult) {
-    ChannelFuture connected = connect(address, connectMillis);
+    Future<Channel> connected = connect(address, connectMillis);
     connected.addListener(
         f -> {
           BackendConnection connection =
               connected.isSuccess()
-                  ? connected.channel().pipeline().get(BackendConnection.class)
+                  ? connected.getNow().pipeline().get(BackendConnection.class)
                   : null;
-          if (connection != null && connected.channel().isActive()) {
+          if (connection != null && connected.getNow().isActive()) {
             release(connection);
           }
           onResult.accept(connected.isSuccess());
@@ -108,11 +112,31 @@
 
   private void connect(Exchange exchange) {
     OutgoingRequest request = exchange.request();
-    ChannelFuture connected = connect(request.address(), request.connectMillis());
+    Future<Channel> connected = connect(request.address(), request.connectMillis());
     connected.addListener(f -> onConnected(exchange, connected));
   }
 
-  private ChannelFuture connect(String address, int connectMillis) {
+  /** Connects to an address; a text that is no address counts as a failure to connect. */
+  private Future<Channel> connect(String address, int connectMillis) {
+    Promise<Channel> connected = loop.newPromise();
+    try {
+      connect(SocketAddressParser.parse(address), address, connectMillis)
+          .addListener(
+              (ChannelFutureListener)
+                  f -> {
+                    if (f.isSuccess()) {
+                      connected.setSuccess(f.channel());
+                    } else {
+                      connected.setFailure(f.cause());
+                    }
+                  });
+    } catch (IllegalArgumentException e) {
+      connected.setFailure(e);
+    }
+    return connected;
+  }
+
+  private ChannelFuture connect(InetSocketAddress target, String address, int connectMillis) {
     return new Bootstrap()
         .group(loop)
         .channel(NioSocketChannel.class)
@@ -130,15 +154,15 @@
                         new BackendConnection(BackendClient.this, address));
               }
             })
-        .connect(parseAddress(address));
+        .connect(target);
   }
 
-  private void onConnected(Exchange exchange, ChannelFuture connected) {
+  private void onConnected(Exchange exchange, Future<Channel> connected) {
     if (!connected.isSuccess()) {
       exchange.fail("no connection: " + connected.cause());
       return;
     }
-    Channel channel = connected.channel();
+    Channel channel = connected.getNow();
     BackendConnection connection = channel.pipeline().get(BackendConnection.class);
     if (connection == null || !channel.isActive()) {
       exchange.fail("the connection was closed at once");
@@ -174,12 +198,6 @@
             });
   }
 
-  private static InetSocketAddress parseAddress(String address) {
-    int colon = address.lastIndexOf(':');
-    return new InetSocketAddress(
-        address.substring(0, colon), Integer.parseInt(address.substring(colon + 1)));
-  }
-
   /** Returns a connection to the pool, or closes it if the pool of its address is full. */
   void release(BackendConnection connection) {
     Deque<BackendConnection> queue =
