Send nothing new to servers that say they are leaving

Cause: no main code read the header; the store's entry alone decided.

Change: every answer of the server that was meant is read for the sign. The mark belongs to one start (id and born), holds at once and does not end; streams that run go on. A store restored from an older copy does not undo it, and another start or another server at the address begins clean. An answer of another server (421) marks nobody. The edge alone knows the header's name.

Other instances are not told; not measured.

--- a/entry/src/main/java/org/gentianslip/entry/gateway/BackendAttempt.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/BackendAttempt.java
@@ -119,8 +119,12 @@
   public void onHead(int status, HttpHeaders headers) {
     super.onHead(status, headers);
     EdgeHeaders edgeHeaders = execution().gateway().edgeHeaders();
-    if (!edgeHeaders.isOtherBackend(status, headers)) {
-      recordLimit(edgeHeaders.requestsPerSecond(headers), edgeHeaders.isSigned(headers));
+    if (edgeHeaders.isOtherBackend(status, headers)) {
+      return;
+    }
+    recordLimit(edgeHeaders.requestsPerSecond(headers), edgeHeaders.isSigned(headers));
+    if (edgeHeaders.isLeaving(headers)) {
+      execution().gateway().state().markLeaving(backend);
     }
   }
 
--- a/entry/src/main/java/org/gentianslip/entry/gateway/BackendRegistry.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/BackendRegistry.java
@@ -23,6 +23,7 @@
 import org.gentianslip.core.load.RequestSize;
 import org.gentianslip.core.load.SendRates;
 import org.gentianslip.core.published.Backend;
+import org.gentianslip.core.published.LeavingIncarnations;
 import org.gentianslip.core.published.PublishedState;
 import org.gentianslip.core.route.EngineProfile;
 import org.gentianslip.core.route.ServiceProfile;
@@ -50,6 +51,7 @@
   private final FleetView fleet;
   private final long createdNanos;
   private final Map<EngineId, BackendLoad> loads = new ConcurrentHashMap<>();
+  private final LeavingIncarnations leaving = new LeavingIncarnations();
 
   /** The backend servers of this region that accept work, by service; replaced as a whole. */
   private volatile Map<ServiceId, BackendGroup> groups = Map.of();
@@ -61,19 +63,30 @@
   }
 
   /** Updates the backend servers from one published state to the next. */
-  void applyPublished(long nowNanos, PublishedState before, PublishedState after) {
+  synchronized void applyPublished(long nowNanos, PublishedState before, PublishedState after) {
     if (after.routes().isPresent()) {
       PublishedState known = before.routes().isPresent() ? before : PublishedState.NONE;
       markColdBackends(nowNanos, known, after);
     }
     loads.keySet().retainAll(after.backends().keySet());
+    leaving.retainPublished(after.backends());
     groups = buildGroups(after);
   }
 
+  /** Records that a backend server has said that it is leaving, so that it gets no new work. */
+  synchronized void markLeaving(PublishedState state, Backend backend) {
+    if (leaving.add(backend)) {
+      LOGGER.atInfo().log(
+          "gateway: event=leaving-answer backend=%s started=%s",
+          backend.id(), backend.startedMillis());
+      groups = buildGroups(state);
+    }
+  }
+
   private Map<ServiceId, BackendGroup> buildGroups(PublishedState state) {
     Map<ServiceId, List<BackendGroup.Member>> members = new HashMap<>();
     for (Backend b : state.backends().values()) {
-      if (config.get().isLocal(b) && state.acceptsWork(b)) {
+      if (config.get().isLocal(b) && state.acceptsWork(b) && !leaving.contains(b)) {
         members
             .computeIfAbsent(b.service(), s -> new ArrayList<>())
             .add(new BackendGroup.Member(b, loadOf(state, b)));
--- a/entry/src/main/java/org/gentianslip/entry/gateway/EdgeHeaders.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/EdgeHeaders.java
@@ -54,6 +54,9 @@
    */
   OptionalDouble requestsPerSecond(HttpHeaders headers);
 
+  /** Returns whether the backend server that sent a response says that it is leaving. */
+  boolean isLeaving(HttpHeaders headers);
+
   /** Returns how long the backend server reports to stay cold, in milliseconds, if it does. */
   Optional<Long> coldMillis(HttpHeaders headers);
 }
--- a/entry/src/main/java/org/gentianslip/entry/gateway/GatewayState.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/GatewayState.java
@@ -126,6 +126,11 @@
     PublishedStateLog.logChanges(before, after);
   }
 
+  /** Records that a backend server has said that it is leaving. */
+  void markLeaving(Backend backend) {
+    backends.markLeaving(published.get(), backend);
+  }
+
   /** Returns the load of a backend server, or an empty value if it is unknown. */
   public Optional<BackendLoad> load(EngineId id) {
     return backends.load(id);
