Keep to the pause that a server names when it refuses

Cause: the header was not read; after a refusal a server was left alone for 50 ms.

Work comes back in steps within a second of its end. If all servers pause, callers are refused at once with a Retry-After a little after the first end, spread.

Steps after a pause: BackendLoadTest.Paused in virtual time: one request in the first 10 ms, fewer than eight in the first second with six slots. Runs with seven instances and under load were not made.

--- a/core/src/main/java/org/gentianslip/core/load/Availability.java
+++ b/core/src/main/java/org/gentianslip/core/load/Availability.java
@@ -7,8 +7,9 @@
 import org.gentianslip.core.limit.ColdRate;
 
 /**
- * Whether one backend server may be sent work: not while it is backed off, and at a limited rate
- * while it is cold or has not been reached again after a failed connection. Not thread-safe.
+ * Whether one backend server may be sent work: not while it is backed off or pauses, and at a
+ * limited rate just after a pause, and while it is cold or has not been reached again after a
+ * failed connection. Not thread-safe.
  */
 final class Availability {
 
@@ -30,12 +31,17 @@
    */
   private static final long RECOVERY_NANOS = TimeUnit.SECONDS.toNanos(6);
 
+  /** How long after a pause the rate of requests grows until it is no longer limited. */
+  private static final long RESUME_NANOS = TimeUnit.SECONDS.toNanos(1);
+
   private static final long RATE_NANOS = TimeUnit.SECONDS.toNanos(1);
 
   private final Deque<Long> coldSends = new ArrayDeque<>();
   private int consecutiveConnectFailures;
   private long backoffUntilNanos = Long.MIN_VALUE;
   private long coldUntilNanos = Long.MIN_VALUE;
+  private long pausedUntilNanos = Long.MIN_VALUE;
+  private int sentAfterPause;
   private boolean recovering;
   private long unreachableNanos;
 
@@ -44,6 +50,34 @@
     if (isRestricted(nowNanos)) {
       coldSends.addLast(nowNanos);
     }
+    if (isResuming(nowNanos)) {
+      sentAfterPause++;
+    }
+  }
+
+  /** Blocks new work until the given time, unless it is blocked for longer. */
+  void pauseUntil(long untilNanos) {
+    if (pausedUntilNanos == Long.MIN_VALUE || untilNanos - pausedUntilNanos > 0) {
+      pausedUntilNanos = untilNanos;
+      sentAfterPause = 0;
+    }
+  }
+
+  /** Returns how long new work is blocked by a pause, in nanoseconds; 0 if it is not. */
+  long pauseNanos(long nowNanos) {
+    return pausedUntilNanos == Long.MIN_VALUE ? 0 : Math.max(0, pausedUntilNanos - nowNanos);
+  }
+
+  private boolean isResuming(long nowNanos) {
+    return pausedUntilNanos != Long.MIN_VALUE
+        && pauseNanos(nowNanos) == 0
+        && nowNanos - pausedUntilNanos < RESUME_NANOS;
+  }
+
+  /** Returns whether a request keeps to the rate that grows after a pause. */
+  private boolean isWithinResumeRate(long nowNanos, int slots) {
+    double elapsedShare = (double) (nowNanos - pausedUntilNanos) / RESUME_NANOS;
+    return sentAfterPause < 1 + elapsedShare * slots;
   }
 
   /** Records that the backend server has answered. */
@@ -93,10 +127,14 @@
   /**
    * Returns whether a request may be sent now.
    *
+   * @param slots the number of requests that the backend server runs at once
    * @param coldPerSecond the requests per second that this instance may send while the backend
    *     server is cold
    */
-  boolean acceptsWork(long nowNanos, IntSupplier coldPerSecond) {
+  boolean acceptsWork(long nowNanos, int slots, IntSupplier coldPerSecond) {
+    if (pauseNanos(nowNanos) > 0 || isResuming(nowNanos) && !isWithinResumeRate(nowNanos, slots)) {
+      return false;
+    }
     if (backoffUntilNanos != Long.MIN_VALUE && nowNanos - backoffUntilNanos < 0) {
       return false;
     }
--- a/core/src/main/java/org/gentianslip/core/load/BackendGroup.java
+++ b/core/src/main/java/org/gentianslip/core/load/BackendGroup.java
@@ -123,7 +123,17 @@
     return new Candidates(
         options,
         preferred < 0 ? Optional.empty() : Optional.of(members.get(preferred).backend().id()),
-        ownDataCentre);
+        ownDataCentre,
+        options.isEmpty() ? shortestPauseNanos(nowNanos, usable) : 0);
+  }
+
+  /** Returns the time after which the first of the usable members wants work again, or 0. */
+  private long shortestPauseNanos(long nowNanos, Predicate<EngineId> usable) {
+    return members.stream()
+        .filter(m -> usable.test(m.backend().id()))
+        .mapToLong(m -> m.load().pauseNanos(nowNanos))
+        .min()
+        .orElse(0);
   }
 
   private List<Member> sample(int preferred, List<EngineId> holders, RandomGenerator random) {
--- a/core/src/main/java/org/gentianslip/core/load/BackendLoad.java
+++ b/core/src/main/java/org/gentianslip/core/load/BackendLoad.java
@@ -156,6 +156,19 @@
     availability.markColdUntil(untilNanos);
   }
 
+  /**
+   * Records that the backend server wants no work until the given time. It gets work again in
+   * steps.
+   */
+  public synchronized void pauseUntil(long untilNanos) {
+    availability.pauseUntil(untilNanos);
+  }
+
+  /** Returns how long the backend server still wants no work, in nanoseconds. */
+  public synchronized long pauseNanos(long nowNanos) {
+    return availability.pauseNanos(nowNanos);
+  }
+
   /**
    * Records what the backend server has said about the requests that it takes, unless something
    * newer is known.
@@ -198,7 +211,7 @@
    * @param coldPerSecond the requests per second that this instance may send to it while it is cold
    */
   public synchronized boolean acceptsWork(long nowNanos, IntSupplier coldPerSecond) {
-    return availability.acceptsWork(nowNanos, coldPerSecond);
+    return availability.acceptsWork(nowNanos, slots, coldPerSecond);
   }
 
   /**
--- a/core/src/main/java/org/gentianslip/core/load/BackendSelector.java
+++ b/core/src/main/java/org/gentianslip/core/load/BackendSelector.java
@@ -64,6 +64,11 @@
    */
   private static final double UNKNOWN_EXCESS_MILLIS = 200;
 
+  /** The reason for refusing a request while all backend servers pause. */
+  public static final String PAUSED = "paused";
+
+  private static final double NANOS_PER_MILLI = 1e6;
+
   private BackendSelector() {}
 
   /**
@@ -127,6 +132,9 @@
       return new BackendDecision.ToBackend(best, bestEstimate);
     }
     boolean noTarget = options.isEmpty() && regions.isEmpty();
+    if (noTarget && candidates.pauseNanos() > 0) {
+      return new BackendDecision.Refuse(PAUSED, candidates.pauseNanos() / NANOS_PER_MILLI);
+    }
     double excessMillis =
         noTarget ? UNKNOWN_EXCESS_MILLIS : Math.max(0, shortestMillis - limitMillis);
     return new BackendDecision.Refuse(noTarget ? "no-backend" : "too-late", excessMillis);
--- a/core/src/main/java/org/gentianslip/core/load/Candidates.java
+++ b/core/src/main/java/org/gentianslip/core/load/Candidates.java
@@ -11,15 +11,19 @@
  * @param options the backend servers, each of which may be sent the request now
  * @param preferred the backend server that all instances prefer for the prompt as long as none is
  *     known to hold it
+ * @param ownDataCentre the data centre whose backend servers are preferred at equal cost
+ * @param pauseNanos the time after which one of them wants work again, in nanoseconds; 0 if there
+ *     are options, or if none pauses
  */
 public record Candidates(
     List<BackendOption> options,
     Optional<EngineId> preferred,
-    Optional<DataCentreId> ownDataCentre) {
+    Optional<DataCentreId> ownDataCentre,
+    long pauseNanos) {
 
   /** No backend server may be sent the request. */
   public static final Candidates NONE =
-      new Candidates(List.of(), Optional.empty(), Optional.empty());
+      new Candidates(List.of(), Optional.empty(), Optional.empty(), 0);
 
   /** Creates candidates with a copy of the list. */
   public Candidates {
--- a/core/src/main/java/org/gentianslip/core/load/RetryDelay.java
+++ b/core/src/main/java/org/gentianslip/core/load/RetryDelay.java
@@ -15,6 +15,9 @@
   /** The minimum delay, in milliseconds. */
   private static final double MIN_MILLIS = 60;
 
+  /** The part of a pause over which the retries after it are spread. */
+  private static final double PAUSE_SPREAD = 0.25;
+
   private RetryDelay() {}
 
   /**
@@ -36,4 +39,16 @@
     }
     return (long) (latestMillis * (EARLIEST_SHARE + (1 - EARLIEST_SHARE) * fraction));
   }
+
+  /**
+   * Returns the delay before a retry if no backend server wants work for a known time, in
+   * milliseconds: a little longer than that time, also if the caller does not wait that long.
+   *
+   * @param pauseMillis the time for which no backend server wants work, in milliseconds
+   * @param fraction a number from 0 to 1, uniformly distributed over the callers
+   */
+  public static long afterPause(double pauseMillis, double fraction) {
+    return (long)
+        (pauseMillis + MIN_MILLIS * (1 + fraction) + PAUSE_SPREAD * pauseMillis * fraction);
+  }
 }
--- a/core/src/test/java/org/gentianslip/core/load/BackendLoadTest.java
+++ b/core/src/test/java/org/gentianslip/core/load/BackendLoadTest.java
@@ -77,6 +77,60 @@
     assertThat(lastMillis, is(lessThan(0.6 * firstMillis)));
   }
 
+  /** Guards against work for backend servers that have said that they want none. */
+  @Nested
+  @DisplayName("that wants no work for some time")
+  class Paused {
+
+    private static final long STEP = SECOND / 100;
+
+    private boolean accepts(long now) {
+      return load.acceptsWork(now, () -> ColdRate.UNLIMITED);
+    }
+
+    /** Sends whatever is accepted in the time from and to, and returns how much it was. */
+    private int sendAll(long from, long to) {
+      int sent = 0;
+      for (long now = from; now < to; now += STEP) {
+        while (sent < 1_000 && accepts(now)) {
+          reserve(now).succeeded(now);
+          sent++;
+        }
+      }
+      return sent;
+    }
+
+    @Test
+    void acceptsNoneUntilThen() {
+      load.pauseUntil(4 * SECOND);
+      assertThat(sendAll(0, 4 * SECOND), is(0));
+      assertThat(accepts(4 * SECOND), is(true));
+    }
+
+    @Test
+    void keepsTheLatestEnd() {
+      load.pauseUntil(4 * SECOND);
+      load.pauseUntil(2 * SECOND);
+      assertThat(load.pauseNanos(SECOND), is(3 * SECOND));
+    }
+
+    @Test
+    void acceptsWorkInStepsAfterwards() {
+      load.pauseUntil(4 * SECOND);
+      assertThat(sendAll(4 * SECOND, 4 * SECOND + STEP), is(1));
+      assertThat(sendAll(4 * SECOND, 5 * SECOND), is(lessThan(8)));
+      assertThat(sendAll(5 * SECOND, 5 * SECOND + STEP), is(1_000));
+    }
+
+    @Test
+    void acceptsWorkInStepsAfterEachPause() {
+      load.pauseUntil(4 * SECOND);
+      sendAll(4 * SECOND, 5 * SECOND);
+      load.pauseUntil(9 * SECOND);
+      assertThat(sendAll(9 * SECOND, 9 * SECOND + STEP), is(1));
+    }
+  }
+
   @Nested
   @DisplayName("that cannot be reached")
   class Unreachable {
--- a/core/src/test/java/org/gentianslip/core/load/BackendSelectorTest.java
+++ b/core/src/test/java/org/gentianslip/core/load/BackendSelectorTest.java
@@ -89,6 +89,24 @@
     return ((BackendDecision.ToBackend) choice).option().backend().id().value();
   }
 
+  @Test
+  void refusesUntilTheFirstPauseEndsIfAllBackendServersPause() {
+    List<BackendOption> options = engines(3);
+    for (int i = 0; i < options.size(); i++) {
+      options.get(i).load().pauseUntil((4L - i) * 1_000_000_000L);
+    }
+    var refusal = (BackendDecision.Refuse) choose(SHORT, options, List.of());
+    assertThat(refusal.reason(), is(BackendSelector.PAUSED));
+    assertThat(refusal.excessMillis(), is(2_000.0));
+  }
+
+  @Test
+  void usesBackendServersThatDoNotPause() {
+    List<BackendOption> options = engines(2);
+    options.get(0).load().pauseUntil(4_000_000_000L);
+    assertThat(selectedId(choose(SHORT, options, List.of())), is("e1"));
+  }
+
   @Nested
   @DisplayName("with backend servers in two data centres")
   class TwoDataCentres {
@@ -110,7 +128,8 @@
     }
 
     private String select(RequestSize size) {
-      var candidates = new Candidates(options, Optional.empty(), Optional.of(DataCentreId.of("z")));
+      var candidates =
+          new Candidates(options, Optional.empty(), Optional.of(DataCentreId.of("z")), 0);
       return selectedId(
           BackendSelector.select(0, route(0, 1_000), size, 8_000, candidates, List.of()));
     }
@@ -178,7 +197,7 @@
                   route(0, 1_000),
                   LONG,
                   8_000,
-                  new Candidates(List.of(copying), Optional.empty(), Optional.empty()),
+                  new Candidates(List.of(copying), Optional.empty(), Optional.empty(), 0),
                   List.of());
       assertThat(choice.estimate().copiedTokens(), is(13_000L));
       assertThat(
--- a/core/src/test/java/org/gentianslip/core/load/RetryDelayTest.java
+++ b/core/src/test/java/org/gentianslip/core/load/RetryDelayTest.java
@@ -32,4 +32,12 @@
     long last = RetryDelay.millis(10_000, 6_000, 0.99);
     assertThat(last - first, is(greaterThan(500L)));
   }
+
+  @Test
+  void isLongerThanAnyPauseAndSpreadAfterIt() {
+    assertThat(RetryDelay.afterPause(4_000, 0), is(greaterThan(4_000L)));
+    assertThat(
+        RetryDelay.afterPause(4_000, 0.99) - RetryDelay.afterPause(4_000, 0),
+        is(greaterThan(500L)));
+  }
 }
--- a/entry/src/main/java/org/gentianslip/entry/gateway/PromptLocator.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/PromptLocator.java
@@ -74,7 +74,8 @@
             .map(o -> withFetchSource(o, holders, millisPerToken))
             .toList(),
         candidates.preferred(),
-        candidates.ownDataCentre());
+        candidates.ownDataCentre(),
+        candidates.pauseNanos());
   }
 
   private static BackendOption withFetchSource(
--- a/entry/src/main/java/org/gentianslip/entry/gateway/RequestExecution.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/RequestExecution.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.TimeUnit;
 import org.gentianslip.core.fleet.PeerRecord;
 import org.gentianslip.core.load.BackendDecision;
+import org.gentianslip.core.load.BackendSelector;
 import org.gentianslip.core.load.RequestSize;
 import org.gentianslip.core.load.RetryDelay;
 import org.gentianslip.core.quarantine.RequestTraits;
@@ -325,6 +326,9 @@
     }
     long leftMillis = remainingMillis(System.nanoTime());
     double fraction = ThreadLocalRandom.current().nextDouble();
+    if (reason.equals(BackendSelector.PAUSED)) {
+      return gateway.notRunHeaders(id, RetryDelay.afterPause(excessMillis, fraction));
+    }
     return gateway.notRunHeaders(id, RetryDelay.millis(excessMillis, leftMillis, fraction));
   }
 
