--- a/entry/src/main/java/org/gentianslip/entry/gateway/BackendAttempt.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/BackendAttempt.java
@@ -24,6 +24,12 @@
   /** The number of events up to which a request may have made the backend server fail. */
   private static final int MAX_EVENTS_OF_CRASH = 1;
 
+  /**
+   * The longest pause of a backend server that is kept, in milliseconds, so that an odd value does
+   * not end its use.
+   */
+  private static final long MAX_PAUSE_MILLIS = 60_000;
+
   /** The maximum number of parts of a prompt in one log line. */
   private static final int LOGGED_PARTS = 8;
 
@@ -123,11 +129,21 @@
       return;
     }
     recordLimit(edgeHeaders.requestsPerSecond(headers), edgeHeaders.isSigned(headers));
+    edgeHeaders.pauseMillis(status, headers).ifPresent(this::recordPause);
     if (edgeHeaders.isLeaving(headers)) {
       execution().gateway().state().markLeaving(backend);
     }
   }
 
+  private void recordPause(long millis) {
+    long bounded = Math.min(millis, MAX_PAUSE_MILLIS);
+    long until = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(bounded);
+    decision.option().load().pauseUntil(until);
+    LOGGER.atInfo().log(
+        "gateway: event=pause-answer backend=%s id=%s millis=%s stated=%s",
+        backend.id(), execution().id(), bounded, millis);
+  }
+
   private void recordLimit(OptionalDouble perSecond, boolean signed) {
     long now = System.nanoTime();
     BackendLoad load = decision.option().load();
--- a/entry/src/main/java/org/gentianslip/entry/gateway/EdgeHeaders.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/EdgeHeaders.java
@@ -3,6 +3,7 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import java.util.Optional;
 import java.util.OptionalDouble;
+import java.util.OptionalLong;
 import org.gentianslip.core.load.RequestSize;
 import org.gentianslip.core.published.Backend;
 
@@ -57,6 +58,12 @@
   /** Returns whether the backend server that sent a response says that it is leaving. */
   boolean isLeaving(HttpHeaders headers);
 
+  /**
+   * Returns for how long the backend server that refused a request wants no other one, in
+   * milliseconds; empty if it does not say so, or not in a readable way.
+   */
+  OptionalLong pauseMillis(int status, HttpHeaders headers);
+
   /** Returns how long the backend server reports to stay cold, in milliseconds, if it does. */
   Optional<Long> coldMillis(HttpHeaders headers);
 }
