Let the mean service time of an idle server age

Callers: after one slow spell of a service of 6.5 s all its requests were refused by 503 until the instances were started again, though its servers were sound and idle.

Cause: a request is refused as too late by the mean time of earlier answers, which changes with answers only. Once it is over the objective at all servers nothing is sent, so it stays. Ruled out: requests that count as running for ever.

Change: if nothing runs at a server and nothing was sent for 1 s (longer in proportion with more than 16 instances), one request may go there, and its answer counts for half of the mean.

SlowSpellTest, in virtual time with 1, 7, 95 and 300 instances, without the change: 0 and 14 % served with 1 and 7 instances; passes now.

Conclusion: the refusal ends by itself.

--- a/core/src/main/java/org/gentianslip/core/load/BackendLoad.java
+++ b/core/src/main/java/org/gentianslip/core/load/BackendLoad.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
 import java.util.function.DoubleToLongFunction;
 import java.util.function.IntSupplier;
 import org.gentianslip.core.limit.StatedLimit;
@@ -30,6 +31,18 @@
   /** The service time that is assumed until the first answer, in milliseconds. */
   private static final double INITIAL_SERVICE_MILLIS = 30;
 
+  /** The weight of a new observation if the earlier ones are outdated. */
+  private static final double OUTDATED_SMOOTHING_FACTOR = 0.5;
+
+  /**
+   * The time after which the mean service time is outdated if nothing was sent, so that one request
+   * may find out whether the backend server is still as slow.
+   */
+  private static final long OUTDATED_NANOS = TimeUnit.SECONDS.toNanos(1);
+
+  /** The instances up to which each may find that out after {@link #OUTDATED_NANOS}. */
+  private static final int MAX_INSTANCES_AT_ONCE = 16;
+
   /** The minimum expected time that is compared with the actual time, in milliseconds. */
   private static final double MIN_COMPARED_MILLIS = 150;
 
@@ -52,6 +65,7 @@
   private StatedLimit limit;
   private long lastSentNanos = Long.MIN_VALUE;
   private double serviceMillis = INITIAL_SERVICE_MILLIS;
+  private int instances = 1;
 
   /**
    * Creates the load of an idle backend server.
@@ -87,6 +101,7 @@
   public synchronized Reservation reserve(
       long nowNanos, boolean urgent, RequestSize size, BackendEstimate estimate) {
     double prefillMillis = estimate.prefillMillis();
+    final boolean outdated = isOutdated(nowNanos);
     cache.record(size.prompt());
     running++;
     if (urgent) {
@@ -96,7 +111,7 @@
     }
     availability.recordSend(nowNanos);
     lastSentNanos = nowNanos;
-    return new Reservation(this, urgent, estimate, nowNanos);
+    return new Reservation(this, urgent, estimate, nowNanos, outdated);
   }
 
   /** Removes prefill time that is no longer outstanding. */
@@ -124,12 +139,33 @@
     running--;
   }
 
-  synchronized void recordSuccess(double millis) {
+  synchronized void recordSuccess(boolean sentOutdated, double millis) {
     failureShare *= 1 - SMOOTHING_FACTOR;
-    serviceMillis += SMOOTHING_FACTOR * (Math.min(millis, 10 * serviceMillis) - serviceMillis);
+    double weight = sentOutdated ? OUTDATED_SMOOTHING_FACTOR : SMOOTHING_FACTOR;
+    serviceMillis += weight * (Math.min(millis, 10 * serviceMillis) - serviceMillis);
     availability.recordAnswer();
   }
 
+  /** Sets how many instances of the region may send to the backend server. */
+  public synchronized void setInstances(int count) {
+    instances = Math.max(1, count);
+  }
+
+  /**
+   * Returns whether the mean service time is outdated. It changes with answers only, so a mean that
+   * keeps all requests away would otherwise never change again.
+   */
+  private boolean isOutdated(long nowNanos) {
+    double share = Math.max(1, (double) instances / MAX_INSTANCES_AT_ONCE);
+    return running == 0
+        && lastSentNanos != Long.MIN_VALUE
+        && nowNanos - lastSentNanos >= share * OUTDATED_NANOS;
+  }
+
+  private double expectedServiceMillis(long nowNanos) {
+    return isOutdated(nowNanos) ? Math.min(serviceMillis, INITIAL_SERVICE_MILLIS) : serviceMillis;
+  }
+
   synchronized void recordErrorAnswer() {
     availability.recordAnswer();
     failureShare += SMOOTHING_FACTOR / 2 * (1 - failureShare);
@@ -305,7 +341,8 @@
     double prefillBehindMillis = urgent ? otherWaitMillis : 0;
     long uncachedTokens = isEngine ? cache.uncachedTokens(size.prompt()) : 0;
     double prefillWaitMillis = isEngine ? prefillAheadMillis + prefillBehindMillis / 2 : 0;
-    double slotWaitMillis = Math.max(0, totalRunning + 1 - slots) * serviceMillis / slots;
+    double expectedMillis = expectedServiceMillis(nowNanos);
+    double slotWaitMillis = Math.max(0, totalRunning + 1 - slots) * expectedMillis / slots;
     long uncachedSharedTokens =
         Math.max(0, uncachedTokens - (size.promptTokens() - size.sharedTokens()));
     long copiedTokens =
@@ -314,7 +351,7 @@
             : 0;
     double prefillMillis = (uncachedTokens - copiedTokens) / PREFILL_TOKENS_PER_MILLI;
     double copyMillis = fetch.map(f -> copiedTokens * f.millisPerToken()).orElse(0.0);
-    double workMillis = isEngine ? prefillMillis + copyMillis : serviceMillis;
+    double workMillis = isEngine ? prefillMillis + copyMillis : expectedMillis;
     return new BackendEstimate(
         waitRatio * prefillWaitMillis + slotWaitMillis,
         workMillis,
--- a/core/src/main/java/org/gentianslip/core/load/Reservation.java
+++ b/core/src/main/java/org/gentianslip/core/load/Reservation.java
@@ -11,15 +11,22 @@
   private final boolean urgent;
   private final long sentNanos;
   private final double expectedMillis;
+  private final boolean outdated;
   private double outstandingPrefillMillis;
   private boolean ended;
 
-  Reservation(BackendLoad load, boolean urgent, BackendEstimate estimate, long sentNanos) {
+  Reservation(
+      BackendLoad load,
+      boolean urgent,
+      BackendEstimate estimate,
+      long sentNanos,
+      boolean outdated) {
     this.load = load;
     this.urgent = urgent;
     this.outstandingPrefillMillis = estimate.prefillMillis();
     this.expectedMillis = estimate.totalMillis();
     this.sentNanos = sentNanos;
+    this.outdated = outdated;
   }
 
   /** Records that the first event of the answer has arrived, so the prompt is prefilled. */
@@ -33,7 +40,7 @@
 
   /** Records a complete, successful answer. */
   public void succeeded(long nowNanos) {
-    end(() -> load.recordSuccess((nowNanos - sentNanos) / 1e6));
+    end(() -> load.recordSuccess(outdated, (nowNanos - sentNanos) / 1e6));
   }
 
   /** Records an error answer from a backend server that is otherwise healthy. */
--- a/entry/src/main/java/org/gentianslip/entry/gateway/BackendRegistry.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/BackendRegistry.java
@@ -204,6 +204,8 @@
    * milliseconds.
    */
   Map<ServiceId, Double> waits(long nowNanos, PublishedState state) {
+    int instances = liveInRegion(nowNanos).size();
+    loads.values().forEach(l -> l.setInstances(instances));
     Map<ServiceId, Double> waits = new HashMap<>();
     for (ServiceId service : groups.keySet()) {
       candidates(nowNanos, state, service, id -> true, RequestSize.UNKNOWN, List.of())
