--- a/core/src/main/java/org/gentianslip/core/load/BackendLoad.java
+++ b/core/src/main/java/org/gentianslip/core/load/BackendLoad.java
@@ -152,12 +152,14 @@
   }
 
   /**
-   * Returns whether the mean service time is outdated. It changes with answers only, so a mean that
-   * keeps all requests away would otherwise never change again.
+   * Returns whether the mean service time of a plain service is outdated. It changes with answers
+   * only, so a mean that keeps all requests away would otherwise never change again. The time that
+   * a request waits for others is not affected, since those will be answered.
    */
   private boolean isOutdated(long nowNanos) {
     double share = Math.max(1, (double) instances / MAX_INSTANCES_AT_ONCE);
-    return running == 0
+    return !isEngine
+        && running == 0
         && lastSentNanos != Long.MIN_VALUE
         && nowNanos - lastSentNanos >= share * OUTDATED_NANOS;
   }
@@ -341,8 +343,7 @@
     double prefillBehindMillis = urgent ? otherWaitMillis : 0;
     long uncachedTokens = isEngine ? cache.uncachedTokens(size.prompt()) : 0;
     double prefillWaitMillis = isEngine ? prefillAheadMillis + prefillBehindMillis / 2 : 0;
-    double expectedMillis = expectedServiceMillis(nowNanos);
-    double slotWaitMillis = Math.max(0, totalRunning + 1 - slots) * expectedMillis / slots;
+    double slotWaitMillis = Math.max(0, totalRunning + 1 - slots) * serviceMillis / slots;
     long uncachedSharedTokens =
         Math.max(0, uncachedTokens - (size.promptTokens() - size.sharedTokens()));
     long copiedTokens =
@@ -351,7 +352,7 @@
             : 0;
     double prefillMillis = (uncachedTokens - copiedTokens) / PREFILL_TOKENS_PER_MILLI;
     double copyMillis = fetch.map(f -> copiedTokens * f.millisPerToken()).orElse(0.0);
-    double workMillis = isEngine ? prefillMillis + copyMillis : expectedMillis;
+    double workMillis = isEngine ? prefillMillis + copyMillis : expectedServiceMillis(nowNanos);
     return new BackendEstimate(
         waitRatio * prefillWaitMillis + slotWaitMillis,
         workMillis,
