Log the connection of each answer, and answers that are skipped

Ruled out: nothing; no decision changes.

Change: the trail of a request names the status and connection of each answer's head; event=skipped-answer and event=unsolicited tell what a server or instance wrote besides.

Conclusion: an id that is sent twice to one server, and on which connections, can be read from the logs.

--- a/entry/src/main/java/org/gentianslip/entry/gateway/Attempt.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/Attempt.java
@@ -134,6 +134,7 @@
     status = receivedStatus;
     headers = receivedHeaders;
     lastReceivedNanos = System.nanoTime();
+    execution.onHeadReceived(status, exchange.connectionUse());
     endsWithConnection =
         !receivedHeaders.contains(HttpHeaderNames.CONTENT_LENGTH)
             && !receivedHeaders.contains(HttpHeaderNames.TRANSFER_ENCODING);
--- a/entry/src/main/java/org/gentianslip/entry/gateway/BackendClient.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/BackendClient.java
@@ -177,8 +177,8 @@
 
   private static void write(BackendConnection connection, Exchange exchange) {
     OutgoingRequest request = exchange.request();
-    exchange.markWritten(connection.channel());
     connection.assign(exchange);
+    exchange.markWritten(connection.channel(), connection.use());
     connection
         .channel()
         .writeAndFlush(
--- a/entry/src/main/java/org/gentianslip/entry/gateway/BackendConnection.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/BackendConnection.java
@@ -1,5 +1,6 @@
 package org.gentianslip.entry.gateway;
 
+import com.google.common.flogger.FluentLogger;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
@@ -27,6 +28,8 @@
  */
 final class BackendConnection extends ChannelInboundHandlerAdapter {
 
+  private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+
   private static final Pattern TIMEOUT = Pattern.compile("timeout=(\\d+)");
 
   /** The margin by which an idle connection is dropped before its Keep-Alive timeout. */
@@ -86,6 +89,11 @@
     return sent.contains(requestId);
   }
 
+  /** Returns this connection and the number of the latest request on it, for logs. */
+  String use() {
+    return channel.id().asShortText() + "/" + sent.count();
+  }
+
   void markIdleUntil(long nanos) {
     idleSinceNanos = System.nanoTime();
     idleUntilNanos = nanos;
@@ -113,6 +121,7 @@
   public void channelRead(ChannelHandlerContext ctx, Object message) {
     try {
       if (exchange == null || exchange.hasEnded()) {
+        LOGGER.atInfo().log("gateway: event=unsolicited address=%s connection=%s", address, use());
         close();
         return;
       }
@@ -147,6 +156,9 @@
     skippingResponse =
         status < FIRST_FINAL_STATUS || !ids.stream().allMatch(exchange.request().id()::equals);
     if (skippingResponse) {
+      LOGGER.atInfo().log(
+          "gateway: event=skipped-answer address=%s connection=%s id=%s answer-id=%.64s status=%s",
+          address, use(), exchange.request().id(), String.join(",", ids), status);
       reusable = reusable && status < FIRST_FINAL_STATUS;
       skippedResponses++;
       closeIfTooMuchIsSkipped();
--- a/entry/src/main/java/org/gentianslip/entry/gateway/Exchange.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/Exchange.java
@@ -13,6 +13,7 @@
   private final OutgoingRequest request;
   private final ResponseListener listener;
   private Channel channel;
+  private String connectionUse = "none";
   private boolean written;
   private boolean ended;
 
@@ -33,11 +34,23 @@
     return ended;
   }
 
-  void markWritten(Channel writtenTo) {
+  /**
+   * Marks the request as written.
+   *
+   * @param writtenTo the channel of the connection
+   * @param use the connection and the number of the request on it, for logs
+   */
+  void markWritten(Channel writtenTo, String use) {
     channel = writtenTo;
+    connectionUse = use;
     written = true;
   }
 
+  /** Returns the connection and the number of the request on it, for logs. */
+  String connectionUse() {
+    return connectionUse;
+  }
+
   /** Marks the exchange as ended; returns false if it had ended before. */
   boolean markEnded() {
     boolean first = !ended;
--- a/entry/src/main/java/org/gentianslip/entry/gateway/RequestExecution.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/RequestExecution.java
@@ -186,6 +186,11 @@
     }
   }
 
+  /** Called when the head of an answer was received on a connection, for the log. */
+  void onHeadReceived(int status, String connectionUse) {
+    requestLog.recordEvent(System.nanoTime(), "head=" + status + " connection=" + connectionUse);
+  }
+
   /** Called when an attempt has received nothing for too long; may replace the attempt. */
   void onSilence(Attempt attempt, long silentMillis) {
     long now = System.nanoTime();
