Send a request to a backend server at most once

Cause: one id could be given to one server more than once, so that "the answer to this request" had no single meaning there. A server that had answered 500 was allowed again if no other was left; an instance that got a forward didn't know where the request had run before, nor was the one that forwarded told where it ran; a region that gave no answer in time was chosen again.

Change: a request is not sent again to a server that may have run it; forwards name the servers that must not run it, and their answers the one that may have run it. If that isn't known, the region isn't used again for this request.

Why it works: the pair of server and id names one run, so no answer of another run can be confused with it.

--- a/entry/src/main/java/org/gentianslip/entry/gateway/Attempt.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/Attempt.java
@@ -57,11 +57,14 @@
   abstract void recordUnreachable(long nowNanos);
 
   /**
-   * Returns the id of the backend server, or a placeholder for whichever backend server the other
-   * instance chooses.
+   * Returns the backend server that may run the request, or a placeholder for it while it is chosen
+   * by another instance.
    */
   abstract EngineId target();
 
+  /** Excludes from further attempts what might lead to the backend server of this one. */
+  abstract void exclude(AttemptPlanner planner);
+
   /** Called with a complete response that is not a stream. */
   abstract void onResponse(int receivedStatus, HttpHeaders receivedHeaders, byte[] receivedBody);
 
--- a/entry/src/main/java/org/gentianslip/entry/gateway/AttemptPlanner.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/AttemptPlanner.java
@@ -6,6 +6,7 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.gentianslip.core.id.EngineId;
+import org.gentianslip.core.id.RegionId;
 import org.gentianslip.core.id.ServiceId;
 import org.gentianslip.core.load.BackendDecision;
 import org.gentianslip.core.load.BackendSelector;
@@ -19,9 +20,9 @@
 /**
  * Chooses the target of each attempt of one request, based on the results of earlier attempts.
  *
- * <p>The request runs at no more backend servers than its route allows, is not sent to excluded
- * backend servers, and claims a repeat from the budget of its service for each attempt after the
- * first. Confined to one event loop.
+ * <p>The request runs at no more backend servers than its route allows, and at each of them at most
+ * once. It claims a repeat from the budget of its service for each attempt after the first.
+ * Confined to one event loop.
  */
 final class AttemptPlanner {
 
@@ -41,6 +42,7 @@
   private final boolean forwarded;
   private final Set<EngineId> possibleRuns = new HashSet<>();
   private final Set<EngineId> excluded = new HashSet<>();
+  private final Set<RegionId> excludedRegions = new HashSet<>();
   private int attempts;
   private int forwards;
 
@@ -59,6 +61,10 @@
     this.forwarded = forwarded;
   }
 
+  boolean forwarded() {
+    return forwarded;
+  }
+
   RequestSize size() {
     return size;
   }
@@ -90,7 +96,7 @@
     List<RegionOption> regions =
         forwarded || forwards >= MAX_FORWARDS || possibleRuns.size() >= maxBackends()
             ? List.of()
-            : state.forwardCandidates(nowNanos, route, service, holders);
+            : state.forwardCandidates(nowNanos, route, service, holders, this::mayUse);
     return BackendSelector.select(nowNanos, route, size, remainingMillis, localCandidates, regions);
   }
 
@@ -114,8 +120,13 @@
   }
 
   private boolean mayUse(EngineId backend) {
-    return !excluded.contains(backend)
-        && (possibleRuns.contains(backend) || possibleRuns.size() < maxBackends());
+    return !excluded.contains(backend) && possibleRuns.size() < maxBackends();
+  }
+
+  private boolean mayUse(RegionId region) {
+    boolean untried = excluded.isEmpty() && excludedRegions.isEmpty();
+    return untried
+        || (!excludedRegions.contains(region) && state.hasBackend(region, service, excluded));
   }
 
   /** Returns whether the request may run at a further backend server besides the current one. */
@@ -138,9 +149,20 @@
     return attempts > 0;
   }
 
+  /** Returns the backend servers that the request must not be sent to. */
+  Set<EngineId> excluded() {
+    return excluded;
+  }
+
+  /** Returns the backend servers that may have run the request. */
+  Set<EngineId> possibleRuns() {
+    return possibleRuns;
+  }
+
   /** Records that a backend server may have run the request. */
   void recordPossibleRun(EngineId backend) {
     possibleRuns.add(backend);
+    excluded.add(backend);
   }
 
   /** Excludes a backend server from further attempts. */
@@ -148,8 +170,8 @@
     excluded.add(backend);
   }
 
-  /** Allows further attempts at a backend server that was excluded. */
-  void include(EngineId backend) {
-    excluded.remove(backend);
+  /** Excludes a region, where the request may have run at a backend server that is not known. */
+  void exclude(RegionId region) {
+    excludedRegions.add(region);
   }
 }
--- a/entry/src/main/java/org/gentianslip/entry/gateway/BackendAttempt.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/BackendAttempt.java
@@ -116,6 +116,11 @@
     return backend.id();
   }
 
+  @Override
+  void exclude(AttemptPlanner planner) {
+    planner.exclude(backend.id());
+  }
+
   @Override
   void onCancelled() {
     reservation.released();
--- a/entry/src/main/java/org/gentianslip/entry/gateway/ForwardAttempt.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/ForwardAttempt.java
@@ -1,6 +1,7 @@
 package org.gentianslip.entry.gateway;
 
 import io.netty.handler.codec.http.HttpHeaders;
+import java.util.Optional;
 import org.gentianslip.core.fleet.PeerRecord;
 import org.gentianslip.core.id.EngineId;
 
@@ -11,6 +12,7 @@
 final class ForwardAttempt extends Attempt {
 
   private final PeerRecord peer;
+  private Optional<EngineId> backend = Optional.empty();
 
   ForwardAttempt(RequestExecution execution, PeerRecord peer) {
     super(execution);
@@ -22,6 +24,7 @@
     HttpHeaders headers = execution().requestHeaders(nowNanos);
     headers.set(Gateway.REMAINING_MILLIS, Long.toString(execution().remainingMillis(nowNanos)));
     headers.set(Gateway.FORWARDED_BY, execution().gateway().state().config().id().value());
+    ForwardHeaders.setExcluded(headers, execution().excludedBackends());
     send(peer.forwardAddress(), headers, false, connectMillis);
   }
 
@@ -38,9 +41,20 @@
     execution().gateway().state().forwardTargets().pauseInstance(nowNanos, peer.id());
   }
 
+  @Override
+  public void onHead(int status, HttpHeaders headers) {
+    backend = ForwardHeaders.ranAt(headers);
+    super.onHead(status, headers);
+  }
+
   @Override
   EngineId target() {
-    return EngineId.of("at:" + peer.id().value());
+    return backend.orElseGet(() -> EngineId.of("at:" + peer.id().value()));
+  }
+
+  @Override
+  void exclude(AttemptPlanner planner) {
+    backend.ifPresentOrElse(planner::exclude, () -> planner.exclude(peer.region()));
   }
 
   @Override
--- a/entry/src/main/java/org/gentianslip/entry/gateway/ForwardTargets.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/ForwardTargets.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
 import org.gentianslip.core.fleet.FleetSnapshot;
 import org.gentianslip.core.fleet.FleetView;
 import org.gentianslip.core.fleet.PeerRecord;
@@ -48,9 +49,14 @@
    * Returns the other regions that may serve a request.
    *
    * @param promptRegions the regions with an engine that holds the shared part of the prompt
+   * @param usable tests whether the request may be sent to a region
    */
   List<RegionOption> candidates(
-      long nowNanos, Route route, ServiceId service, Set<RegionId> promptRegions) {
+      long nowNanos,
+      Route route,
+      ServiceId service,
+      Set<RegionId> promptRegions,
+      Predicate<RegionId> usable) {
     FleetSnapshot snapshot = fleet.snapshot(nowNanos);
     List<RegionOption> options = new ArrayList<>();
     for (RegionId region : snapshot.regions()) {
@@ -61,6 +67,7 @@
           && regionAvailable
           && !region.equals(ownRegion)
           && route.allows(region)
+          && usable.test(region)
           && selectInstance(nowNanos, region).isPresent()) {
         options.add(
             new RegionOption(
--- a/entry/src/main/java/org/gentianslip/entry/gateway/GatewayState.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/GatewayState.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
@@ -13,6 +14,7 @@
 import org.gentianslip.core.fleet.PeerRecord;
 import org.gentianslip.core.id.EngineId;
 import org.gentianslip.core.id.InstanceId;
+import org.gentianslip.core.id.RegionId;
 import org.gentianslip.core.id.ServiceId;
 import org.gentianslip.core.limit.RepeatWindow;
 import org.gentianslip.core.load.BackendLoad;
@@ -202,10 +204,27 @@
    * Returns the other regions that may serve a request.
    *
    * @param holders the engines that hold the shared part of the prompt
+   * @param usable tests whether the request may be sent to a region
    */
   List<RegionOption> forwardCandidates(
-      long nowNanos, Route route, ServiceId service, List<Backend> holders) {
-    return forwardTargets.candidates(nowNanos, route, service, prompts.regionsOf(holders));
+      long nowNanos,
+      Route route,
+      ServiceId service,
+      List<Backend> holders,
+      Predicate<RegionId> usable) {
+    return forwardTargets.candidates(nowNanos, route, service, prompts.regionsOf(holders), usable);
+  }
+
+  /** Returns whether a service has a backend server in a region besides excluded ones. */
+  boolean hasBackend(RegionId region, ServiceId service, Set<EngineId> excluded) {
+    PublishedState state = published.get();
+    return state.backends().values().stream()
+        .anyMatch(
+            b ->
+                b.service().equals(service)
+                    && !excluded.contains(b.id())
+                    && region.equals(config().regions().get(b.dataCentre()))
+                    && state.acceptsWork(b));
   }
 
   /** Returns the instances of other regions that requests may be forwarded to. */
--- a/entry/src/main/java/org/gentianslip/entry/gateway/RequestExecution.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/RequestExecution.java
@@ -3,9 +3,11 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.util.concurrent.ScheduledFuture;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import org.gentianslip.core.fleet.PeerRecord;
+import org.gentianslip.core.id.EngineId;
 import org.gentianslip.core.load.BackendDecision;
 import org.gentianslip.core.load.BackendSelector;
 import org.gentianslip.core.load.RequestSize;
@@ -71,6 +73,9 @@
             size,
             RequestTraits.of(size, request::fingerprint),
             forwarded);
+    if (forwarded) {
+      ForwardHeaders.excluded(request.headers()).forEach(planner::exclude);
+    }
     this.deadlineNanos = request.receivedNanos() + TimeUnit.MILLISECONDS.toNanos(remainingMillis);
   }
 
@@ -110,6 +115,11 @@
     return id;
   }
 
+  /** Returns the backend servers that the request must not be sent to. */
+  Set<EngineId> excludedBackends() {
+    return planner.excluded();
+  }
+
   long remainingMillis(long nowNanos) {
     return TimeUnit.NANOSECONDS.toMillis(deadlineNanos - nowNanos);
   }
@@ -188,7 +198,7 @@
 
   /** Called when the head of an answer was received on a connection, for the log. */
   void onHeadReceived(int status, String connectionUse) {
-    requestLog.recordEvent(System.nanoTime(), "head=" + status + " connection=" + connectionUse);
+    requestLog.recordHead(status, connectionUse);
   }
 
   /** Called when an attempt has received nothing for too long; may replace the attempt. */
@@ -197,7 +207,7 @@
     if (!writer.isWritable() || !planner.mayUseAnotherBackend() || !response.canResume()) {
       return;
     }
-    planner.exclude(attempt.target());
+    attempt.exclude(planner);
     BackendDecision alternative = planner.chooseWithRepeat(now, remainingMillis(now));
     if (alternative instanceof BackendDecision.Refuse) {
       return;
@@ -249,6 +259,7 @@
 
   private void recordPossibleRun(Attempt attempt) {
     planner.recordPossibleRun(attempt.target());
+    attempt.exclude(planner);
     mayHaveRun = true;
   }
 
@@ -264,13 +275,7 @@
   void retryOrRespond(Attempt attempt, int status, HttpHeaders headers, byte[] body) {
     long now = System.nanoTime();
     recordPossibleRun(attempt);
-    planner.exclude(attempt.target());
-    BackendDecision decision = planner.choose(now, remainingMillis(now));
-    if (decision instanceof BackendDecision.Refuse) {
-      planner.include(attempt.target());
-      decision = planner.choose(now, remainingMillis(now));
-    }
-    decision = planner.claimRepeat(now, decision);
+    BackendDecision decision = planner.chooseWithRepeat(now, remainingMillis(now));
     if (decision instanceof BackendDecision.Refuse) {
       respond(status, headers, body);
       return;
@@ -339,7 +344,7 @@
 
   private void abort(String reason) {
     if (finish("broken reason=" + reason)) {
-      response.abort(502, gateway.failureHeaders(id));
+      response.abort(502, failureHeaders());
     }
   }
 
@@ -356,8 +361,21 @@
       long retryAfterMillis = AttemptPlanner.DEFAULT_RETRY_MILLIS;
       response.writeResponse(503, gateway.notRunHeaders(id, retryAfterMillis), new byte[0]);
     } else {
-      response.abort(504, gateway.failureHeaders(id));
+      response.abort(504, failureHeaders());
+    }
+  }
+
+  private HttpHeaders failureHeaders() {
+    return withRunningBackend(gateway.failureHeaders(id));
+  }
+
+  /** Adds where the request may have run, if it was forwarded. */
+  private HttpHeaders withRunningBackend(HttpHeaders headers) {
+    if (planner.forwarded() && current != null) {
+      EngineId backend = planner.possibleRuns().stream().findFirst().orElseGet(current::target);
+      ForwardHeaders.setRanAt(headers, backend);
     }
+    return headers;
   }
 
   private String rank() {
@@ -403,7 +421,7 @@
 
   /** Returns the headers of a received response to pass on to the caller. */
   HttpHeaders responseHeaders(HttpHeaders headers) {
-    return HeaderFilter.forCaller(gateway.edgeHeaders(), id, headers);
+    return withRunningBackend(HeaderFilter.forCaller(gateway.edgeHeaders(), id, headers));
   }
 
   /** Returns the request headers to pass on to a backend server or another instance. */
--- a/entry/src/main/java/org/gentianslip/entry/gateway/RequestLog.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/RequestLog.java
@@ -49,6 +49,11 @@
     addStep(nowNanos, "seen", "", event);
   }
 
+  /** Records the head of an answer and its connection, for the log only. */
+  void recordHead(int status, String connectionUse) {
+    appendTrail("head=" + status + " connection=" + connectionUse);
+  }
+
   private void appendTrail(String step) {
     trail.append(trail.length() == 0 ? "" : "; ").append(step);
   }
