Answer what is unfinished before the end of a stop

What callers saw: in a planned stop, requests that were still running at 0.93 of the grace were cut: the connection was closed with no answer. A caller can't tell this from a crash, and may not repeat an unsafe request.

Cause: GatewayServer closed all connections at the end without ending the requests in flight. It also took a request as finished when its answer was handed to the connection, not when it was written.

Ruled out: a deadline of the caller or the timeout of the route (both 10 s, the grace of the test is 2 s), and a fault of the backend server (it is silent, not broken off).

Change: at 0.93 of the grace each request in flight ends on its event loop: 503 "not run" if no byte of it was written to a target that may have run it, 502 if its outcome is unknown; a stream that has begun is aborted, since a complete look would be false. The process then waits, until 0.97 of the grace at most, for the last byte of each answer to be taken by the operating system. Forwarded requests are treated in the same way.

Why it works: every request that was read is counted until its answer is written, and the process ends when the count is 0 or the grace is over.

--- a/entry/src/main/java/org/gentianslip/entry/gateway/Attempt.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/Attempt.java
@@ -110,6 +110,11 @@
     return lastReceivedNanos;
   }
 
+  /** Returns whether any byte of the request may have been written. */
+  boolean mayHaveBeenWritten() {
+    return exchange != null && exchange.written();
+  }
+
   /** Cancels the attempt unless it has ended. */
   void cancel() {
     if (exchange != null && !ended) {
--- a/entry/src/main/java/org/gentianslip/entry/gateway/CallerConnection.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/CallerConnection.java
@@ -44,6 +44,7 @@
 
   private final Supplier<CallerLimits> limits;
   private final BooleanSupplier leaving;
+  private final UnansweredRequests unanswered;
   private final RequestHandler handler;
   private final Deque<HttpObject> pending = new ArrayDeque<>();
   private ChannelHandlerContext ctx;
@@ -54,9 +55,14 @@
   private boolean readingRequest;
   private long lastActiveNanos = System.nanoTime();
 
-  CallerConnection(Supplier<CallerLimits> limits, BooleanSupplier leaving, RequestHandler handler) {
+  CallerConnection(
+      Supplier<CallerLimits> limits,
+      BooleanSupplier leaving,
+      UnansweredRequests unanswered,
+      RequestHandler handler) {
     this.limits = limits;
     this.leaving = leaving;
+    this.unanswered = unanswered;
     this.handler = handler;
   }
 
@@ -180,7 +186,7 @@
   private BufferedHttpRequest buildRequest() {
     final byte[] bytes = body == null ? new byte[0] : ByteBufUtil.getBytes(body);
     HttpRequest request = head;
-    writer = new NettyResponseWriter(ctx, request, leaving, this::onResponseWritten);
+    writer = new NettyResponseWriter(ctx, request, leaving, unanswered, this::onResponseWritten);
     head = null;
     body = null;
     readingRequest = false;
--- a/entry/src/main/java/org/gentianslip/entry/gateway/CallerServer.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/CallerServer.java
@@ -37,6 +37,7 @@
   private final Supplier<CallerLimits> limits;
   private final BooleanSupplier leaving;
   private final RequestHandler handler;
+  private final UnansweredRequests unanswered = new UnansweredRequests();
   private final ChannelGroup connections =
       new DefaultChannelGroup("callers", GlobalEventExecutor.INSTANCE);
   private Channel listener;
@@ -77,7 +78,7 @@
                         .pipeline()
                         .addLast(
                             new HttpServerCodec(MAX_LINE_BYTES, MAX_HEADER_BYTES, CHUNK_BYTES),
-                            new CallerConnection(limits, leaving, handler));
+                            new CallerConnection(limits, leaving, unanswered, handler));
                   }
                 })
             .bind(host, port)
@@ -98,6 +99,11 @@
     }
   }
 
+  /** Returns the number of requests that were read and whose responses are not written. */
+  int unanswered() {
+    return unanswered.count();
+  }
+
   /** Stops accepting connections and closes the idle ones. */
   void stopAccepting() {
     listener.close();
--- a/entry/src/main/java/org/gentianslip/entry/gateway/Exchange.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/Exchange.java
@@ -33,6 +33,11 @@
     return ended;
   }
 
+  /** Returns whether any byte of the request may have been written. */
+  boolean written() {
+    return written;
+  }
+
   void markWritten(Channel writtenTo) {
     channel = writtenTo;
     written = true;
--- a/entry/src/main/java/org/gentianslip/entry/gateway/Gateway.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/Gateway.java
@@ -10,7 +10,6 @@
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicInteger;
 import org.gentianslip.core.id.RequestId;
 import org.gentianslip.core.limit.BufferQuota;
 import org.gentianslip.core.membership.RendezvousHash;
@@ -56,8 +55,11 @@
   /** The retry delay sent while this instance cannot serve a request yet, in milliseconds. */
   private static final long NOT_READY_RETRY_MILLIS = 300;
 
+  /** The reason for refusing or ending a request because this instance is leaving. */
+  static final String LEAVING = "leaving";
+
   /** The retry delay sent during shutdown, in milliseconds; short, as other instances can serve. */
-  private static final long LEAVING_RETRY_MILLIS = 20;
+  static final long LEAVING_RETRY_MILLIS = 20;
 
   /**
    * The age of the published state from which an unknown path is refused, not answered with 404.
@@ -74,7 +76,7 @@
   private final GatewayMetrics metrics;
   private final DecisionLog decisions;
   private final BufferQuota responseBuffers = BufferQuota.of(MAX_BUFFERED_BYTES);
-  private final AtomicInteger inFlight = new AtomicInteger();
+  private final Set<RequestExecution> inFlight = ConcurrentHashMap.newKeySet();
   private final Map<EventLoop, BackendClient> clients = new ConcurrentHashMap<>();
 
   Gateway(
@@ -129,7 +131,12 @@
   }
 
   int inFlight() {
-    return inFlight.get();
+    return inFlight.size();
+  }
+
+  /** Ends the requests in flight with their final responses, on their event loops. */
+  void endInFlight() {
+    inFlight.forEach(e -> e.writer().eventLoop().execute(e::endForShutdown));
   }
 
   long version() {
@@ -160,7 +167,7 @@
     String id = request.headers().get(edgeHeaders.requestId(), "");
     Optional<RouteTable> table = state.published().routes();
     if (table.isEmpty() || state.refusing()) {
-      String reason = table.isEmpty() ? "no-configuration" : "leaving";
+      String reason = table.isEmpty() ? "no-configuration" : LEAVING;
       refuse(id, writer, reason, table.isEmpty() ? NOT_READY_RETRY_MILLIS : LEAVING_RETRY_MILLIS);
       return;
     }
@@ -179,9 +186,11 @@
       refuse(id, writer, "region-not-allowed", NOT_READY_RETRY_MILLIS);
       return;
     }
-    inFlight.incrementAndGet();
     long limitMillis = timeLimitMillis(request, route.get(), forwarded);
-    new RequestExecution(this, request, writer, route.get(), forwarded, limitMillis).start();
+    var execution =
+        new RequestExecution(this, request, writer, route.get(), forwarded, limitMillis);
+    inFlight.add(execution);
+    execution.start();
   }
 
   private void respondUnknownRoute(
@@ -263,10 +272,11 @@
   }
 
   /** Updates the metrics at the end of a request. */
-  void finishRequest(Route route, String outcome) {
-    inFlight.decrementAndGet();
+  void finishRequest(RequestExecution execution, String outcome) {
+    inFlight.remove(execution);
     int wordEnd = outcome.indexOf(' ');
     metrics.countRequest(
-        Integer.toString(route.rank()), wordEnd < 0 ? outcome : outcome.substring(0, wordEnd));
+        Integer.toString(execution.route().rank()),
+        wordEnd < 0 ? outcome : outcome.substring(0, wordEnd));
   }
 }
--- a/entry/src/main/java/org/gentianslip/entry/gateway/GatewayServer.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/GatewayServer.java
@@ -40,9 +40,12 @@
   /** The share of the grace period after which no connection is accepted. */
   private static final double ACCEPT_SHARE = 0.75;
 
-  /** The share of the grace period after which the shutdown completes in any case. */
+  /** The share of the grace period after which unfinished requests get their final responses. */
   private static final double END_SHARE = 0.93;
 
+  /** The share of the grace period after which the shutdown completes in any case. */
+  private static final double CLOSE_SHARE = 0.97;
+
   private static final long SHUTDOWN_POLL_MILLIS = 20;
 
   private static final double NANOS_PER_SECOND = 1e9;
@@ -144,14 +147,21 @@
     sleepUntil(start, (long) (graceMillis * ACCEPT_SHARE), false);
     callerServer.stopAccepting();
     sleepUntil(start, (long) (graceMillis * END_SHARE), true);
-    LOGGER.atInfo().log("gateway: event=left in-flight=%s", gateway.inFlight());
+    LOGGER.atInfo().log(
+        "gateway: event=left in-flight=%s unanswered=%s", gateway.inFlight(), unanswered());
+    gateway.endInFlight();
+    sleepUntil(start, (long) (graceMillis * CLOSE_SHARE), true);
     close();
     return true;
   }
 
-  private void sleepUntil(long startNanos, long millis, boolean untilIdle) {
+  private int unanswered() {
+    return callerServer.unanswered() + forwardServer.unanswered();
+  }
+
+  private void sleepUntil(long startNanos, long millis, boolean untilAnswered) {
     long end = startNanos + TimeUnit.MILLISECONDS.toNanos(millis);
-    while (System.nanoTime() - end < 0 && !(untilIdle && gateway.inFlight() == 0)) {
+    while (System.nanoTime() - end < 0 && !(untilAnswered && unanswered() == 0)) {
       try {
         Thread.sleep(SHUTDOWN_POLL_MILLIS);
       } catch (InterruptedException e) {
--- a/entry/src/main/java/org/gentianslip/entry/gateway/NettyResponseWriter.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/NettyResponseWriter.java
@@ -19,13 +19,19 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import java.util.function.BooleanSupplier;
 
-/** Writes the response to one request. Confined to the event loop of its connection. */
+/**
+ * Writes the response to one request.
+ *
+ * <p>The request counts as unanswered from the creation of the writer until the response has been
+ * written or the connection is closed. Confined to the event loop of its connection.
+ */
 final class NettyResponseWriter implements ResponseWriter {
 
   private final ChannelHandlerContext ctx;
   private final boolean headOnly;
   private final boolean closeRequested;
   private final BooleanSupplier leaving;
+  private final UnansweredRequests unanswered;
   private final CompletionListener completionListener;
   private CallerListener listener;
   private boolean keepAlive;
@@ -46,12 +52,15 @@
       ChannelHandlerContext ctx,
       HttpRequest request,
       BooleanSupplier leaving,
+      UnansweredRequests unanswered,
       CompletionListener completionListener) {
     this.ctx = ctx;
     this.headOnly = request.method().equals(HttpMethod.HEAD);
     this.closeRequested = !HttpUtil.isKeepAlive(request);
     this.leaving = leaving;
+    this.unanswered = unanswered;
     this.completionListener = completionListener;
+    unanswered.add();
   }
 
   @Override
@@ -127,6 +136,7 @@
   private void writeLast(Object last) {
     ended = true;
     var written = ctx.writeAndFlush(last);
+    written.addListener(f -> unanswered.remove());
     if (!keepAlive) {
       written.addListener(ChannelFutureListener.CLOSE);
     }
@@ -137,6 +147,7 @@
   public void abort() {
     if (!ended) {
       ended = true;
+      unanswered.remove();
       ctx.close();
     }
   }
@@ -155,6 +166,7 @@
   void onDisconnect() {
     if (!ended) {
       ended = true;
+      unanswered.remove();
       if (listener != null) {
         listener.onDisconnect();
       }
--- a/entry/src/main/java/org/gentianslip/entry/gateway/RequestExecution.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/RequestExecution.java
@@ -324,6 +324,9 @@
       headers.set(Gateway.REASON, reason);
       return headers;
     }
+    if (reason.equals(Gateway.LEAVING)) {
+      return gateway.notRunHeaders(id, Gateway.LEAVING_RETRY_MILLIS);
+    }
     long leftMillis = remainingMillis(System.nanoTime());
     double fraction = ThreadLocalRandom.current().nextDouble();
     if (reason.equals(BackendSelector.PAUSED)) {
@@ -355,6 +358,20 @@
     }
   }
 
+  /**
+   * Ends the request because the process ends. The response states "not run" if no byte of the
+   * request was written to a target that may have run it; a stream that has begun is aborted.
+   */
+  void endForShutdown() {
+    if (ended) {
+      return;
+    }
+    boolean written = current != null && current.mayHaveBeenWritten();
+    cancelCurrent();
+    mayHaveRun |= written;
+    refuseOrAbort(Gateway.LEAVING, 0);
+  }
+
   private String rank() {
     return Integer.toString(route.rank());
   }
@@ -371,7 +388,7 @@
     }
     ended = true;
     deadlineTimer.cancel(false);
-    gateway.finishRequest(route, outcome);
+    gateway.finishRequest(this, outcome);
     requestLog.finish(System.nanoTime(), gateway.version(), outcome);
     return true;
   }
