Complete answers to slow readers before closing for a stop

What callers saw: in a planned stop, a large answer to a caller who reads slowly ended in the middle: 3,932,160 of 8,000,000 bytes arrived.

Cause: at 0.75 of the grace, idle connections are closed. A connection counted as idle as soon as its answer was handed over, though most of it still waited to be written. The same held at the end of the stop.

Change: the close of an idle connection is queued behind what is being written; a connection that its answer closes is left to that answer.

--- a/entry/src/main/java/org/gentianslip/entry/gateway/CallerConnection.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/CallerConnection.java
@@ -232,10 +232,14 @@
     }
   }
 
-  /** Closes the connection unless a request is being read or processed. */
+  /**
+   * Closes the connection unless a request is being read or processed, or a response closes it. A
+   * response that is being written is completed first.
+   */
   void closeIfIdle() {
-    if (writer == null && !readingRequest) {
-      ctx.close();
+    if (writer == null && !readingRequest && !closing) {
+      closing = true;
+      ctx.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
     }
   }
 
