--- a/entry/src/main/java/org/gentianslip/entry/gateway/Exchange.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/Exchange.java
@@ -34,6 +34,11 @@
     return ended;
   }
 
+  /** Returns whether any byte of the request may have been written. */
+  boolean written() {
+    return written;
+  }
+
   /**
    * Marks the request as written.
    *
