Keep failures of a region's servers apart from its stated wait

Cause: the relay stated the wait for a service plus the cost of its servers' failures, and the other regions took the sum as time. A share of failures above 0.265 made every request too late, and the share changes with answers only, so the region stayed refused while its server was idle. Ruled out by the new log line (event=regions, once a second at most): wait=0 failures=429 paused=0 and an age under 1.3 s for seconds on end, so neither requests that count as running, nor an old statement, nor the pause after a refusal. Change: a statement holds the wait and the cost of failures; the cost compares regions and never makes one late. A region that is too late no longer hides a dearer one that is in time. Instances of the version before read the wait alone; what they state has no cost of failures. A stated time that cannot be is logged once for each data centre and taken as unknown; the message and the region stay in use. The tests that name the wait of a region have its new type; what they check is as it was. Run: verify of core, entry and platform with FailingRegionTest, RegionWaitTest, StatedWaitTest, BackendSelectorTest, BackendGroupTest, SlowSpellTest, BackendRegistryTest and the tests of core.fleet.

--- a/core/src/main/java/org/gentianslip/core/fleet/ContactPlanner.java
+++ b/core/src/main/java/org/gentianslip/core/fleet/ContactPlanner.java
@@ -119,7 +119,7 @@
    *
    * @param self the present record of this instance
    * @param seeds addresses of some instances, possibly outdated
-   * @param waitMillis the expected wait for each service, in milliseconds
+   * @param waits what a request may expect, by service
    * @param busy whether this instance puts load on backend servers; without load, a member reports
    *     less often
    */
@@ -127,7 +127,7 @@
       long nowNanos,
       PeerRecord self,
       List<String> seeds,
-      Map<ServiceId, Integer> waitMillis,
+      Map<ServiceId, ServiceWait> waits,
       boolean busy) {
     round++;
     if (round % FORGET_ROUNDS == 0) {
@@ -145,7 +145,7 @@
           : List.of();
     }
     relaySinceNanos = wasRelay ? relaySinceNanos : nowNanos;
-    return relayContacts(nowNanos, self, seeds, waitMillis, live, members.size());
+    return relayContacts(nowNanos, self, seeds, waits, live, members.size());
   }
 
   /** Returns whether this member reports to its relay in this round. */
@@ -173,11 +173,11 @@
       long nowNanos,
       PeerRecord self,
       List<String> seeds,
-      Map<ServiceId, Integer> waitMillis,
+      Map<ServiceId, ServiceWait> waits,
       List<PeerRecord> live,
       int members) {
     if (round % REMOTE_ROUNDS == 0) {
-      view.summaries().publish(nowNanos, self, waitMillis);
+      view.summaries().publish(nowNanos, self, waits);
     }
     List<Contact> contacts = new ArrayList<>();
     contacts.addAll(probes(nowNanos, self, live, members));
--- a/core/src/main/java/org/gentianslip/core/fleet/DataCentreSummaries.java
+++ b/core/src/main/java/org/gentianslip/core/fleet/DataCentreSummaries.java
@@ -43,13 +43,11 @@
 
   /** Publishes a summary of the own data centre, with a beat above any that is known of it. */
   public synchronized void publish(
-      long nowNanos, PeerRecord self, Map<ServiceId, Integer> waitMillis) {
+      long nowNanos, PeerRecord self, Map<ServiceId, ServiceWait> waits) {
     Entry known = entries.get(self.dataCentre());
     long beat = known == null ? 1 : known.summary().beat() + 1;
     record(
-        nowNanos,
-        self.id(),
-        new DataCentreSummary(self.dataCentre(), self.region(), beat, waitMillis));
+        nowNanos, self.id(), new DataCentreSummary(self.dataCentre(), self.region(), beat, waits));
   }
 
   /** Returns whether a newer summary of a data centre was received recently. */
@@ -59,11 +57,11 @@
   }
 
   /** Returns the summaries of the data centres that are heard. */
-  public Collection<DataCentreSummary> heard(long nowNanos) {
-    List<DataCentreSummary> heard = new ArrayList<>();
+  Collection<HeardSummary> heard(long nowNanos) {
+    List<HeardSummary> heard = new ArrayList<>();
     for (Entry e : entries.values()) {
       if (nowNanos - e.receivedNanos() < SILENCE_NANOS) {
-        heard.add(e.summary());
+        heard.add(new HeardSummary(e.summary(), e.receivedNanos()));
       }
     }
     return heard;
--- a/core/src/main/java/org/gentianslip/core/fleet/DataCentreSummary.java
+++ b/core/src/main/java/org/gentianslip/core/fleet/DataCentreSummary.java
@@ -11,14 +11,13 @@
  * @param dataCentre the data centre
  * @param region its region
  * @param beat a number that increases with each summary of the data centre
- * @param waitMillis the expected wait of a request, in milliseconds, by each service that its
- *     instances can reach
+ * @param waits what a request may expect, by each service that its instances can reach
  */
 public record DataCentreSummary(
-    DataCentreId dataCentre, RegionId region, long beat, Map<ServiceId, Integer> waitMillis) {
+    DataCentreId dataCentre, RegionId region, long beat, Map<ServiceId, ServiceWait> waits) {
 
   /** Copies the map. */
   public DataCentreSummary {
-    waitMillis = Map.copyOf(waitMillis);
+    waits = Map.copyOf(waits);
   }
 }
--- a/core/src/main/java/org/gentianslip/core/fleet/FleetSnapshot.java
+++ b/core/src/main/java/org/gentianslip/core/fleet/FleetSnapshot.java
@@ -5,7 +5,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.OptionalInt;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.gentianslip.core.id.RegionId;
 import org.gentianslip.core.id.ServiceId;
@@ -26,13 +26,13 @@
   private final long takenNanos;
   private final long change;
   private final Map<RegionId, List<PeerRecord>> servingByRegion;
-  private final Map<RegionId, Map<ServiceId, Integer>> waitsByRegion;
+  private final Map<RegionId, Map<ServiceId, HeardWait>> waitsByRegion;
 
   private FleetSnapshot(
       long takenNanos,
       long change,
       Map<RegionId, List<PeerRecord>> servingByRegion,
-      Map<RegionId, Map<ServiceId, Integer>> waitsByRegion) {
+      Map<RegionId, Map<ServiceId, HeardWait>> waitsByRegion) {
     this.takenNanos = takenNanos;
     this.change = change;
     this.servingByRegion = servingByRegion;
@@ -40,20 +40,22 @@
   }
 
   static FleetSnapshot of(
-      long nowNanos,
-      long change,
-      Collection<PeerRecord> live,
-      Collection<DataCentreSummary> summaries) {
+      long nowNanos, long change, Collection<PeerRecord> live, Collection<HeardSummary> summaries) {
     Map<RegionId, List<PeerRecord>> serving = new HashMap<>();
     for (PeerRecord p : live) {
       if (p.ready() && !p.leaving()) {
         serving.computeIfAbsent(p.region(), r -> new ArrayList<>()).add(p);
       }
     }
-    Map<RegionId, Map<ServiceId, Integer>> waits = new HashMap<>();
-    for (DataCentreSummary s : summaries) {
-      Map<ServiceId, Integer> ofRegion = waits.computeIfAbsent(s.region(), r -> new HashMap<>());
-      s.waitMillis().forEach((service, wait) -> ofRegion.merge(service, wait, Math::max));
+    Map<RegionId, Map<ServiceId, HeardWait>> waits = new HashMap<>();
+    for (HeardSummary s : summaries) {
+      Map<ServiceId, HeardWait> ofRegion =
+          waits.computeIfAbsent(s.summary().region(), r -> new HashMap<>());
+      s.summary()
+          .waits()
+          .forEach(
+              (service, wait) ->
+                  ofRegion.merge(service, new HeardWait(wait, s.heardNanos()), HeardWait::longer));
     }
     return new FleetSnapshot(nowNanos, change, serving, waits);
   }
@@ -73,11 +75,10 @@
   }
 
   /**
-   * Returns the longest wait that the data centres of a region report for a service, in
-   * milliseconds, or an empty value if none of them can reach it.
+   * Returns the longest wait and the highest cost of failures that the data centres of a region
+   * state for a service, or an empty value if none of them can reach it.
    */
-  public OptionalInt waitMillis(RegionId region, ServiceId service) {
-    Integer wait = waitsByRegion.getOrDefault(region, Map.of()).get(service);
-    return wait == null ? OptionalInt.empty() : OptionalInt.of(wait);
+  public Optional<HeardWait> statedWait(RegionId region, ServiceId service) {
+    return Optional.ofNullable(waitsByRegion.getOrDefault(region, Map.of()).get(service));
   }
 }
--- a/core/src/main/java/org/gentianslip/core/load/BackendGroup.java
+++ b/core/src/main/java/org/gentianslip/core/load/BackendGroup.java
@@ -1,6 +1,7 @@
 package org.gentianslip.core.load;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -9,6 +10,7 @@
 import java.util.Set;
 import java.util.function.Predicate;
 import java.util.random.RandomGenerator;
+import org.gentianslip.core.fleet.ServiceWait;
 import org.gentianslip.core.id.DataCentreId;
 import org.gentianslip.core.id.EngineId;
 import org.gentianslip.core.published.Backend;
@@ -127,6 +129,24 @@
         options.isEmpty() ? shortestPauseNanos(nowNanos, usable) : 0);
   }
 
+  /**
+   * Returns what one more request of unknown size may expect at the best of the members, or an
+   * empty value if none of them accepts work.
+   *
+   * @param nowNanos the current time, in nanoseconds of the monotonic clock
+   * @param rates the rates at which this instance may send to backend servers that restrict them
+   * @param random the source of the random sample
+   */
+  public Optional<ServiceWait> expectedWait(
+      long nowNanos, SendRates rates, RandomGenerator random) {
+    return candidates(nowNanos, rates, id -> true, RequestSize.UNKNOWN, List.of(), random)
+        .options()
+        .stream()
+        .map(o -> o.load().estimate(nowNanos, false, RequestSize.UNKNOWN, Optional.empty()))
+        .min(Comparator.comparingDouble(e -> e.waitMillis() + e.failureMillis()))
+        .map(e -> ServiceWait.bounded(e.waitMillis(), e.failureMillis()));
+  }
+
   /** Returns the time after which the first of the usable members wants work again, or 0. */
   private long shortestPauseNanos(long nowNanos, Predicate<EngineId> usable) {
     return members.stream()
--- a/core/src/main/java/org/gentianslip/core/load/BackendSelector.java
+++ b/core/src/main/java/org/gentianslip/core/load/BackendSelector.java
@@ -9,8 +9,9 @@
  * Selects where a request is served: by a backend server of this region or by another region.
  *
  * <p>The target with the lowest cost is selected. The cost is the expected time to the first part
- * of the answer plus penalties for prefilling a shared prompt again and for sending the body to
- * another region. Stateless and thread-safe.
+ * of the answer plus penalties for prefilling a shared prompt again, for recent failures and for
+ * sending the body to another region. Only the expected time decides whether a region is too late.
+ * Stateless and thread-safe.
  */
 public final class BackendSelector {
 
@@ -110,22 +111,23 @@
         bestCost = cost;
       }
     }
+    double limitMillis = limitMillis(route, remainingMillis);
     RegionOption remote = null;
     double remoteCost = Double.MAX_VALUE;
     for (RegionOption region : regions) {
+      double millis = remoteMillis(size, region);
+      shortestMillis = Math.min(shortestMillis, millis);
       double cost = remoteCost(size, region);
-      shortestMillis = Math.min(shortestMillis, remoteMillis(size, region));
-      if (cost < remoteCost) {
+      if (millis <= limitMillis && cost < remoteCost) {
         remote = region;
         remoteCost = cost;
       }
     }
-    double limitMillis = limitMillis(route, remainingMillis);
     boolean localInTime = best != null && bestEstimate.totalMillis() <= limitMillis;
     if (localInTime && (remote == null || bestCost <= remoteCost + REMOTE_MARGIN_MILLIS)) {
       return new BackendDecision.ToBackend(best, bestEstimate);
     }
-    if (remote != null && remoteMillis(size, remote) <= limitMillis) {
+    if (remote != null) {
       return new BackendDecision.ToRegion(remote.region(), remoteMillis(size, remote));
     }
     if (localInTime) {
@@ -161,12 +163,13 @@
   private static double remoteMillis(RequestSize size, RegionOption region) {
     long tokens = size.promptTokens() - (region.hasPrompt() ? size.sharedTokens() : 0);
     double prefillMillis = tokens / BackendLoad.PREFILL_TOKENS_PER_MILLI;
-    return region.roundTripMillis() + region.waitMillis() + prefillMillis;
+    return region.roundTripMillis() + region.stated().waitMillis() + prefillMillis;
   }
 
   private static double remoteCost(RequestSize size, RegionOption region) {
     long recomputedTokens = region.hasPrompt() ? 0 : size.sharedTokens();
     return remoteMillis(size, region)
+        + region.stated().failureMillis()
         + recomputedTokens * COST_MILLIS_PER_PREFILLED_TOKEN
         + size.bodyBytes() * COST_MILLIS_PER_REMOTE_BYTE;
   }
--- a/core/src/test/java/org/gentianslip/core/load/BackendSelectorTest.java
+++ b/core/src/test/java/org/gentianslip/core/load/BackendSelectorTest.java
@@ -10,6 +10,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.SplittableRandom;
+import org.gentianslip.core.fleet.ServiceWait;
 import org.gentianslip.core.id.DataCentreId;
 import org.gentianslip.core.id.EngineId;
 import org.gentianslip.core.id.RegionId;
@@ -206,7 +207,7 @@
 
     @Test
     void selectsTheRegionThatHoldsThePrompt() {
-      var remote = new RegionOption(RegionId.of("far"), 0, 110, true);
+      var remote = new RegionOption(RegionId.of("far"), ServiceWait.UNKNOWN, 110, true);
       assertThat(
           choose(LONG, engines(2), List.of(remote)), instanceOf(BackendDecision.ToRegion.class));
     }
@@ -215,14 +216,14 @@
     void staysInTheLocalRegionIfItHoldsThePromptToo() {
       List<BackendOption> options = engines(2);
       reserve(options.get(0), true, LONG).firstEventReceived(0);
-      var remote = new RegionOption(RegionId.of("far"), 0, 110, true);
+      var remote = new RegionOption(RegionId.of("far"), ServiceWait.UNKNOWN, 110, true);
       assertThat(
           choose(LONG, options, List.of(remote)), instanceOf(BackendDecision.ToBackend.class));
     }
 
     @Test
     void staysInTheLocalRegionWhileTheWaitIsShort() {
-      var remote = new RegionOption(RegionId.of("far"), 0, 110, false);
+      var remote = new RegionOption(RegionId.of("far"), ServiceWait.UNKNOWN, 110, false);
       assertThat(
           choose(LONG, engines(2), List.of(remote)), instanceOf(BackendDecision.ToBackend.class));
     }
@@ -244,7 +245,7 @@
     @Test
     void selectsAnotherRegionThatAnswersSooner() {
       addLoad(4);
-      var remote = new RegionOption(RegionId.of("far"), 0, 110, false);
+      var remote = new RegionOption(RegionId.of("far"), ServiceWait.UNKNOWN, 110, false);
       BackendDecision choice =
           BackendSelector.select(
               0, route(2, 3_000), SHORT, 4_000, candidates(SHORT, busy), List.of(remote));
--- a/entry/src/main/java/org/gentianslip/entry/fleet/FleetExchange.java
+++ b/entry/src/main/java/org/gentianslip/entry/fleet/FleetExchange.java
@@ -86,7 +86,7 @@
             nowNanos,
             state.ownRecord(),
             state.config().seeds(),
-            state.roundedWaits(nowNanos),
+            state.waits(nowNanos),
             state.hasLoad(nowNanos));
     if (planner.isRelay() != wasRelay) {
       wasRelay = planner.isRelay();
--- a/entry/src/main/java/org/gentianslip/entry/fleet/FleetMessage.java
+++ b/entry/src/main/java/org/gentianslip/entry/fleet/FleetMessage.java
@@ -1,14 +1,20 @@
 package org.gentianslip.entry.fleet;
 
 import com.fasterxml.jackson.annotation.JsonFormat;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.IntNode;
+import com.google.common.flogger.FluentLogger;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import org.gentianslip.core.fleet.DataCentreSummary;
 import org.gentianslip.core.fleet.LoadScope;
 import org.gentianslip.core.fleet.PeerRecord;
 import org.gentianslip.core.fleet.PeerStatement;
+import org.gentianslip.core.fleet.ServiceWait;
 import org.gentianslip.core.fleet.SyncAck;
 import org.gentianslip.core.fleet.SyncMessage;
 import org.gentianslip.core.id.DataCentreId;
@@ -168,23 +174,77 @@
     }
   }
 
-  /** The JSON form of a {@link DataCentreSummary}. */
+  /**
+   * The JSON form of a {@link DataCentreSummary}.
+   *
+   * @param waits the waits by service, in milliseconds
+   * @param failures the costs of failures by service, in milliseconds; null in messages of earlier
+   *     versions
+   */
   @JsonFormat(shape = JsonFormat.Shape.ARRAY)
-  record Summary(String dataCentre, String region, long beat, Map<String, Integer> waits) {
+  record Summary(
+      String dataCentre,
+      String region,
+      long beat,
+      Map<String, JsonNode> waits,
+      Map<String, JsonNode> failures) {
+
+    private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+
+    /** The longest part of a bad value in a log line, in characters. */
+    private static final int MAX_LOGGED_CHARS = 40;
+
+    /** The data centres of which a bad value is logged, at most. */
+    private static final int MAX_REPORTED = 64;
+
+    /** The data centres of which a bad value was logged. */
+    private static final Set<String> REPORTED = ConcurrentHashMap.newKeySet();
 
     static Summary of(DataCentreSummary summary) {
-      Map<String, Integer> waits = new HashMap<>();
-      summary.waitMillis().forEach((s, w) -> waits.put(s.value(), w));
+      Map<String, JsonNode> waits = new HashMap<>();
+      Map<String, JsonNode> failures = new HashMap<>();
+      summary
+          .waits()
+          .forEach(
+              (service, wait) -> {
+                waits.put(service.value(), rounded(wait.waitMillis()));
+                failures.put(service.value(), rounded(wait.failureMillis()));
+              });
       return new Summary(
-          summary.dataCentre().value(), summary.region().value(), summary.beat(), waits);
+          summary.dataCentre().value(), summary.region().value(), summary.beat(), waits, failures);
     }
 
     DataCentreSummary toSummary() {
-      Map<ServiceId, Integer> byService = new HashMap<>();
-      waits.forEach((s, w) -> byService.put(ServiceId.of(s), w));
+      Map<ServiceId, ServiceWait> byService = new HashMap<>();
+      Map<String, JsonNode> costs = failures == null ? Map.of() : failures;
+      waits.forEach(
+          (service, wait) ->
+              byService.put(
+                  ServiceId.of(service),
+                  new ServiceWait(
+                      believed(service, wait),
+                      costs.containsKey(service) ? believed(service, costs.get(service)) : 0)));
       return new DataCentreSummary(
           DataCentreId.of(dataCentre), RegionId.of(region), beat, byService);
     }
+
+    private static JsonNode rounded(double millis) {
+      return IntNode.valueOf((int) Math.round(millis));
+    }
+
+    /** Returns a stated time, or 0 as if nothing were known if no time can be as stated. */
+    private double believed(String service, JsonNode stated) {
+      if (stated.isNumber() && ServiceWait.isValid(stated.doubleValue())) {
+        return stated.doubleValue();
+      }
+      if (REPORTED.size() < MAX_REPORTED && REPORTED.add(dataCentre)) {
+        String text = stated.toString();
+        LOGGER.atWarning().log(
+            "fleet: event=bad-wait data-centre=%s service=%s stated=%s use=unknown",
+            dataCentre, service, text.substring(0, Math.min(MAX_LOGGED_CHARS, text.length())));
+      }
+      return 0;
+    }
   }
 
   /**
--- a/entry/src/main/java/org/gentianslip/entry/gateway/BackendRegistry.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/BackendRegistry.java
@@ -12,6 +12,7 @@
 import java.util.function.Predicate;
 import java.util.function.Supplier;
 import org.gentianslip.core.fleet.FleetView;
+import org.gentianslip.core.fleet.ServiceWait;
 import org.gentianslip.core.id.EngineId;
 import org.gentianslip.core.id.InstanceId;
 import org.gentianslip.core.id.ServiceId;
@@ -155,24 +156,28 @@
         .getOrDefault(service, BackendGroup.EMPTY)
         .candidates(
             nowNanos,
-            new SendRates() {
-              @Override
-              public int coldPerSecond(EngineId backend) {
-                return BackendRegistry.this.coldPerSecond(nowNanos, state, service, backend);
-              }
-
-              @Override
-              public long intervalNanos(EngineId backend, double perSecond) {
-                return LimitShare.intervalNanos(
-                    config.get().id(), liveInRegion(nowNanos), backend, perSecond);
-              }
-            },
+            rates(nowNanos, state, service),
             usable,
             size,
             holders,
             ThreadLocalRandom.current());
   }
 
+  private SendRates rates(long nowNanos, PublishedState state, ServiceId service) {
+    return new SendRates() {
+      @Override
+      public int coldPerSecond(EngineId backend) {
+        return BackendRegistry.this.coldPerSecond(nowNanos, state, service, backend);
+      }
+
+      @Override
+      public long intervalNanos(EngineId backend, double perSecond) {
+        return LimitShare.intervalNanos(
+            config.get().id(), liveInRegion(nowNanos), backend, perSecond);
+      }
+    };
+  }
+
   private List<InstanceId> liveInRegion(long nowNanos) {
     List<InstanceId> ids = new ArrayList<>();
     ids.add(config.get().id());
@@ -200,22 +205,19 @@
   }
 
   /**
-   * Returns the expected wait for each service with backend servers in this region, in
-   * milliseconds.
+   * Returns what a request may expect, for each service with backend servers in this region that
+   * accept work.
    */
-  Map<ServiceId, Double> waits(long nowNanos, PublishedState state) {
+  Map<ServiceId, ServiceWait> waits(long nowNanos, PublishedState state) {
     int instances = liveInRegion(nowNanos).size();
     loads.values().forEach(l -> l.setInstances(instances));
-    Map<ServiceId, Double> waits = new HashMap<>();
-    for (ServiceId service : groups.keySet()) {
-      candidates(nowNanos, state, service, id -> true, RequestSize.UNKNOWN, List.of())
-          .options()
-          .stream()
-          .map(o -> o.load().estimate(nowNanos, false, RequestSize.UNKNOWN, Optional.empty()))
-          .mapToDouble(e -> e.waitMillis() + e.failureMillis())
-          .min()
-          .ifPresent(w -> waits.put(service, w));
-    }
+    Map<ServiceId, ServiceWait> waits = new HashMap<>();
+    groups.forEach(
+        (service, group) ->
+            group
+                .expectedWait(
+                    nowNanos, rates(nowNanos, state, service), ThreadLocalRandom.current())
+                .ifPresent(w -> waits.put(service, w)));
     return waits;
   }
 }
--- a/entry/src/main/java/org/gentianslip/entry/gateway/ForwardTargets.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/ForwardTargets.java
@@ -1,16 +1,19 @@
 package org.gentianslip.entry.gateway;
 
+import com.google.common.flogger.FluentLogger;
+import com.google.common.flogger.LazyArgs;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.OptionalInt;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
 import org.gentianslip.core.fleet.FleetSnapshot;
 import org.gentianslip.core.fleet.FleetView;
+import org.gentianslip.core.fleet.HeardWait;
 import org.gentianslip.core.fleet.PeerRecord;
 import org.gentianslip.core.id.InstanceId;
 import org.gentianslip.core.id.RegionId;
@@ -25,6 +28,11 @@
  */
 final class ForwardTargets {
 
+  private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+
+  /** The regions that one log line describes, at most. */
+  private static final int MAX_LOGGED_REGIONS = 16;
+
   /** How long no request is forwarded to a region after it refused one. */
   private static final long REGION_PAUSE_NANOS = TimeUnit.MILLISECONDS.toNanos(60);
 
@@ -54,7 +62,7 @@
     FleetSnapshot snapshot = fleet.snapshot(nowNanos);
     List<RegionOption> options = new ArrayList<>();
     for (RegionId region : snapshot.regions()) {
-      OptionalInt wait = snapshot.waitMillis(region, service);
+      Optional<HeardWait> wait = snapshot.statedWait(region, service);
       Long pausedUntil = regionPausedUntil.get(region);
       boolean regionAvailable = pausedUntil == null || nowNanos - pausedUntil >= 0;
       if (wait.isPresent()
@@ -65,14 +73,48 @@
         options.add(
             new RegionOption(
                 region,
-                wait.getAsInt(),
+                wait.get().stated(),
                 DEFAULT_ROUND_TRIP_MILLIS,
                 promptRegions.contains(region)));
       }
     }
+    log(nowNanos, service, snapshot);
     return options;
   }
 
+  /** Logs what is believed of the regions, where that may keep requests away. */
+  private void log(long nowNanos, ServiceId service, FleetSnapshot snapshot) {
+    LOGGER.atInfo().atMostEvery(1, TimeUnit.SECONDS).log(
+        "gateway: event=regions service=%s believed=[%s]",
+        service,
+        LazyArgs.lazy(
+            () ->
+                snapshot.regions().stream()
+                    .limit(MAX_LOGGED_REGIONS)
+                    .map(r -> describe(nowNanos, r, snapshot.statedWait(r, service)))
+                    .collect(Collectors.joining("; "))));
+  }
+
+  private String describe(long nowNanos, RegionId region, Optional<HeardWait> wait) {
+    return region
+        + wait.map(
+                w ->
+                    " wait="
+                        + Math.round(w.stated().waitMillis())
+                        + " failures="
+                        + Math.round(w.stated().failureMillis())
+                        + " age="
+                        + TimeUnit.NANOSECONDS.toMillis(nowNanos - w.heardNanos()))
+            .orElse(" no-server")
+        + " paused="
+        + TimeUnit.NANOSECONDS.toMillis(pauseNanos(nowNanos, region));
+  }
+
+  private long pauseNanos(long nowNanos, RegionId region) {
+    Long until = regionPausedUntil.get(region);
+    return until == null ? 0 : Math.max(0, until - nowNanos);
+  }
+
   /** Pauses forwarding to a region that refused a request or has no available instance. */
   void pauseRegion(long nowNanos, RegionId region) {
     regionPausedUntil.put(region, nowNanos + REGION_PAUSE_NANOS);
--- a/entry/src/main/java/org/gentianslip/entry/gateway/GatewayState.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/GatewayState.java
@@ -1,6 +1,5 @@
 package org.gentianslip.entry.gateway;
 
-import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -11,6 +10,7 @@
 import java.util.function.Predicate;
 import org.gentianslip.core.fleet.FleetView;
 import org.gentianslip.core.fleet.PeerRecord;
+import org.gentianslip.core.fleet.ServiceWait;
 import org.gentianslip.core.id.EngineId;
 import org.gentianslip.core.id.InstanceId;
 import org.gentianslip.core.id.ServiceId;
@@ -187,15 +187,11 @@
   }
 
   /**
-   * Returns the expected wait for each service with backend servers in this region, in
-   * milliseconds.
+   * Returns what a request may expect, for each service with backend servers in this region that
+   * accept work.
    */
-  public Map<ServiceId, Integer> roundedWaits(long nowNanos) {
-    Map<ServiceId, Integer> rounded = new HashMap<>();
-    backends
-        .waits(nowNanos, published.get())
-        .forEach((service, wait) -> rounded.put(service, (int) Math.round(wait)));
-    return rounded;
+  public Map<ServiceId, ServiceWait> waits(long nowNanos) {
+    return backends.waits(nowNanos, published.get());
   }
 
   /**
