Keep a region and a failure that another attempt did not replace

Cause, found by review of the change before: when a forward was silent, its region was excluded before it was known whether another place would take the request, and also while the forward was still connecting, so that nothing could have run. And a server's error answer was dropped for a second attempt that another server refused, which left the caller a 502 of the gateway.

Change: a forward that wrote nothing pauses its instance only; an exclusion that led to no other attempt is taken back; the last error answer is passed on if no other server answers. A refusal of a forward that excluded servers doesn't pause the region for other requests.

No test of an instance that drops connections.

Conclusion: callers get a ready failure, and regions stay usable.

--- a/entry/src/main/java/org/gentianslip/entry/gateway/Attempt.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/Attempt.java
@@ -62,8 +62,14 @@
    */
   abstract EngineId target();
 
-  /** Excludes from further attempts what might lead to the backend server of this one. */
-  abstract void exclude(AttemptPlanner planner);
+  /**
+   * Keeps further attempts away from what might lead to the backend server of this one, or from an
+   * instance that does not accept connections.
+   */
+  abstract void exclude(long nowNanos, AttemptPlanner planner);
+
+  /** Takes back what {@link #exclude} has excluded. */
+  abstract void include(AttemptPlanner planner);
 
   /** Called with a complete response that is not a stream. */
   abstract void onResponse(int receivedStatus, HttpHeaders receivedHeaders, byte[] receivedBody);
--- a/entry/src/main/java/org/gentianslip/entry/gateway/AttemptPlanner.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/AttemptPlanner.java
@@ -174,4 +174,14 @@
   void exclude(RegionId region) {
     excludedRegions.add(region);
   }
+
+  /** Allows attempts at a backend server again. */
+  void include(EngineId backend) {
+    excluded.remove(backend);
+  }
+
+  /** Allows attempts in a region again. */
+  void include(RegionId region) {
+    excludedRegions.remove(region);
+  }
 }
--- a/entry/src/main/java/org/gentianslip/entry/gateway/BackendAttempt.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/BackendAttempt.java
@@ -117,10 +117,15 @@
   }
 
   @Override
-  void exclude(AttemptPlanner planner) {
+  void exclude(long nowNanos, AttemptPlanner planner) {
     planner.exclude(backend.id());
   }
 
+  @Override
+  void include(AttemptPlanner planner) {
+    planner.include(backend.id());
+  }
+
   @Override
   void onCancelled() {
     reservation.released();
--- a/entry/src/main/java/org/gentianslip/entry/gateway/ForwardAttempt.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/ForwardAttempt.java
@@ -53,10 +53,20 @@
   }
 
   @Override
-  void exclude(AttemptPlanner planner) {
+  void exclude(long nowNanos, AttemptPlanner planner) {
+    if (!mayHaveBeenWritten()) {
+      recordUnreachable(nowNanos);
+      return;
+    }
     backend.ifPresentOrElse(planner::exclude, () -> planner.exclude(peer.region()));
   }
 
+  @Override
+  void include(AttemptPlanner planner) {
+    backend.ifPresent(planner::include);
+    planner.include(peer.region());
+  }
+
   @Override
   void onCancelled() {}
 
@@ -71,6 +81,13 @@
     return execution().gateway().edgeHeaders().isSigned(head);
   }
 
+  /** Other requests may go to backend servers that this one must not be sent to. */
+  private void pauseRegionIfAnyBackendWasAllowed() {
+    if (execution().excludedBackends().isEmpty()) {
+      execution().gateway().state().forwardTargets().pauseRegion(System.nanoTime(), peer.region());
+    }
+  }
+
   @Override
   void onResponse(int status, HttpHeaders headers, byte[] body) {
     String outcome = headers.get(Gateway.OUTCOME, "");
@@ -80,7 +97,7 @@
       return;
     }
     if (outcome.equals(Gateway.NOT_RUN)) {
-      execution().gateway().state().forwardTargets().pauseRegion(System.nanoTime(), peer.region());
+      pauseRegionIfAnyBackendWasAllowed();
       execution().onAttemptNotRun(this, "instance refused");
       return;
     }
--- a/entry/src/main/java/org/gentianslip/entry/gateway/RequestExecution.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/RequestExecution.java
@@ -47,6 +47,7 @@
   private final RequestLog requestLog;
   private Attempt current;
   private ScheduledFuture<?> deadlineTimer;
+  private Optional<FailureAnswer> lastFailure = Optional.empty();
   private boolean mayHaveRun;
   private boolean ended;
 
@@ -207,14 +208,18 @@
     if (!writer.isWritable() || !planner.mayUseAnotherBackend() || !response.canResume()) {
       return;
     }
-    attempt.exclude(planner);
+    attempt.exclude(now, planner);
     BackendDecision alternative = planner.chooseWithRepeat(now, remainingMillis(now));
     if (alternative instanceof BackendDecision.Refuse) {
+      attempt.include(planner);
       return;
     }
+    boolean written = attempt.mayHaveBeenWritten();
     attempt.recordSilence(now);
     attempt.cancel();
-    recordPossibleRun(attempt);
+    if (written) {
+      recordPossibleRun(attempt);
+    }
     requestLog.recordEvent(now, "silent for " + silentMillis + " ms");
     execute(now, alternative);
   }
@@ -259,7 +264,7 @@
 
   private void recordPossibleRun(Attempt attempt) {
     planner.recordPossibleRun(attempt.target());
-    attempt.exclude(planner);
+    attempt.exclude(System.nanoTime(), planner);
     mayHaveRun = true;
   }
 
@@ -275,6 +280,7 @@
   void retryOrRespond(Attempt attempt, int status, HttpHeaders headers, byte[] body) {
     long now = System.nanoTime();
     recordPossibleRun(attempt);
+    lastFailure = Optional.of(new FailureAnswer(status, headers, body));
     BackendDecision decision = planner.chooseWithRepeat(now, remainingMillis(now));
     if (decision instanceof BackendDecision.Refuse) {
       respond(status, headers, body);
@@ -318,6 +324,11 @@
   }
 
   private void refuseOrAbort(String reason, double excessMillis) {
+    if (lastFailure.isPresent() && !response.streamBegun()) {
+      FailureAnswer failure = lastFailure.get();
+      respond(failure.status(), failure.headers(), failure.body());
+      return;
+    }
     if (mayHaveRun || response.streamBegun()) {
       abort(reason);
       return;
