Take no request in a stop that can't be expected to end in time

What callers saw: in the first 0.35 of the grace every request was taken and passed on, also a stream or a slow request that could not end before the process does; its answer was lost at the end. A refused attempt was sent to the next backend server however late it was. From 0.35 on, short requests that would have ended easily were refused.

Cause: the time of arrival alone decided; the time that a request takes did not count.

Ruled out: a shorter time for all requests. It would refuse more short ones and still take a stream of 10 s at the start of a grace of 8 s.

Change: ShutdownPlan in core decides for each attempt, also the first after a refusal, a failure or a silence. What ends by its own time limit before 0.93 is sent. Else four times the expected time must be left, twice if the request may be repeated; a stream is sent until 0.35 only. Requests are accepted until 0.75. What is not sent gets 503 with Retry-After and Connection: close, or 502 if it may have run. A stream that has begun is continued, as no failure can be sent in its place. The expected time is the wait and the usual time of a whole answer at the chosen backend server.

reportsThatItIsNotReady passes the present time to startShutdown, as functions that decide take it; what it checks is the same.

Why it works: what is sent either ends by its own limit, or has a multiple of its expected time left; what takes longer still gets its final answer.

--- a/core/src/main/java/org/gentianslip/core/load/BackendEstimate.java
+++ b/core/src/main/java/org/gentianslip/core/load/BackendEstimate.java
@@ -6,6 +6,8 @@
  * @param waitMillis the wait before its work begins, in milliseconds
  * @param workMillis the time from the beginning of its work to the first part of the answer, in
  *     milliseconds
+ * @param serviceMillis the usual time from the sending of a request to its complete answer, in
+ *     milliseconds
  * @param sharedPrefillTokens the shared tokens of its prompt that would be prefilled again
  * @param copiedTokens the shared tokens of its prompt that would be copied from another engine
  * @param prefillMillis the engine time that prefilling its prompt takes, in milliseconds
@@ -16,6 +18,7 @@
 public record BackendEstimate(
     double waitMillis,
     double workMillis,
+    double serviceMillis,
     long sharedPrefillTokens,
     long copiedTokens,
     double prefillMillis,
@@ -34,6 +37,11 @@
     return FAILURE_MILLIS * Math.max(0, failureShare - USUAL_FAILURE_SHARE);
   }
 
+  /** Returns the expected time to the complete answer, in milliseconds. */
+  public double completeMillis() {
+    return waitMillis + Math.max(workMillis, serviceMillis);
+  }
+
   /** Returns the expected time to the first part of the answer, in milliseconds. */
   public double totalMillis() {
     return waitMillis + workMillis;
--- a/core/src/main/java/org/gentianslip/core/load/BackendLoad.java
+++ b/core/src/main/java/org/gentianslip/core/load/BackendLoad.java
@@ -356,6 +356,7 @@
     return new BackendEstimate(
         waitRatio * prefillWaitMillis + slotWaitMillis,
         workMillis,
+        serviceMillis,
         uncachedSharedTokens - copiedTokens,
         copiedTokens,
         prefillMillis,
--- a/entry/src/main/java/org/gentianslip/entry/gateway/AttemptPlanner.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/AttemptPlanner.java
@@ -2,6 +2,7 @@
 
 import java.util.HashSet;
 import java.util.List;
+import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
@@ -15,6 +16,8 @@
 import org.gentianslip.core.published.Backend;
 import org.gentianslip.core.quarantine.RequestTraits;
 import org.gentianslip.core.route.Route;
+import org.gentianslip.core.shutdown.RequestTime;
+import org.gentianslip.core.shutdown.ShutdownPlan;
 
 /**
  * Chooses the target of each attempt of one request, based on the results of earlier attempts.
@@ -43,6 +46,7 @@
   private final Set<EngineId> excluded = new HashSet<>();
   private int attempts;
   private int forwards;
+  private boolean answerBegun;
 
   AttemptPlanner(
       GatewayState state,
@@ -91,7 +95,46 @@
         forwarded || forwards >= MAX_FORWARDS || possibleRuns.size() >= maxBackends()
             ? List.of()
             : state.forwardCandidates(nowNanos, route, service, holders);
-    return BackendSelector.select(nowNanos, route, size, remainingMillis, localCandidates, regions);
+    BackendDecision decision =
+        BackendSelector.select(nowNanos, route, size, remainingMillis, localCandidates, regions);
+    return maySend(nowNanos, decision, remainingMillis)
+        ? decision
+        : new BackendDecision.Refuse(Gateway.LEAVING, 0);
+  }
+
+  /**
+   * Returns whether this instance will last long enough for a decision. A stream that has begun is
+   * continued in any case, as no failure can be sent in its place.
+   */
+  private boolean maySend(long nowNanos, BackendDecision decision, long remainingMillis) {
+    Optional<ShutdownPlan> plan = state.shutdownPlan();
+    if (plan.isEmpty() || answerBegun || decision instanceof BackendDecision.Refuse) {
+      return true;
+    }
+    var time =
+        new RequestTime(
+            route.streaming(),
+            route.repeatability().allowsRepeat(),
+            completeMillis(decision),
+            remainingMillis);
+    return plan.get().maySend(nowNanos, time);
+  }
+
+  /** Returns the expected time to the complete answer; a stream lasts beyond its first event. */
+  private double completeMillis(BackendDecision decision) {
+    double minMillis = route.streaming() ? route.objectiveMillis() : 0;
+    if (decision instanceof BackendDecision.ToBackend toBackend) {
+      return Math.max(minMillis, toBackend.estimate().completeMillis());
+    }
+    if (decision instanceof BackendDecision.ToRegion toRegion) {
+      return Math.max(minMillis, toRegion.expectedMillis());
+    }
+    return minMillis;
+  }
+
+  /** Records that a part of the answer was passed on to the caller. */
+  void markAnswerBegun() {
+    answerBegun = true;
   }
 
   /** Chooses the target of the next attempt and claims a repeat for it. */
--- a/entry/src/main/java/org/gentianslip/entry/gateway/GatewayServer.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/GatewayServer.java
@@ -13,6 +13,7 @@
 import org.gentianslip.core.quarantine.Verdict;
 import org.gentianslip.core.route.CallerLimits;
 import org.gentianslip.core.route.RouteTable;
+import org.gentianslip.core.shutdown.ShutdownPlan;
 import org.gentianslip.entry.explain.DecisionLog;
 import org.gentianslip.entry.operator.OperatorView;
 
@@ -31,21 +32,6 @@
   /** The gap between two checks from which this process counts as having been paused. */
   private static final long MAX_GAP_NANOS = TimeUnit.MILLISECONDS.toNanos(1_500);
 
-  /**
-   * The share of the grace period in which new requests are still served, while callers switch to
-   * other instances.
-   */
-  private static final double SERVE_SHARE = 0.35;
-
-  /** The share of the grace period after which no connection is accepted. */
-  private static final double ACCEPT_SHARE = 0.75;
-
-  /** The share of the grace period after which unfinished requests get their final responses. */
-  private static final double END_SHARE = 0.93;
-
-  /** The share of the grace period after which the shutdown completes in any case. */
-  private static final double CLOSE_SHARE = 0.97;
-
   private static final long SHUTDOWN_POLL_MILLIS = 20;
 
   private static final double NANOS_PER_SECOND = 1e9;
@@ -136,21 +122,18 @@
     if (!shutDownStarted.compareAndSet(false, true)) {
       return false;
     }
-    final long start = System.nanoTime();
-    final long graceMillis = state.config().bounds().graceMillis();
-    state.startShutdown();
+    ShutdownPlan plan = state.startShutdown(System.nanoTime());
     LOGGER.atInfo().log(
-        "gateway: event=leaving in-flight=%s grace=%s", gateway.inFlight(), graceMillis);
+        "gateway: event=leaving in-flight=%s grace=%s", gateway.inFlight(), plan.graceMillis());
     announce.run();
-    sleepUntil(start, (long) (graceMillis * SERVE_SHARE), false);
+    sleepUntil(plan.acceptEndNanos(), false);
     state.refuseRequests();
-    sleepUntil(start, (long) (graceMillis * ACCEPT_SHARE), false);
     callerServer.stopAccepting();
-    sleepUntil(start, (long) (graceMillis * END_SHARE), true);
+    sleepUntil(plan.answerNanos(), true);
     LOGGER.atInfo().log(
         "gateway: event=left in-flight=%s unanswered=%s", gateway.inFlight(), unanswered());
     gateway.endInFlight();
-    sleepUntil(start, (long) (graceMillis * CLOSE_SHARE), true);
+    sleepUntil(plan.closeNanos(), true);
     close();
     return true;
   }
@@ -159,9 +142,8 @@
     return callerServer.unanswered() + forwardServer.unanswered();
   }
 
-  private void sleepUntil(long startNanos, long millis, boolean untilAnswered) {
-    long end = startNanos + TimeUnit.MILLISECONDS.toNanos(millis);
-    while (System.nanoTime() - end < 0 && !(untilAnswered && unanswered() == 0)) {
+  private void sleepUntil(long endNanos, boolean untilAnswered) {
+    while (System.nanoTime() - endNanos < 0 && !(untilAnswered && unanswered() == 0)) {
       try {
         Thread.sleep(SHUTDOWN_POLL_MILLIS);
       } catch (InterruptedException e) {
--- a/entry/src/main/java/org/gentianslip/entry/gateway/GatewayState.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/GatewayState.java
@@ -26,6 +26,7 @@
 import org.gentianslip.core.published.PublishedState;
 import org.gentianslip.core.quarantine.PromptQuarantine;
 import org.gentianslip.core.route.Route;
+import org.gentianslip.core.shutdown.ShutdownPlan;
 
 /**
  * The state of an instance: the published state, the load of backend servers, and the other
@@ -48,7 +49,7 @@
   private final PromptLocator prompts;
   private final ForwardTargets forwardTargets;
   private final PromptQuarantine quarantine;
-  private volatile boolean leaving;
+  private volatile Optional<ShutdownPlan> shutdownPlan = Optional.empty();
   private volatile boolean refusing;
   private volatile long confirmedNanos = System.nanoTime();
 
@@ -98,7 +99,7 @@
         c.host() + ":" + c.forwardPort(),
         c.capacity(),
         ready(),
-        leaving);
+        leaving());
   }
 
   /** Returns the published state. */
@@ -247,17 +248,29 @@
 
   /** Returns whether requests can be served. */
   public boolean ready() {
-    return !leaving && published.get().routes().isPresent();
+    return !leaving() && published.get().routes().isPresent();
   }
 
-  /** Marks the shutdown as started. */
-  public void startShutdown() {
-    leaving = true;
+  /**
+   * Starts the shutdown, unless it has started, and returns its plan.
+   *
+   * @param nowNanos the current time, in nanoseconds of the monotonic clock
+   */
+  public synchronized ShutdownPlan startShutdown(long nowNanos) {
+    if (shutdownPlan.isEmpty()) {
+      shutdownPlan = Optional.of(new ShutdownPlan(nowNanos, config().bounds().graceMillis()));
+    }
+    return shutdownPlan.get();
+  }
+
+  /** Returns the plan of the shutdown if it has started. */
+  Optional<ShutdownPlan> shutdownPlan() {
+    return shutdownPlan;
   }
 
   /** Returns whether the shutdown has started. */
   public boolean leaving() {
-    return leaving;
+    return shutdownPlan.isPresent();
   }
 
   /** Makes this instance refuse all further requests. */
--- a/entry/src/main/java/org/gentianslip/entry/gateway/RequestExecution.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/RequestExecution.java
@@ -296,6 +296,7 @@
       long millis = request.elapsedMillis(now);
       requestLog.recordEvent(now, "first-event=" + millis);
       gateway.metrics().observeResponseTime(rank(), millis);
+      planner.markAnswerBegun();
     }
     response.writeEvents(headers, events, lastId);
   }
