Close the connections of other instances in a planned stop

What callers saw: nothing was seen; found by reading. An instance that has not heard of the stop keeps its connections to the one that stops, and may write a request on one at the moment it is cut. Its outcome is unknown then, so a request that runs at most once is answered 502.

Cause: the server for forwarded requests never said that a connection closes, and kept its idle ones and its port open until the process ended.

Ruled out: the announcement alone; an instance that can't be reached does not get it.

Change: each answer to another instance closes its connection during the stop, and at 0.75 of the grace the port and idle connections are closed, as for callers.

The close at 0.75 has no test of its own.

Why it works: a connection that can't be opened proves that nothing was written, so the request goes to another instance.

--- a/entry/src/main/java/org/gentianslip/entry/gateway/GatewayServer.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/GatewayServer.java
@@ -69,7 +69,10 @@
         new CallerServer(eventLoops, this::limits, state::leaving, gateway::handleCallerRequest);
     this.forwardServer =
         new CallerServer(
-            eventLoops, () -> CallerLimits.DEFAULT, () -> false, gateway::handleForwardedRequest);
+            eventLoops,
+            () -> CallerLimits.DEFAULT,
+            state::leaving,
+            gateway::handleForwardedRequest);
   }
 
   private CallerLimits limits() {
@@ -129,6 +132,7 @@
     sleepUntil(plan.acceptEndNanos(), false);
     state.refuseRequests();
     callerServer.stopAccepting();
+    forwardServer.stopAccepting();
     sleepUntil(plan.answerNanos(), true);
     LOGGER.atInfo().log(
         "gateway: event=left in-flight=%s unanswered=%s", gateway.inFlight(), unanswered());
