--- a/entry/src/main/java/org/gentianslip/entry/gateway/GatewayServer.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/GatewayServer.java
@@ -118,14 +118,15 @@
   /**
    * Shuts down gracefully and returns when everything is closed. Further calls do nothing.
    *
+   * @param startNanos when the shutdown was requested, in nanoseconds of the monotonic clock
    * @param announce announces the shutdown to other instances
    * @return whether this call performed the shutdown
    */
-  public boolean shutDown(Runnable announce) {
+  public boolean shutDown(long startNanos, Runnable announce) {
     if (!shutDownStarted.compareAndSet(false, true)) {
       return false;
     }
-    ShutdownPlan plan = state.startShutdown(System.nanoTime());
+    ShutdownPlan plan = state.startShutdown(startNanos);
     LOGGER.atInfo().log(
         "gateway: event=leaving in-flight=%s grace=%s", gateway.inFlight(), plan.graceMillis());
     announce.run();
