Let a region that refuses get little more than it answers

Cause: after one refusal an instance left a region alone for 60 ms, for all services, then sent at its full rate again. Change: RegionPace, for each region and service. A refusal while all regions are so limited is `paused`, and its Retry-After follows from the time to the next request. Run: verify of core, entry and platform with FailingRegionTest (five cases, 16 and 1 callers), RegionWaitTest, RegionPaceTest, BackendSelectorTest, BackendGroupTest, PlatformInstanceTest, PausedBackendTest, ServerLimitTest, RepeatedAnswerTest, ContinuedStreamTest. Conclusion: a region that is full is not flooded, and other services of it stay in use.

--- a/core/src/main/java/org/gentianslip/core/load/BackendSelector.java
+++ b/core/src/main/java/org/gentianslip/core/load/BackendSelector.java
@@ -65,7 +65,7 @@
    */
   private static final double UNKNOWN_EXCESS_MILLIS = 200;
 
-  /** The reason for refusing a request while all backend servers pause. */
+  /** The reason for refusing a request while all backend servers and regions pause. */
   public static final String PAUSED = "paused";
 
   private static final double NANOS_PER_MILLI = 1e6;
@@ -113,8 +113,15 @@
     }
     double limitMillis = limitMillis(route, remainingMillis);
     RegionOption remote = null;
+    boolean mayUseRegion = false;
+    double pauseMillis = Double.MAX_VALUE;
     double remoteCost = Double.MAX_VALUE;
     for (RegionOption region : regions) {
+      if (region.delayMillis() > 0) {
+        pauseMillis = Math.min(pauseMillis, region.delayMillis());
+        continue;
+      }
+      mayUseRegion = true;
       double millis = remoteMillis(size, region);
       shortestMillis = Math.min(shortestMillis, millis);
       double cost = remoteCost(size, region);
@@ -133,13 +140,17 @@
     if (localInTime) {
       return new BackendDecision.ToBackend(best, bestEstimate);
     }
-    boolean noTarget = options.isEmpty() && regions.isEmpty();
-    if (noTarget && candidates.pauseNanos() > 0) {
-      return new BackendDecision.Refuse(PAUSED, candidates.pauseNanos() / NANOS_PER_MILLI);
+    if (candidates.pauseNanos() > 0) {
+      pauseMillis = Math.min(pauseMillis, candidates.pauseNanos() / NANOS_PER_MILLI);
+    }
+    boolean noTarget = options.isEmpty() && !mayUseRegion;
+    if (noTarget && pauseMillis < Double.MAX_VALUE) {
+      return new BackendDecision.Refuse(PAUSED, pauseMillis);
     }
     double excessMillis =
         noTarget ? UNKNOWN_EXCESS_MILLIS : Math.max(0, shortestMillis - limitMillis);
-    return new BackendDecision.Refuse(noTarget ? "no-backend" : "too-late", excessMillis);
+    return new BackendDecision.Refuse(
+        noTarget ? "no-backend" : "too-late", Math.min(excessMillis, pauseMillis));
   }
 
   private static double limitMillis(Route route, long remainingMillis) {
--- a/core/src/main/java/org/gentianslip/core/load/RegionOption.java
+++ b/core/src/main/java/org/gentianslip/core/load/RegionOption.java
@@ -10,6 +10,19 @@
  * @param stated what its instances expect of a request
  * @param roundTripMillis the network round trip to the region, in milliseconds
  * @param hasPrompt whether one of its engines has prefilled the shared part of the prompt
+ * @param delayMillis the time after which a request may be sent there, in milliseconds; 0 if it may
+ *     be now
  */
 public record RegionOption(
-    RegionId region, ServiceWait stated, double roundTripMillis, boolean hasPrompt) {}
+    RegionId region,
+    ServiceWait stated,
+    double roundTripMillis,
+    boolean hasPrompt,
+    double delayMillis) {
+
+  /** Creates an option to which a request may be sent now. */
+  public RegionOption(
+      RegionId region, ServiceWait stated, double roundTripMillis, boolean hasPrompt) {
+    this(region, stated, roundTripMillis, hasPrompt, 0);
+  }
+}
--- a/core/src/test/java/org/gentianslip/core/load/RegionWaitTest.java
+++ b/core/src/test/java/org/gentianslip/core/load/RegionWaitTest.java
@@ -184,4 +184,30 @@
           is(not(new BackendDecision.ToRegion(SOUTH, ROUND_TRIP_MILLIS))));
     }
   }
+
+  @Nested
+  @DisplayName("if no request may be sent there for a time")
+  class Delayed {
+
+    private final RegionOption delayed =
+        new RegionOption(SOUTH, ServiceWait.UNKNOWN, ROUND_TRIP_MILLIS, false, 700);
+
+    @Test
+    void makesRefusalsTellThatTime() {
+      assertThat(select(0, delayed), is(new BackendDecision.Refuse(BackendSelector.PAUSED, 700)));
+    }
+
+    @Test
+    void leavesOtherRegionsInUse() {
+      RegionId west = RegionId.of("west");
+      BackendDecision decision = select(0, delayed, option(west, ServiceWait.UNKNOWN));
+      assertThat(decision, is(new BackendDecision.ToRegion(west, ROUND_TRIP_MILLIS)));
+    }
+
+    @Test
+    void makesRefusalsTellThatTimeIfOthersTakeLonger() {
+      RegionOption late = option(RegionId.of("west"), new ServiceWait(2_000, 0));
+      assertThat(select(0, delayed, late), is(new BackendDecision.Refuse("too-late", 700)));
+    }
+  }
 }
--- a/entry/src/main/java/org/gentianslip/entry/gateway/AttemptPlanner.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/AttemptPlanner.java
@@ -59,6 +59,10 @@
     this.forwarded = forwarded;
   }
 
+  ServiceId service() {
+    return service;
+  }
+
   RequestSize size() {
     return size;
   }
--- a/entry/src/main/java/org/gentianslip/entry/gateway/ForwardAttempt.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/ForwardAttempt.java
@@ -11,6 +11,7 @@
 final class ForwardAttempt extends Attempt {
 
   private final PeerRecord peer;
+  private boolean answered;
 
   ForwardAttempt(RequestExecution execution, PeerRecord peer) {
     super(execution);
@@ -30,6 +31,18 @@
     execution().gateway().state().forwardTargets().pauseInstance(nowNanos, peer.id());
   }
 
+  private void recordAnswer() {
+    if (answered) {
+      return;
+    }
+    answered = true;
+    execution()
+        .gateway()
+        .state()
+        .forwardTargets()
+        .recordAnswer(System.nanoTime(), peer.region(), execution().service());
+  }
+
   @Override
   void recordSilence(long nowNanos) {}
 
@@ -47,7 +60,9 @@
   void onCancelled() {}
 
   @Override
-  void onFirstEvent() {}
+  void onFirstEvent() {
+    recordAnswer();
+  }
 
   @Override
   void onStreamComplete() {}
@@ -66,10 +81,15 @@
       return;
     }
     if (outcome.equals(Gateway.NOT_RUN)) {
-      execution().gateway().state().forwardTargets().pauseRegion(System.nanoTime(), peer.region());
+      execution()
+          .gateway()
+          .state()
+          .forwardTargets()
+          .recordRefusal(System.nanoTime(), peer.region(), execution().service());
       execution().onAttemptNotRun(this, "instance refused");
       return;
     }
+    recordAnswer();
     boolean answeredByInstance = outcome.equals(Gateway.UNKNOWN);
     if (answeredByInstance) {
       execution().onAttemptFailed(this, true, "instance answered status=" + status);
--- a/entry/src/main/java/org/gentianslip/entry/gateway/ForwardTargets.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/ForwardTargets.java
@@ -19,6 +19,7 @@
 import org.gentianslip.core.id.RegionId;
 import org.gentianslip.core.id.ServiceId;
 import org.gentianslip.core.load.RegionOption;
+import org.gentianslip.core.load.RegionPace;
 import org.gentianslip.core.route.Route;
 
 /**
@@ -33,20 +34,21 @@
   /** The regions that one log line describes, at most. */
   private static final int MAX_LOGGED_REGIONS = 16;
 
-  /** How long no request is forwarded to a region after it refused one. */
-  private static final long REGION_PAUSE_NANOS = TimeUnit.MILLISECONDS.toNanos(60);
-
   /** How long no request is forwarded to an instance after it failed. */
   private static final long INSTANCE_PAUSE_NANOS = TimeUnit.MILLISECONDS.toNanos(1_000);
 
+  private static final double NANOS_PER_MILLI = 1e6;
+
   /** The assumed round-trip time to another region, in milliseconds. */
   private static final double DEFAULT_ROUND_TRIP_MILLIS = 112;
 
   private final FleetView fleet;
   private final RegionId ownRegion;
-  private final Map<RegionId, Long> regionPausedUntil = new ConcurrentHashMap<>();
+  private final Map<PaceKey, RegionPace> paces = new ConcurrentHashMap<>();
   private final Map<InstanceId, Long> instancePausedUntil = new ConcurrentHashMap<>();
 
+  private record PaceKey(RegionId region, ServiceId service) {}
+
   ForwardTargets(FleetView fleet, RegionId ownRegion) {
     this.fleet = fleet;
     this.ownRegion = ownRegion;
@@ -63,19 +65,14 @@
     List<RegionOption> options = new ArrayList<>();
     for (RegionId region : snapshot.regions()) {
       Optional<HeardWait> wait = snapshot.statedWait(region, service);
-      Long pausedUntil = regionPausedUntil.get(region);
-      boolean regionAvailable = pausedUntil == null || nowNanos - pausedUntil >= 0;
-      if (wait.isPresent()
-          && regionAvailable
-          && !region.equals(ownRegion)
-          && route.allows(region)
-          && selectInstance(nowNanos, region).isPresent()) {
+      if (wait.isPresent() && !region.equals(ownRegion) && route.allows(region)) {
         options.add(
             new RegionOption(
                 region,
                 wait.get().stated(),
                 DEFAULT_ROUND_TRIP_MILLIS,
-                promptRegions.contains(region)));
+                promptRegions.contains(region),
+                millis(delayNanos(nowNanos, region, service))));
       }
     }
     log(nowNanos, service, snapshot);
@@ -91,11 +88,12 @@
             () ->
                 snapshot.regions().stream()
                     .limit(MAX_LOGGED_REGIONS)
-                    .map(r -> describe(nowNanos, r, snapshot.statedWait(r, service)))
+                    .map(r -> describe(nowNanos, r, service, snapshot.statedWait(r, service)))
                     .collect(Collectors.joining("; "))));
   }
 
-  private String describe(long nowNanos, RegionId region, Optional<HeardWait> wait) {
+  private String describe(
+      long nowNanos, RegionId region, ServiceId service, Optional<HeardWait> wait) {
     return region
         + wait.map(
                 w ->
@@ -107,17 +105,53 @@
                         + TimeUnit.NANOSECONDS.toMillis(nowNanos - w.heardNanos()))
             .orElse(" no-server")
         + " paused="
-        + TimeUnit.NANOSECONDS.toMillis(pauseNanos(nowNanos, region));
+        + TimeUnit.NANOSECONDS.toMillis(delayNanos(nowNanos, region, service));
+  }
+
+  /** Returns how long no request may be forwarded to a region, in nanoseconds. */
+  private long delayNanos(long nowNanos, RegionId region, ServiceId service) {
+    long instanceNanos =
+        fleet.snapshot(nowNanos).serving(region).stream()
+            .mapToLong(p -> pauseNanos(nowNanos, p))
+            .min()
+            .orElse(0);
+    return Math.max(instanceNanos, pace(region, service).delayNanos(nowNanos));
+  }
+
+  private static double millis(long nanos) {
+    return nanos / NANOS_PER_MILLI;
   }
 
-  private long pauseNanos(long nowNanos, RegionId region) {
-    Long until = regionPausedUntil.get(region);
-    return until == null ? 0 : Math.max(0, until - nowNanos);
+  private RegionPace pace(RegionId region, ServiceId service) {
+    return paces.computeIfAbsent(new PaceKey(region, service), k -> new RegionPace());
   }
 
-  /** Pauses forwarding to a region that refused a request or has no available instance. */
-  void pauseRegion(long nowNanos, RegionId region) {
-    regionPausedUntil.put(region, nowNanos + REGION_PAUSE_NANOS);
+  /** Records that a request is forwarded to a region. */
+  void recordSend(long nowNanos, RegionId region, ServiceId service) {
+    pace(region, service).recordSend(nowNanos);
+  }
+
+  /** Records that a region has answered a request. */
+  void recordAnswer(long nowNanos, RegionId region, ServiceId service) {
+    pace(region, service).recordAnswer(nowNanos);
+  }
+
+  /** Records that a region has refused a request or has no available instance. */
+  void recordRefusal(long nowNanos, RegionId region, ServiceId service) {
+    RegionPace pace = pace(region, service);
+    pace.setInstances(senders(nowNanos, region));
+    pace.recordRefusal(nowNanos);
+  }
+
+  /** Returns the number of instances that may forward requests to a region, with this one. */
+  private int senders(long nowNanos, RegionId region) {
+    FleetSnapshot snapshot = fleet.snapshot(nowNanos);
+    int others =
+        snapshot.regions().stream()
+            .filter(r -> !r.equals(region))
+            .mapToInt(r -> snapshot.serving(r).size())
+            .sum();
+    return 1 + others;
   }
 
   /** Pauses forwarding to an instance that failed or could not be reached. */
@@ -125,16 +159,16 @@
     instancePausedUntil.put(instance, nowNanos + INSTANCE_PAUSE_NANOS);
   }
 
-  private boolean isPaused(long nowNanos, PeerRecord peer) {
+  private long pauseNanos(long nowNanos, PeerRecord peer) {
     Long pausedUntil = instancePausedUntil.get(peer.id());
-    return pausedUntil != null && nowNanos - pausedUntil < 0;
+    return pausedUntil == null ? 0 : Math.max(0, pausedUntil - nowNanos);
   }
 
   /** Returns a random available instance of a region. */
   Optional<PeerRecord> selectInstance(long nowNanos, RegionId region) {
     List<PeerRecord> available =
         fleet.snapshot(nowNanos).serving(region).stream()
-            .filter(p -> !isPaused(nowNanos, p))
+            .filter(p -> pauseNanos(nowNanos, p) == 0)
             .toList();
     return available.isEmpty()
         ? Optional.empty()
--- a/entry/src/main/java/org/gentianslip/entry/gateway/RequestExecution.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/RequestExecution.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import org.gentianslip.core.fleet.PeerRecord;
+import org.gentianslip.core.id.ServiceId;
 import org.gentianslip.core.load.BackendDecision;
 import org.gentianslip.core.load.BackendSelector;
 import org.gentianslip.core.load.RequestSize;
@@ -102,6 +103,10 @@
     return planner.size();
   }
 
+  ServiceId service() {
+    return planner.service();
+  }
+
   RequestTraits traits() {
     return planner.traits();
   }
@@ -158,11 +163,12 @@
     Optional<PeerRecord> peer =
         gateway.state().forwardTargets().selectInstance(nowNanos, decision.region());
     if (peer.isEmpty()) {
-      gateway.state().forwardTargets().pauseRegion(nowNanos, decision.region());
+      gateway.state().forwardTargets().recordRefusal(nowNanos, decision.region(), service());
       startNextAttempt();
       return;
     }
     planner.countForward();
+    gateway.state().forwardTargets().recordSend(nowNanos, decision.region(), service());
     var attempt = new ForwardAttempt(this, peer.get());
     current = attempt;
     countAttempt("instance");
