--- a/entry/src/main/java/org/gentianslip/entry/gateway/AttemptPlanner.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/AttemptPlanner.java
@@ -69,6 +69,10 @@
     return forwarded;
   }
 
+  ServiceId service() {
+    return service;
+  }
+
   RequestSize size() {
     return size;
   }
--- a/entry/src/main/java/org/gentianslip/entry/gateway/ForwardAttempt.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/ForwardAttempt.java
@@ -13,6 +13,7 @@
 
   private final PeerRecord peer;
   private Optional<EngineId> backend = Optional.empty();
+  private boolean answered;
 
   ForwardAttempt(RequestExecution execution, PeerRecord peer) {
     super(execution);
@@ -33,6 +34,18 @@
     execution().gateway().state().forwardTargets().pauseInstance(nowNanos, peer.id());
   }
 
+  private void recordAnswer() {
+    if (answered) {
+      return;
+    }
+    answered = true;
+    execution()
+        .gateway()
+        .state()
+        .forwardTargets()
+        .recordAnswer(System.nanoTime(), peer.region(), execution().service());
+  }
+
   @Override
   void recordSilence(long nowNanos) {}
 
@@ -71,7 +84,9 @@
   void onCancelled() {}
 
   @Override
-  void onFirstEvent() {}
+  void onFirstEvent() {
+    recordAnswer();
+  }
 
   @Override
   void onStreamComplete() {}
@@ -82,9 +97,13 @@
   }
 
   /** Other requests may go to backend servers that this one must not be sent to. */
-  private void pauseRegionIfAnyBackendWasAllowed() {
+  private void recordRefusalIfAnyBackendWasAllowed() {
     if (execution().excludedBackends().isEmpty()) {
-      execution().gateway().state().forwardTargets().pauseRegion(System.nanoTime(), peer.region());
+      execution()
+          .gateway()
+          .state()
+          .forwardTargets()
+          .recordRefusal(System.nanoTime(), peer.region(), execution().service());
     }
   }
 
@@ -97,10 +116,11 @@
       return;
     }
     if (outcome.equals(Gateway.NOT_RUN)) {
-      pauseRegionIfAnyBackendWasAllowed();
+      recordRefusalIfAnyBackendWasAllowed();
       execution().onAttemptNotRun(this, "instance refused");
       return;
     }
+    recordAnswer();
     boolean answeredByInstance = outcome.equals(Gateway.UNKNOWN);
     if (answeredByInstance) {
       execution().onAttemptFailed(this, true, "instance answered status=" + status);
