Read no two heads as one answer

Callers: none seen here; reported by another operator as a 200 with an empty or short body after a cut head. Shown here: 200 where the server had answered with 500, if it stops within a head and goes on with the next answer on the same connection.

Cause: the parser takes what stands before the end of a line for a header's value or the reason of a status. The next status line ends up there, and the rest of its head completes the first one.

Ruled out: a cut head whose connection is closed or reset. The decoder marks it as broken; all places of a cut were tried.

Change: ResponseFraming refuses a head with a status line within it; the connection is closed. It also takes the check of transfer codings.

Conclusion: two heads can be joined in a value or the reason only, since a name with a slash or a space is refused by the decoder; both are checked.

--- a/entry/src/main/java/org/gentianslip/entry/gateway/BackendConnection.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/BackendConnection.java
@@ -11,10 +11,11 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
-import org.gentianslip.entry.http.TransferCodings;
+import org.gentianslip.entry.http.ResponseFraming;
 
 /**
  * A connection to a backend server or another instance that carries one exchange at a time.
@@ -133,9 +134,9 @@
       return;
     }
     HttpHeaders headers = response.headers();
-    TransferCodings codings = TransferCodings.of(headers);
-    if (!codings.isEmpty() && !codings.isChunkedOnly()) {
-      closeAndFail("not an answer: unknown transfer codings " + codings.names());
+    Optional<String> fault = ResponseFraming.fault(response.status().reasonPhrase(), headers);
+    if (fault.isPresent()) {
+      closeAndFail("not an answer: " + fault.get());
       return;
     }
     int status = response.status().code();
--- /dev/null
+++ b/entry/src/main/java/org/gentianslip/entry/http/ResponseFraming.java
@@ -0,0 +1,52 @@
+package org.gentianslip.entry.http;
+
+import io.netty.handler.codec.http.HttpHeaders;
+import java.util.Map;
+import java.util.Optional;
+import java.util.regex.Pattern;
+
+/**
+ * Checks whether the head of a response is one head and tells where its body ends.
+ *
+ * <p>A server that stops within a head and goes on with another response leaves the second status
+ * line in the first head. Stateless and safe for use by several threads.
+ *
+ * @see <a href="https://www.rfc-editor.org/rfc/rfc9112#section-6.3">RFC 9112, section 6.3</a>
+ */
+public final class ResponseFraming {
+
+  private static final Pattern STATUS_LINE = Pattern.compile("HTTP/\\d\\.\\d \\d{3}");
+
+  private ResponseFraming() {}
+
+  /**
+   * Returns why a response must not be read, or empty if it may be. The connection of a response
+   * that must not be read must be closed.
+   */
+  public static Optional<String> fault(String reasonPhrase, HttpHeaders headers) {
+    if (hasSecondStatusLine(reasonPhrase, headers)) {
+      return Optional.of("a second status line within the head");
+    }
+    TransferCodings codings = TransferCodings.of(headers);
+    if (!codings.isEmpty() && !codings.isChunkedOnly()) {
+      return Optional.of("unknown transfer codings " + codings.names());
+    }
+    return Optional.empty();
+  }
+
+  private static boolean hasSecondStatusLine(String reasonPhrase, HttpHeaders headers) {
+    if (containsStatusLine(reasonPhrase)) {
+      return true;
+    }
+    for (Map.Entry<String, String> header : headers) {
+      if (containsStatusLine(header.getKey()) || containsStatusLine(header.getValue())) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  private static boolean containsStatusLine(String text) {
+    return STATUS_LINE.matcher(text).find();
+  }
+}
--- /dev/null
+++ b/entry/src/test/java/org/gentianslip/entry/gateway/ClientFixture.java
@@ -0,0 +1,61 @@
+package org.gentianslip.entry.gateway;
+
+import io.netty.channel.nio.NioEventLoopGroup;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
+import org.gentianslip.entry.testing.AnswerServer;
+import org.junit.jupiter.api.extension.AfterEachCallback;
+import org.junit.jupiter.api.extension.BeforeEachCallback;
+import org.junit.jupiter.api.extension.ExtensionContext;
+
+/** Provides a client and a server whose answers are scripted; closes both after the test. */
+final class ClientFixture implements BeforeEachCallback, AfterEachCallback {
+
+  static final String ID_HEADER = "Request-Id";
+
+  private static final int CONNECT_MILLIS = 5_000;
+
+  private NioEventLoopGroup loops;
+  private BackendClient client;
+  private AnswerServer server;
+
+  AnswerServer server() {
+    return server;
+  }
+
+  /** Sends a request without a body. */
+  ReceivedAnswer send(HttpMethod method, String id, boolean fresh) {
+    return send(method, id, fresh, new byte[0]);
+  }
+
+  /** Sends a request with a body, which the server does not read. */
+  ReceivedAnswer send(HttpMethod method, String id, boolean fresh, byte[] body) {
+    var answer = new ReceivedAnswer();
+    var request =
+        new OutgoingRequest(
+            server.address(),
+            method,
+            "/",
+            new DefaultHttpHeaders(),
+            body,
+            id,
+            ID_HEADER,
+            fresh,
+            CONNECT_MILLIS);
+    loops.next().execute(() -> client.send(request, answer));
+    return answer;
+  }
+
+  @Override
+  public void beforeEach(ExtensionContext context) throws Exception {
+    loops = new NioEventLoopGroup(1);
+    client = new BackendClient(loops.next());
+    server = new AnswerServer();
+  }
+
+  @Override
+  public void afterEach(ExtensionContext context) throws Exception {
+    server.close();
+    loops.shutdownGracefully();
+  }
+}
