Refuse an answer of HTTP/1.0 that states two lengths

Callers: none seen here. Shown here: 3 bytes of 5, framed as whole.

Cause: of several lengths in HTTP/1.0 the library's decoder takes the first one and drops the others before anybody sees them. In HTTP/1.1 it refuses them.

Ruled out by CutAnswerTest, which passes on in all else: answers cut after each byte, with length, in chunks, with trailers, folded, without body and without length, by a regular end and by a reset, on new and kept connections, in one write and two; a reset while the request is unread; lengths that are no number; chunks in HTTP/1.0.

Change: the headers of a received response refuse a second length while the head is read.

Conclusion: the second length is refused where it is read, whatever the version.

--- a/entry/src/main/java/org/gentianslip/entry/gateway/BackendClient.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/BackendClient.java
@@ -146,7 +146,10 @@
             new ChannelInitializer<SocketChannel>() {
               @Override
               protected void initChannel(SocketChannel channel) {
-                var config = new HttpDecoderConfig().setMaxHeaderSize(MAX_HEADER_BYTES);
+                var config =
+                    new HttpDecoderConfig()
+                        .setMaxHeaderSize(MAX_HEADER_BYTES)
+                        .setHeadersFactory(new ResponseHeadersFactory());
                 channel
                     .pipeline()
                     .addLast(
