Tell by its request whether an answer has a body

Callers: none seen here. Shown here: a failure or no answer until the deadline for HEAD after GET, GET after HEAD and HEAD after HEAD, if the server repeats the answer before. No wrong answer was seen.

Cause: the library's codec pairs answers with requests in their order to tell whether an answer has a body. An extra answer shifts the pairs, so that the answer to HEAD is given a body and takes the bytes of the next answer for it.

Ruled out: informational answers, which the codec does not pair; GET after GET, which needs no pairs.

Change: ResponseDecoder asks the connection, which knows the method of each of its latest 256 requests by the id that the answer names. An answer without a body no longer ends its connection.

Conclusion: nothing depends on the order of answers any more. An answer that names a request that was never sent on the connection is read as one with a body, as before.

--- a/entry/src/main/java/org/gentianslip/entry/gateway/BackendClient.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/BackendClient.java
@@ -12,8 +12,8 @@
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.EmptyHttpHeaders;
-import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.util.concurrent.Future;
 import io.netty.util.concurrent.Promise;
@@ -150,11 +150,13 @@
                     new HttpDecoderConfig()
                         .setMaxHeaderSize(MAX_HEADER_BYTES)
                         .setHeadersFactory(new ResponseHeadersFactory());
+                var connection = new BackendConnection(BackendClient.this, address);
                 channel
                     .pipeline()
                     .addLast(
-                        new HttpClientCodec(config, false, false),
-                        new BackendConnection(BackendClient.this, address));
+                        new HttpRequestEncoder(),
+                        new ResponseDecoder(config, connection::answersHead),
+                        connection);
               }
             })
         .connect(target);
--- a/entry/src/main/java/org/gentianslip/entry/gateway/BackendConnection.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/BackendConnection.java
@@ -6,12 +6,14 @@
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
@@ -21,10 +23,10 @@
  * A connection to a backend server or another instance that carries one exchange at a time.
  *
  * <p>Unsolicited bytes close the connection. A response that names another request is skipped, and
- * the connection is closed after the current exchange. A response without an id is accepted only
- * for the first request, as it may otherwise answer an earlier one. Each request is sent at most
- * once on a connection, as the responses to two sends could not be told apart. Confined to its
- * event loop.
+ * the connection is closed after the current exchange; whether it has a body is told by the method
+ * of the request that it names. A response without an id is accepted only for the first request, as
+ * it may otherwise answer an earlier one. Each request is sent at most once on a connection, as the
+ * responses to two sends could not be told apart. Confined to its event loop.
  */
 final class BackendConnection extends ChannelInboundHandlerAdapter {
 
@@ -34,6 +36,7 @@
   private static final long KEEP_ALIVE_MARGIN_NANOS = TimeUnit.MILLISECONDS.toNanos(600);
 
   private static final int FIRST_FINAL_STATUS = 200;
+  private static final Set<Integer> STATUSES_WITHOUT_BODY = Set.of(204, 304);
 
   /** The bytes of skipped responses that are read before the connection is closed. */
   private static final int MAX_SKIPPED_BYTES = 1 << 20;
@@ -73,7 +76,7 @@
 
   void assign(Exchange next) {
     exchange = next;
-    sent.add(next.request().id());
+    sent.add(next.request().id(), isHead(next));
     skippingResponse = false;
     skippedBytes = 0;
     skippedResponses = 0;
@@ -87,6 +90,22 @@
     return sent.contains(requestId);
   }
 
+  /**
+   * Returns whether a response answers a HEAD request that was sent on this connection. One that
+   * names no request is taken for the answer to the one that waits.
+   */
+  boolean answersHead(HttpResponse response) {
+    if (exchange == null) {
+      return false;
+    }
+    List<String> ids = response.headers().getAll(exchange.request().idHeader());
+    return ids.isEmpty() ? isHead(exchange) : ids.stream().anyMatch(sent::containsHead);
+  }
+
+  private static boolean isHead(Exchange exchange) {
+    return exchange.request().method().equals(HttpMethod.HEAD);
+  }
+
   void markIdleUntil(long nanos) {
     idleSinceNanos = System.nanoTime();
     idleUntilNanos = nanos;
@@ -153,13 +172,18 @@
       closeIfTooMuchIsSkipped();
       return;
     }
-    boolean closeDelimited =
-        !HttpUtil.isTransferEncodingChunked(response) && !HttpUtil.isContentLengthSet(response);
-    reusable = reusable && HttpUtil.isKeepAlive(response) && !closeDelimited;
+    reusable = reusable && HttpUtil.isKeepAlive(response) && !endsWithConnection(response);
     readKeepAlive(headers.get("Keep-Alive"));
     exchange.listener().onHead(status, headers);
   }
 
+  private boolean endsWithConnection(HttpResponse response) {
+    return !HttpUtil.isTransferEncodingChunked(response)
+        && !HttpUtil.isContentLengthSet(response)
+        && !STATUSES_WITHOUT_BODY.contains(response.status().code())
+        && !answersHead(response);
+  }
+
   private void readKeepAlive(String keepAlive) {
     Matcher matcher = keepAlive == null ? null : TIMEOUT.matcher(keepAlive);
     if (matcher != null && matcher.find()) {
--- a/entry/src/test/java/org/gentianslip/entry/gateway/SentRequestsTest.java
+++ b/entry/src/test/java/org/gentianslip/entry/gateway/SentRequestsTest.java
@@ -20,7 +20,7 @@
   @Test
   void containEachOfTheLatestRequests() {
     for (int i = 0; i < 3 * SentRequests.CAPACITY; i++) {
-      sent.add("id" + i);
+      sent.add("id" + i, false);
     }
     for (int i = 2 * SentRequests.CAPACITY; i < 3 * SentRequests.CAPACITY; i++) {
       assertThat(sent.contains("id" + i), is(true));
@@ -30,8 +30,19 @@
 
   @Test
   void tellIdsWithTheSameCharactersApart() {
-    sent.add("ab");
+    sent.add("ab", false);
     assertThat(sent.contains("ba"), is(false));
     assertThat(sent.contains("a"), is(false));
   }
+
+  @Test
+  void tellHeadRequestsFromOthers() {
+    for (int i = 0; i < 3 * SentRequests.CAPACITY; i++) {
+      sent.add("id" + i, i % 3 == 0);
+    }
+    for (int i = 2 * SentRequests.CAPACITY; i < 3 * SentRequests.CAPACITY; i++) {
+      assertThat(sent.containsHead("id" + i), is(i % 3 == 0));
+    }
+    assertThat(sent.containsHead("id0"), is(false));
+  }
 }
