Wait for no answer after an extra one without end

Callers: none seen here. Shown here: no answer until the deadline, after an extra answer that has no length.

Cause: the body of such an answer ends with its connection, so that the true answer is skipped as a part of it. Ruled out: extra answers with an end, which are skipped up to it.

Change: the exchange fails at once, so that the request can be repeated if it may be.

Figures: JoinedHeadsTest.failsIfTheLaterAnswerCannotBeToldFromTheBodyOfAnother on: no end of the exchange in 10 s, the guard of the test; passes now.

Conclusion: nothing that could follow would be read.

--- a/entry/src/main/java/org/gentianslip/entry/gateway/BackendConnection.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/BackendConnection.java
@@ -166,6 +166,10 @@
     }
     skippingResponse =
         status < FIRST_FINAL_STATUS || !ids.stream().allMatch(exchange.request().id()::equals);
+    if (skippingResponse && status >= FIRST_FINAL_STATUS && endsWithConnection(response)) {
+      closeAndFail("not an answer to this request, and none can follow");
+      return;
+    }
     if (skippingResponse) {
       reusable = reusable && status < FIRST_FINAL_STATUS;
       skippedResponses++;
--- a/entry/src/test/java/org/gentianslip/entry/gateway/JoinedHeadsTest.java
+++ b/entry/src/test/java/org/gentianslip/entry/gateway/JoinedHeadsTest.java
@@ -65,4 +65,18 @@
   void failsIfTheLaterAnswerIsToAnEarlierRequest() throws Exception {
     assertThat(wrongCuts(FAILED, FIRST + "good", Set.of(ReceivedAnswer.FAILURE)), is(empty()));
   }
+
+  @Test
+  void failsIfTheLaterAnswerCannotBeToldFromTheBodyOfAnother() throws Exception {
+    String other = "HTTP/1.1 200 OK\r\nRequest-Id: first\r\n\r\nbody";
+    fixture
+        .server()
+        .setScript(
+            (place, socket) -> {
+              String text = place == 1 ? FIRST + "good" : other + FAILED + "true";
+              socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
+            });
+    fixture.send(HttpMethod.GET, "first", true).await();
+    assertThat(fixture.send(HttpMethod.GET, "a1", false).await(), is(ReceivedAnswer.FAILURE));
+  }
 }
