Take a switch of protocols for no answer

Callers: none seen here. Shown here: no answer until the deadline after a status 101, though no request asks for another protocol.

Cause: after 101 the decoder passes all bytes on undecoded, and nobody reads them. Ruled out: other informational answers, which are skipped.

Change: the exchange fails at once.

Figures: CutAnswerTest.failsIfTheServerSwitchesToAnotherProtocol on: no end of the exchange in 10 s, the guard of the test; passes now.

Conclusion: nothing that could follow would be read.

--- a/entry/src/main/java/org/gentianslip/entry/gateway/BackendConnection.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/BackendConnection.java
@@ -8,6 +8,7 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
@@ -159,6 +160,10 @@
       return;
     }
     int status = response.status().code();
+    if (status == HttpResponseStatus.SWITCHING_PROTOCOLS.code()) {
+      closeAndFail("not an answer: switches to a protocol that was not asked for");
+      return;
+    }
     List<String> ids = headers.getAll(exchange.request().idHeader());
     if (status >= FIRST_FINAL_STATUS && ids.isEmpty() && sent.count() > 1) {
       closeAndFail("not an answer: without an id, which may be to an earlier request");
--- a/entry/src/test/java/org/gentianslip/entry/gateway/CutAnswerTest.java
+++ b/entry/src/test/java/org/gentianslip/entry/gateway/CutAnswerTest.java
@@ -12,6 +12,7 @@
 import java.util.List;
 import org.gentianslip.entry.testing.AnswerServer;
 import org.junit.jupiter.api.DisplayName;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.extension.RegisterExtension;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -239,4 +240,11 @@
       assertThat("after " + i + " bytes", read, is(ReceivedAnswer.FAILURE));
     }
   }
+
+  @Test
+  void failsIfTheServerSwitchesToAnotherProtocol() throws Exception {
+    String head = "HTTP/1.1 101 Switching\r\nConnection: upgrade\r\nUpgrade: other\r\n\r\n";
+    fixture.server().setScript((place, socket) -> write(socket, head + Answer.LENGTH.text, 0));
+    assertThat(fixture.send(HttpMethod.GET, ID, true).await(), is(ReceivedAnswer.FAILURE));
+  }
 }
