--- a/entry/src/main/java/org/gentianslip/entry/http/ResponseFraming.java
+++ b/entry/src/main/java/org/gentianslip/entry/http/ResponseFraming.java
@@ -1,6 +1,8 @@
 package org.gentianslip.entry.http;
 
+import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.regex.Pattern;
@@ -16,6 +18,7 @@
 public final class ResponseFraming {
 
   private static final Pattern STATUS_LINE = Pattern.compile("HTTP/\\d\\.\\d \\d{3}");
+  private static final Pattern LENGTH = Pattern.compile("\\d+");
 
   private ResponseFraming() {}
 
@@ -31,6 +34,10 @@
     if (!codings.isEmpty() && !codings.isChunkedOnly()) {
       return Optional.of("unknown transfer codings " + codings.names());
     }
+    List<String> lengths = headers.getAll(HttpHeaderNames.CONTENT_LENGTH);
+    if (lengths.size() > 1 || !lengths.stream().allMatch(l -> LENGTH.matcher(l).matches())) {
+      return Optional.of("no single length " + lengths);
+    }
     return Optional.empty();
   }
 
--- a/entry/src/test/java/org/gentianslip/entry/http/ResponseFramingTest.java
+++ b/entry/src/test/java/org/gentianslip/entry/http/ResponseFramingTest.java
@@ -44,6 +44,17 @@
     assertThat(accepts("OK", header), is(true));
   }
 
+  @Test
+  void acceptsNoSecondLength() {
+    assertThat(accepts("OK", "Content-Length: 5", "content-length: 5"), is(false));
+  }
+
+  @ParameterizedTest
+  @ValueSource(strings = {"", "-1", "+5", "5x", "0x5", "3, 5", "5 5"})
+  void acceptsNoOtherLength(String length) {
+    assertThat(accepts("OK", "Content-Length: " + length), is(false));
+  }
+
   @ParameterizedTest
   @ValueSource(strings = {"", "gzip", "gzip, chunked", "chunked, chunked", "identity"})
   void acceptsNoOtherTransferCoding(String coding) {
