--- a/entry/src/main/java/org/gentianslip/entry/gateway/BackendClient.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/BackendClient.java
@@ -12,8 +12,8 @@
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.EmptyHttpHeaders;
-import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.util.concurrent.Future;
 import io.netty.util.concurrent.Promise;
@@ -146,12 +146,17 @@
             new ChannelInitializer<SocketChannel>() {
               @Override
               protected void initChannel(SocketChannel channel) {
-                var config = new HttpDecoderConfig().setMaxHeaderSize(MAX_HEADER_BYTES);
+                var config =
+                    new HttpDecoderConfig()
+                        .setMaxHeaderSize(MAX_HEADER_BYTES)
+                        .setHeadersFactory(new ResponseHeadersFactory());
+                var connection = new BackendConnection(BackendClient.this, address);
                 channel
                     .pipeline()
                     .addLast(
-                        new HttpClientCodec(config, false, false),
-                        new BackendConnection(BackendClient.this, address));
+                        new HttpRequestEncoder(),
+                        new ResponseDecoder(config, connection::answersHead),
+                        connection);
               }
             })
         .connect(target);
