Bound what the clients of the HTTP library keep of a response

What callers saw: nothing yet; another operator lost instances to a server that sent bytes without end. Here a store could do the same: of a body, with or without length or in chunks, of a chunk extension and of the name in the head of a compressed body the instance kept all that came until the call timed out. Other instances, the config service and the engines of the own edge could do it by the last two. The HTTP library reads the line that begins a chunk, and the name in a compressed body, to their end, on which a bound on the body has no effect. Change: BoundedHttpClients creates the clients. A call to the config service has a time limit as a whole.

--- a/entry/src/main/java/org/gentianslip/entry/configservice/ConfigServiceReader.java
+++ b/entry/src/main/java/org/gentianslip/entry/configservice/ConfigServiceReader.java
@@ -50,7 +50,8 @@
 
   private ConfigReadResult call(String url, Duration wait) {
     var request = new Request.Builder().url(url).build();
-    var clientWithTimeout = client.newBuilder().readTimeout(wait.plus(RESPONSE_TIMEOUT)).build();
+    Duration timeout = wait.plus(RESPONSE_TIMEOUT);
+    var clientWithTimeout = client.newBuilder().readTimeout(timeout).callTimeout(timeout).build();
     try (var response = clientWithTimeout.newCall(request).execute()) {
       return switch (response.code()) {
         case 200 -> toFound(response);
--- a/entry/src/main/java/org/gentianslip/entry/fleet/FleetClient.java
+++ b/entry/src/main/java/org/gentianslip/entry/fleet/FleetClient.java
@@ -2,18 +2,17 @@
 
 import com.google.common.flogger.FluentLogger;
 import java.io.IOException;
-import java.util.List;
 import java.util.concurrent.TimeUnit;
 import okhttp3.Call;
 import okhttp3.Callback;
 import okhttp3.ConnectionPool;
-import okhttp3.ConnectionSpec;
 import okhttp3.Dispatcher;
 import okhttp3.MediaType;
 import okhttp3.OkHttpClient;
 import okhttp3.Request;
 import okhttp3.RequestBody;
 import okhttp3.Response;
+import org.gentianslip.entry.http.BoundedHttpClients;
 import org.gentianslip.entry.http.Json;
 
 /** An asynchronous HTTP client for calls to other instances. Safe for use by several threads. */
@@ -38,8 +37,7 @@
     var dispatcher = new Dispatcher();
     dispatcher.setMaxRequestsPerHost(MAX_CALLS_PER_INSTANCE);
     client =
-        new OkHttpClient.Builder()
-            .connectionSpecs(List.of(ConnectionSpec.CLEARTEXT))
+        BoundedHttpClients.newBuilder()
             .dispatcher(dispatcher)
             .connectionPool(
                 new ConnectionPool(MAX_IDLE_CONNECTIONS, IDLE_TIMEOUT_SECONDS, TimeUnit.SECONDS))
--- a/entry/src/main/java/org/gentianslip/entry/process/EntryProcess.java
+++ b/entry/src/main/java/org/gentianslip/entry/process/EntryProcess.java
@@ -30,6 +30,7 @@
 import org.gentianslip.entry.configservice.LoadPoller;
 import org.gentianslip.entry.configservice.SettingsUpdater;
 import org.gentianslip.entry.explain.DecisionLog;
+import org.gentianslip.entry.http.BoundedHttpClients;
 import org.gentianslip.entry.http.HeadCheck;
 import org.gentianslip.entry.http.HttpServer;
 import org.gentianslip.entry.logging.LogSettingsFilter;
@@ -87,7 +88,7 @@
   private final PauseDetector pauseDetector =
       new PauseDetector(MAX_TICK_GAP_NANOS, System.nanoTime());
   private final UpstreamClient upstreamClient = new UpstreamClient();
-  private final OkHttpClient controlClient = new OkHttpClient();
+  private final OkHttpClient controlClient = BoundedHttpClients.newBuilder().build();
   private final ConfigServiceReader configReader;
   private final SettingsUpdater settingsUpdater;
   private final TicketLedger ledger;
--- a/entry/src/main/java/org/gentianslip/entry/relay/ResponseBodyReader.java
+++ b/entry/src/main/java/org/gentianslip/entry/relay/ResponseBodyReader.java
@@ -17,10 +17,20 @@
    * @throws IOException if the body is incomplete or is larger than {@link #MAX_BYTES}
    */
   public static byte[] read(Response response) throws IOException {
+    return read(response, MAX_BYTES);
+  }
+
+  /**
+   * Reads the body and closes the response.
+   *
+   * @throws ResponseTooLargeException if the body is larger than {@code maxBytes} bytes
+   * @throws IOException if the body is incomplete
+   */
+  public static byte[] read(Response response, long maxBytes) throws IOException {
     try (response) {
       var source = response.body().source();
-      if (source.request(MAX_BYTES + 1)) {
-        throw new IOException("The response is larger than " + MAX_BYTES + " bytes");
+      if (source.request(maxBytes + 1)) {
+        throw new ResponseTooLargeException(maxBytes);
       }
       return source.readByteArray();
     }
--- a/entry/src/main/java/org/gentianslip/entry/relay/UpstreamClient.java
+++ b/entry/src/main/java/org/gentianslip/entry/relay/UpstreamClient.java
@@ -14,6 +14,7 @@
 import okhttp3.Response;
 import okio.BufferedSink;
 import org.gentianslip.core.outcome.AttemptJournal;
+import org.gentianslip.entry.http.BoundedHttpClients;
 
 /**
  * Sends requests to backend servers and peers, each at most once.
@@ -37,7 +38,7 @@
     dispatcher.setMaxRequests(MAX_CALLS);
     dispatcher.setMaxRequestsPerHost(MAX_CALLS);
     pooled =
-        new OkHttpClient.Builder()
+        BoundedHttpClients.newBuilder()
             .dispatcher(dispatcher)
             .connectionPool(
                 new ConnectionPool(MAX_IDLE_CONNECTIONS, MAX_IDLE_SECONDS, TimeUnit.SECONDS))
