Count and pause what callers do not read

What callers saw: nothing yet. A caller that did not read made the instance keep all that was meant for it. Also, two large answers that filled the buffer ended short answers to other callers with 502. Cause: a plain answer left the quota of buffered bytes when it was handed to the caller's connection. The next pipelined request ran while the last answer was unread, and an attempt that began then was read without a pause, as only changes were noticed. Pipelined messages were counted, their bytes not. Small answers needed the same quota. Ruled out: a stream that is under way when its caller stops to read; reading is paused, and only its last part is kept. Change: the connection of a caller counts a plain answer until it is read. An attempt begins paused if the caller does not read. Conclusion: a byte is counted from where it enters to where it leaves the process.

--- a/core/src/main/java/org/gentianslip/core/limit/BufferQuota.java
+++ b/core/src/main/java/org/gentianslip/core/limit/BufferQuota.java
@@ -33,6 +33,11 @@
     return false;
   }
 
+  /** Takes bytes even if that many are not left. */
+  public void take(long bytes) {
+    usedBytes.addAndGet(bytes);
+  }
+
   /** Returns bytes that were taken. */
   public void giveBack(long bytes) {
     usedBytes.addAndGet(-bytes);
--- a/core/src/main/java/org/gentianslip/core/stream/EventSplitter.java
+++ b/core/src/main/java/org/gentianslip/core/stream/EventSplitter.java
@@ -17,7 +17,7 @@
   private static final String ID_FIELD = "id:";
   private static final int INITIAL_BYTES = 512;
 
-  private final ByteArrayOutputStream pending = new ByteArrayOutputStream(INITIAL_BYTES);
+  private ByteArrayOutputStream pending = new ByteArrayOutputStream(INITIAL_BYTES);
   private boolean lineEmpty = true;
   private int events;
   private String lastId;
@@ -72,6 +72,11 @@
     return pending.size();
   }
 
+  /** Releases the bytes of an incomplete event; nothing may be appended afterwards. */
+  public void discardPending() {
+    pending = new ByteArrayOutputStream(0);
+  }
+
   /** Returns whether bytes of an incomplete event are buffered. */
   public boolean hasIncompleteEvent() {
     return pending.size() > 0;
--- a/entry/src/main/java/org/gentianslip/entry/gateway/Attempt.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/Attempt.java
@@ -5,7 +5,7 @@
 import java.io.ByteArrayOutputStream;
 import java.util.Locale;
 import org.gentianslip.core.id.EngineId;
-import org.gentianslip.core.limit.BufferQuota;
+import org.gentianslip.core.limit.BufferShare;
 import org.gentianslip.core.stream.EventSplitter;
 
 /**
@@ -25,7 +25,7 @@
   private static final String EVENT_STREAM = "text/event-stream";
 
   private final RequestExecution execution;
-  private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+  private ByteArrayOutputStream body = new ByteArrayOutputStream();
   private final EventSplitter splitter = new EventSplitter();
   private Exchange exchange;
   private int status;
@@ -33,11 +33,13 @@
   private boolean streamed;
   private boolean endsWithConnection;
   private long lastReceivedNanos = System.nanoTime();
-  private int bufferedBytes;
+  private final BufferShare buffered;
+  private long bufferedBytes;
   private boolean ended;
 
   Attempt(RequestExecution execution) {
     this.execution = execution;
+    this.buffered = BufferShare.of(execution.gateway().responseBuffers());
   }
 
   RequestExecution execution() {
@@ -95,6 +97,7 @@
             fresh,
             connectMillis);
     exchange = execution.gateway().client(execution.writer().eventLoop()).send(outgoing, this);
+    exchange.setReading(execution.writer().isWritable());
   }
 
   /** Returns the number of complete events of the stream that were received. */
@@ -171,8 +174,7 @@
 
   /** Gives the attempt up if its buffer would be too large; returns whether it goes on. */
   private boolean mayBuffer(int bytes, int maxBytes) {
-    BufferQuota quota = execution.gateway().responseBuffers();
-    if (bytes <= maxBytes && quota.tryTake(bytes - bufferedBytes)) {
+    if (bytes <= maxBytes && buffered.tryResize(bytes)) {
       bufferedBytes = bytes;
       return true;
     }
@@ -183,8 +185,9 @@
 
   private void end() {
     ended = true;
-    execution.gateway().responseBuffers().giveBack(bufferedBytes);
-    bufferedBytes = 0;
+    buffered.release();
+    body = new ByteArrayOutputStream(0);
+    splitter.discardPending();
   }
 
   @Override
@@ -193,8 +196,9 @@
       return;
     }
     if (!streamed) {
+      byte[] complete = body.toByteArray();
       end();
-      onResponse(status, headers, body.toByteArray());
+      onResponse(status, headers, complete);
       return;
     }
     if (splitter.hasIncompleteEvent()) {
--- a/entry/src/main/java/org/gentianslip/entry/gateway/CallerConnection.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/CallerConnection.java
@@ -26,6 +26,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
+import org.gentianslip.core.limit.BufferQuota;
 import org.gentianslip.core.route.CallerLimits;
 import org.gentianslip.entry.http.RequestFraming;
 
@@ -33,7 +34,8 @@
  * Reads the requests of one connection, one after the other.
  *
  * <p>A request is passed to the handler once it has been read completely. Pipelined requests wait
- * until the response has been written. Confined to the event loop of the connection.
+ * until the response has been written and the caller has read most of it. Confined to the event
+ * loop of the connection.
  */
 final class CallerConnection extends ChannelInboundHandlerAdapter {
 
@@ -42,11 +44,16 @@
   /** The number of pipelined messages to buffer before reading is paused. */
   private static final int MAX_PENDING = 64;
 
+  /** The bytes of pipelined messages to buffer before reading is paused. */
+  private static final int MAX_PENDING_BYTES = 65_536;
+
   private final Supplier<CallerLimits> limits;
   private final BooleanSupplier leaving;
+  private final BufferQuota responseBuffers;
   private final RequestHandler handler;
   private final Deque<HttpObject> pending = new ArrayDeque<>();
   private ChannelHandlerContext ctx;
+  private int pendingBytes;
   private HttpRequest head;
   private ByteBuf body;
   private NettyResponseWriter writer;
@@ -54,9 +61,14 @@
   private boolean readingRequest;
   private long lastActiveNanos = System.nanoTime();
 
-  CallerConnection(Supplier<CallerLimits> limits, BooleanSupplier leaving, RequestHandler handler) {
+  CallerConnection(
+      Supplier<CallerLimits> limits,
+      BooleanSupplier leaving,
+      BufferQuota responseBuffers,
+      RequestHandler handler) {
     this.limits = limits;
     this.leaving = leaving;
+    this.responseBuffers = responseBuffers;
     this.handler = handler;
   }
 
@@ -72,14 +84,39 @@
       ReferenceCountUtil.release(message);
       return;
     }
-    if (writer != null) {
-      pending.addLast(object);
-      if (pending.size() > MAX_PENDING) {
-        ctx.channel().config().setAutoRead(false);
-      }
+    if (mayProcess() && pending.isEmpty()) {
+      process(object);
       return;
     }
-    process(object);
+    pending.addLast(object);
+    pendingBytes += contentBytes(object);
+    if (isPendingFull()) {
+      ctx.channel().config().setAutoRead(false);
+    }
+  }
+
+  /** Returns whether the response to the last request was written and most of it was read. */
+  private boolean mayProcess() {
+    return writer == null && ctx.channel().isWritable();
+  }
+
+  private boolean isPendingFull() {
+    return pending.size() > MAX_PENDING || pendingBytes > MAX_PENDING_BYTES;
+  }
+
+  private static int contentBytes(HttpObject object) {
+    return object instanceof HttpContent content ? content.content().readableBytes() : 0;
+  }
+
+  private void processPending() {
+    while (mayProcess() && !closing && !pending.isEmpty()) {
+      HttpObject next = pending.removeFirst();
+      pendingBytes -= contentBytes(next);
+      process(next);
+    }
+    if (!ctx.channel().config().isAutoRead() && !isPendingFull()) {
+      ctx.channel().config().setAutoRead(true);
+    }
   }
 
   private void process(HttpObject object) {
@@ -180,7 +217,8 @@
   private BufferedHttpRequest buildRequest() {
     final byte[] bytes = body == null ? new byte[0] : ByteBufUtil.getBytes(body);
     HttpRequest request = head;
-    writer = new NettyResponseWriter(ctx, request, leaving, this::onResponseWritten);
+    writer =
+        new NettyResponseWriter(ctx, request, leaving, responseBuffers, this::onResponseWritten);
     head = null;
     body = null;
     readingRequest = false;
@@ -195,12 +233,7 @@
       closing = true;
       return;
     }
-    while (writer == null && !closing && !pending.isEmpty()) {
-      process(pending.removeFirst());
-    }
-    if (!ctx.channel().config().isAutoRead() && pending.size() <= MAX_PENDING) {
-      ctx.channel().config().setAutoRead(true);
-    }
+    processPending();
   }
 
   private void reject(HttpResponseStatus status) {
@@ -237,6 +270,8 @@
   public void channelWritabilityChanged(ChannelHandlerContext context) {
     if (writer != null) {
       writer.onWritabilityChanged();
+    } else {
+      processPending();
     }
     context.fireChannelWritabilityChanged();
   }
--- a/entry/src/main/java/org/gentianslip/entry/gateway/CallerServer.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/CallerServer.java
@@ -15,6 +15,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
+import org.gentianslip.core.limit.BufferQuota;
 import org.gentianslip.core.route.CallerLimits;
 
 /**
@@ -36,6 +37,7 @@
   private final EventLoopGroup loops;
   private final Supplier<CallerLimits> limits;
   private final BooleanSupplier leaving;
+  private final BufferQuota responseBuffers;
   private final RequestHandler handler;
   private final ChannelGroup connections =
       new DefaultChannelGroup("callers", GlobalEventExecutor.INSTANCE);
@@ -46,16 +48,19 @@
    *
    * @param limits supplies the limits in force
    * @param leaving supplies whether connections are closed after their next response
+   * @param responseBuffers bounds the bytes of responses that callers have not taken yet
    * @param handler handles the requests
    */
   CallerServer(
       EventLoopGroup loops,
       Supplier<CallerLimits> limits,
       BooleanSupplier leaving,
+      BufferQuota responseBuffers,
       RequestHandler handler) {
     this.loops = loops;
     this.limits = limits;
     this.leaving = leaving;
+    this.responseBuffers = responseBuffers;
     this.handler = handler;
   }
 
@@ -77,7 +82,7 @@
                         .pipeline()
                         .addLast(
                             new HttpServerCodec(MAX_LINE_BYTES, MAX_HEADER_BYTES, CHUNK_BYTES),
-                            new CallerConnection(limits, leaving, handler));
+                            new CallerConnection(limits, leaving, responseBuffers, handler));
                   }
                 })
             .bind(host, port)
--- a/entry/src/main/java/org/gentianslip/entry/gateway/Exchange.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/Exchange.java
@@ -14,6 +14,7 @@
   private final ResponseListener listener;
   private Channel channel;
   private boolean written;
+  private boolean reading = true;
   private boolean ended;
 
   Exchange(OutgoingRequest request, ResponseListener listener) {
@@ -36,6 +37,7 @@
   void markWritten(Channel writtenTo) {
     channel = writtenTo;
     written = true;
+    setReading(reading);
   }
 
   /** Marks the exchange as ended; returns false if it had ended before. */
@@ -64,8 +66,9 @@
     return written;
   }
 
-  /** Pauses or resumes reading the response. */
-  void setReading(boolean reading) {
+  /** Pauses or resumes reading the response, also one that has not begun. */
+  void setReading(boolean newReading) {
+    reading = newReading;
     if (channel != null && !ended) {
       channel.config().setAutoRead(reading);
     }
--- a/entry/src/main/java/org/gentianslip/entry/gateway/GatewayServer.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/GatewayServer.java
@@ -77,10 +77,19 @@
         () -> state.confirmationAgeNanos(System.nanoTime()) / NANOS_PER_SECOND);
     this.onPause = onPause;
     this.callerServer =
-        new CallerServer(eventLoops, this::limits, state::leaving, gateway::handleCallerRequest);
+        new CallerServer(
+            eventLoops,
+            this::limits,
+            state::leaving,
+            gateway.responseBuffers(),
+            gateway::handleCallerRequest);
     this.forwardServer =
         new CallerServer(
-            eventLoops, () -> CallerLimits.DEFAULT, () -> false, gateway::handleForwardedRequest);
+            eventLoops,
+            () -> CallerLimits.DEFAULT,
+            () -> false,
+            gateway.responseBuffers(),
+            gateway::handleForwardedRequest);
   }
 
   private CallerLimits limits() {
--- a/entry/src/main/java/org/gentianslip/entry/gateway/NettyResponseWriter.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/NettyResponseWriter.java
@@ -18,6 +18,8 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import java.util.function.BooleanSupplier;
+import org.gentianslip.core.limit.BufferQuota;
+import org.gentianslip.core.limit.BufferShare;
 
 /** Writes the response to one request. Confined to the event loop of its connection. */
 final class NettyResponseWriter implements ResponseWriter {
@@ -26,6 +28,7 @@
   private final boolean headOnly;
   private final boolean closeRequested;
   private final BooleanSupplier leaving;
+  private final BufferShare unread;
   private final CompletionListener completionListener;
   private CallerListener listener;
   private boolean keepAlive;
@@ -46,11 +49,13 @@
       ChannelHandlerContext ctx,
       HttpRequest request,
       BooleanSupplier leaving,
+      BufferQuota responseBuffers,
       CompletionListener completionListener) {
     this.ctx = ctx;
     this.headOnly = request.method().equals(HttpMethod.HEAD);
     this.closeRequested = !HttpUtil.isKeepAlive(request);
     this.leaving = leaving;
+    this.unread = BufferShare.of(responseBuffers);
     this.completionListener = completionListener;
   }
 
@@ -86,6 +91,7 @@
       response.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.length);
     }
     decideKeepAlive(response);
+    unread.resize(response.content().readableBytes());
     writeLast(response);
   }
 
@@ -127,6 +133,7 @@
   private void writeLast(Object last) {
     ended = true;
     var written = ctx.writeAndFlush(last);
+    written.addListener(f -> unread.release());
     if (!keepAlive) {
       written.addListener(ChannelFutureListener.CLOSE);
     }
