Bound the headers of a head, and end connections that change their protocol

What callers saw: nothing yet. A backend server's head of 10,000 short headers, 40 kB, was taken and kept as long as its response went on. After 101 all bytes were read and dropped until the request's deadline. Cause: heads were bounded by their bytes, but each header is several objects. The decoder passes bytes on undecoded after 101, and the connection ignored messages that are no part of HTTP. Ruled out: long lines and many bytes in a head; the decoder ends them at 4 and 64 KiB, as tests show. Change: a head and trailers have at most 1,024 headers, also those of callers (431). A received head counts against the quota of buffered bytes, with an estimate of its memory. Anything that is no HTTP ends the connection. Conclusion: the bound on objects follows the bound on bytes.

--- a/entry/src/main/java/org/gentianslip/entry/gateway/Attempt.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/Attempt.java
@@ -34,6 +34,7 @@
   private boolean endsWithConnection;
   private long lastReceivedNanos = System.nanoTime();
   private final BufferShare buffered;
+  private int headBytes;
   private long bufferedBytes;
   private boolean ended;
 
@@ -146,6 +147,8 @@
             && execution.route().streaming()
             && type.startsWith(EVENT_STREAM)
             && maySendStreamHead(receivedHeaders);
+    headBytes = HeadSize.bytes(receivedHeaders);
+    mayBuffer(0, MAX_EVENT_BYTES);
   }
 
   @Override
@@ -174,7 +177,7 @@
 
   /** Gives the attempt up if its buffer would be too large; returns whether it goes on. */
   private boolean mayBuffer(int bytes, int maxBytes) {
-    if (bytes <= maxBytes && buffered.tryResize(bytes)) {
+    if (bytes <= maxBytes && buffered.tryResize((long) headBytes + bytes)) {
       bufferedBytes = bytes;
       return true;
     }
--- a/entry/src/main/java/org/gentianslip/entry/gateway/BackendClient.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/BackendClient.java
@@ -146,7 +146,11 @@
             new ChannelInitializer<SocketChannel>() {
               @Override
               protected void initChannel(SocketChannel channel) {
-                var config = new HttpDecoderConfig().setMaxHeaderSize(MAX_HEADER_BYTES);
+                var config =
+                    new HttpDecoderConfig()
+                        .setMaxHeaderSize(MAX_HEADER_BYTES)
+                        .setHeadersFactory(new BoundedHeadersFactory())
+                        .setTrailersFactory(new BoundedHeadersFactory());
                 channel
                     .pipeline()
                     .addLast(
--- a/entry/src/main/java/org/gentianslip/entry/gateway/BackendConnection.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/BackendConnection.java
@@ -6,6 +6,7 @@
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
@@ -116,6 +117,10 @@
         close();
         return;
       }
+      if (!(message instanceof HttpObject)) {
+        closeAndFail("not an answer: bytes of another protocol");
+        return;
+      }
       if (message instanceof HttpResponse response) {
         readHead(response);
       }
--- a/entry/src/main/java/org/gentianslip/entry/gateway/CallerServer.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/CallerServer.java
@@ -10,6 +10,7 @@
 import io.netty.channel.group.DefaultChannelGroup;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.util.concurrent.GlobalEventExecutor;
 import java.util.concurrent.TimeUnit;
@@ -78,10 +79,17 @@
                   @Override
                   protected void initChannel(SocketChannel channel) {
                     connections.add(channel);
+                    var config =
+                        new HttpDecoderConfig()
+                            .setMaxInitialLineLength(MAX_LINE_BYTES)
+                            .setMaxHeaderSize(MAX_HEADER_BYTES)
+                            .setMaxChunkSize(CHUNK_BYTES)
+                            .setHeadersFactory(new BoundedHeadersFactory())
+                            .setTrailersFactory(new BoundedHeadersFactory());
                     channel
                         .pipeline()
                         .addLast(
-                            new HttpServerCodec(MAX_LINE_BYTES, MAX_HEADER_BYTES, CHUNK_BYTES),
+                            new HttpServerCodec(config),
                             new CallerConnection(limits, leaving, responseBuffers, handler));
                   }
                 })
--- a/entry/src/test/java/org/gentianslip/entry/gateway/CallerServerTest.java
+++ b/entry/src/test/java/org/gentianslip/entry/gateway/CallerServerTest.java
@@ -27,6 +27,7 @@
 class CallerServerTest {
 
   private static final String HOST = "127.0.0.1";
+  private static final int MANY_HEADERS = 2_000;
 
   private final NioEventLoopGroup loops = new NioEventLoopGroup(1);
   private final List<String> handled = new CopyOnWriteArrayList<>();
@@ -67,6 +68,15 @@
     return reader.readLine();
   }
 
+  @Test
+  void refusesRequestsWithManyHeaders() throws Exception {
+    String head = "GET / HTTP/1.1\r\nHost: shop.example\r\n" + "a:\r\n".repeat(MANY_HEADERS);
+    try (var caller = new Socket(HOST, port)) {
+      caller.getOutputStream().write((head + "\r\n").getBytes(StandardCharsets.US_ASCII));
+      assertThat(readStatus(caller), startsWith("HTTP/1.1 431"));
+    }
+  }
+
   @Test
   void doesNotHandleRequestsOfCallersThatHaveLeftWhileItWasBusy() throws Exception {
     abandonRequestWhileBusy(false);
