Bound the bytes and the time of requests that are being received

What callers saw: nothing yet. Many callers with large bodies, sent or half sent, could use up the memory together, and a byte now and then kept a request open without end. Cause: a body was bounded for each request only. The time limit began again with every byte. Ruled out: heads; a head that is not complete counts as an idle connection. A request that is not complete after 60 s is answered with 408. Tests: CallerServerTest passes both quotas; its cases are as they were. Conclusion: every buffer that outside parties fill counts against a quota of all connections together.

--- a/entry/src/main/java/org/gentianslip/entry/gateway/Attempt.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/Attempt.java
@@ -40,7 +40,7 @@
 
   Attempt(RequestExecution execution) {
     this.execution = execution;
-    this.buffered = BufferShare.of(execution.gateway().responseBuffers());
+    this.buffered = BufferShare.of(execution.gateway().buffers().responses());
   }
 
   RequestExecution execution() {
--- a/entry/src/main/java/org/gentianslip/entry/gateway/CallerConnection.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/CallerConnection.java
@@ -26,7 +26,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
-import org.gentianslip.core.limit.BufferQuota;
+import org.gentianslip.core.limit.BufferShare;
 import org.gentianslip.core.route.CallerLimits;
 import org.gentianslip.entry.http.RequestFraming;
 
@@ -47,9 +47,13 @@
   /** The bytes of pipelined messages to buffer before reading is paused. */
   private static final int MAX_PENDING_BYTES = 65_536;
 
+  /** The time in which a request is received completely, in milliseconds. */
+  static final long REQUEST_TIMEOUT_MILLIS = 60_000;
+
   private final Supplier<CallerLimits> limits;
   private final BooleanSupplier leaving;
-  private final BufferQuota responseBuffers;
+  private final CallerBuffers buffers;
+  private final BufferShare received;
   private final RequestHandler handler;
   private final Deque<HttpObject> pending = new ArrayDeque<>();
   private ChannelHandlerContext ctx;
@@ -60,15 +64,17 @@
   private boolean closing;
   private boolean readingRequest;
   private long lastActiveNanos = System.nanoTime();
+  private long requestBegunNanos;
 
   CallerConnection(
       Supplier<CallerLimits> limits,
       BooleanSupplier leaving,
-      BufferQuota responseBuffers,
+      CallerBuffers buffers,
       RequestHandler handler) {
     this.limits = limits;
     this.leaving = leaving;
-    this.responseBuffers = responseBuffers;
+    this.buffers = buffers;
+    this.received = BufferShare.of(buffers.requests());
     this.handler = handler;
   }
 
@@ -152,6 +158,7 @@
     }
     head = request;
     readingRequest = true;
+    requestBegunNanos = System.nanoTime();
     if (HttpUtil.is100ContinueExpected(request)) {
       ctx.writeAndFlush(
           new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE));
@@ -176,11 +183,16 @@
     }
     if (content.content().isReadable()) {
       body = body == null ? Unpooled.buffer(content.content().readableBytes()) : body;
-      body.writeBytes(content.content());
-      if (body.readableBytes() > limits.get().bodyBytes()) {
+      int size = body.readableBytes() + content.content().readableBytes();
+      if (size > limits.get().bodyBytes()) {
         reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
         return;
       }
+      if (!received.tryResize(size)) {
+        reject(HttpResponseStatus.SERVICE_UNAVAILABLE);
+        return;
+      }
+      body.writeBytes(content.content());
     }
     if (content instanceof LastHttpContent) {
       dispatch();
@@ -218,7 +230,8 @@
     final byte[] bytes = body == null ? new byte[0] : ByteBufUtil.getBytes(body);
     HttpRequest request = head;
     writer =
-        new NettyResponseWriter(ctx, request, leaving, responseBuffers, this::onResponseWritten);
+        new NettyResponseWriter(
+            ctx, request, leaving, buffers.responses(), this::onResponseWritten);
     head = null;
     body = null;
     readingRequest = false;
@@ -228,6 +241,7 @@
 
   private void onResponseWritten(boolean keepAlive) {
     writer = null;
+    received.release();
     lastActiveNanos = System.nanoTime();
     if (!keepAlive) {
       closing = true;
@@ -238,6 +252,8 @@
 
   private void reject(HttpResponseStatus status) {
     closing = true;
+    body = null;
+    received.release();
     LOGGER.atWarning().atMostEvery(1, TimeUnit.SECONDS).log(
         "gateway: event=malformed status=%s peer=%s", status.code(), ctx.channel().remoteAddress());
     var response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status);
@@ -246,13 +262,19 @@
     ctx.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE);
   }
 
-  /** Closes the connection if it received nothing for too long, in or between requests. */
+  /**
+   * Closes the connection if it received nothing for too long, in or between requests, or has been
+   * receiving one request for too long.
+   */
   void closeIfTimedOut(long nowNanos) {
     if (writer != null || closing) {
       return;
     }
     long idleMillis = TimeUnit.NANOSECONDS.toMillis(nowNanos - lastActiveNanos);
-    if (readingRequest && idleMillis > limits.get().headerTimeoutMillis()) {
+    long requestMillis = TimeUnit.NANOSECONDS.toMillis(nowNanos - requestBegunNanos);
+    boolean slow =
+        idleMillis > limits.get().headerTimeoutMillis() || requestMillis > REQUEST_TIMEOUT_MILLIS;
+    if (readingRequest && slow) {
       reject(HttpResponseStatus.REQUEST_TIMEOUT);
     } else if (!readingRequest && idleMillis > limits.get().idleTimeoutMillis()) {
       ctx.close();
@@ -280,6 +302,8 @@
   public void channelInactive(ChannelHandlerContext context) {
     pending.forEach(ReferenceCountUtil::release);
     pending.clear();
+    body = null;
+    received.release();
     if (writer != null) {
       writer.onDisconnect();
     }
--- a/entry/src/main/java/org/gentianslip/entry/gateway/CallerServer.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/CallerServer.java
@@ -16,7 +16,6 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
-import org.gentianslip.core.limit.BufferQuota;
 import org.gentianslip.core.route.CallerLimits;
 
 /**
@@ -38,7 +37,7 @@
   private final EventLoopGroup loops;
   private final Supplier<CallerLimits> limits;
   private final BooleanSupplier leaving;
-  private final BufferQuota responseBuffers;
+  private final CallerBuffers buffers;
   private final RequestHandler handler;
   private final ChannelGroup connections =
       new DefaultChannelGroup("callers", GlobalEventExecutor.INSTANCE);
@@ -49,19 +48,19 @@
    *
    * @param limits supplies the limits in force
    * @param leaving supplies whether connections are closed after their next response
-   * @param responseBuffers bounds the bytes of responses that callers have not taken yet
+   * @param buffers bound the bytes of requests and responses
    * @param handler handles the requests
    */
   CallerServer(
       EventLoopGroup loops,
       Supplier<CallerLimits> limits,
       BooleanSupplier leaving,
-      BufferQuota responseBuffers,
+      CallerBuffers buffers,
       RequestHandler handler) {
     this.loops = loops;
     this.limits = limits;
     this.leaving = leaving;
-    this.responseBuffers = responseBuffers;
+    this.buffers = buffers;
     this.handler = handler;
   }
 
@@ -90,7 +89,7 @@
                         .pipeline()
                         .addLast(
                             new HttpServerCodec(config),
-                            new CallerConnection(limits, leaving, responseBuffers, handler));
+                            new CallerConnection(limits, leaving, buffers, handler));
                   }
                 })
             .bind(host, port)
--- a/entry/src/main/java/org/gentianslip/entry/gateway/Gateway.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/Gateway.java
@@ -12,7 +12,6 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.gentianslip.core.id.RequestId;
-import org.gentianslip.core.limit.BufferQuota;
 import org.gentianslip.core.membership.RendezvousHash;
 import org.gentianslip.core.published.Backend;
 import org.gentianslip.core.route.Route;
@@ -64,16 +63,13 @@
    */
   private static final long STALE_ROUTES_NANOS = TimeUnit.SECONDS.toNanos(8);
 
-  /** The bytes of all responses together that are buffered, a fifth of the heap of an instance. */
-  private static final long MAX_BUFFERED_BYTES = 32L << 20;
-
   private static final double MILLIS_PER_SECOND = 1_000.0;
 
   private final GatewayState state;
   private final EdgeHeaders edgeHeaders;
   private final GatewayMetrics metrics;
   private final DecisionLog decisions;
-  private final BufferQuota responseBuffers = BufferQuota.of(MAX_BUFFERED_BYTES);
+  private final CallerBuffers buffers = CallerBuffers.create();
   private final AtomicInteger inFlight = new AtomicInteger();
   private final Map<EventLoop, BackendClient> clients = new ConcurrentHashMap<>();
 
@@ -98,9 +94,9 @@
     return clients.computeIfAbsent(loop, BackendClient::new);
   }
 
-  /** Returns the quota of the bytes that are buffered of responses. */
-  BufferQuota responseBuffers() {
-    return responseBuffers;
+  /** Returns the quotas of the bytes that are buffered for callers. */
+  CallerBuffers buffers() {
+    return buffers;
   }
 
   /** Closes the connections to backend servers and instances that have been idle for too long. */
--- a/entry/src/main/java/org/gentianslip/entry/gateway/GatewayServer.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/GatewayServer.java
@@ -81,14 +81,14 @@
             eventLoops,
             this::limits,
             state::leaving,
-            gateway.responseBuffers(),
+            gateway.buffers(),
             gateway::handleCallerRequest);
     this.forwardServer =
         new CallerServer(
             eventLoops,
             () -> CallerLimits.DEFAULT,
             () -> false,
-            gateway.responseBuffers(),
+            gateway.buffers(),
             gateway::handleForwardedRequest);
   }
 
--- a/entry/src/test/java/org/gentianslip/entry/gateway/CallerServerTest.java
+++ b/entry/src/test/java/org/gentianslip/entry/gateway/CallerServerTest.java
@@ -16,7 +16,6 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.atomic.AtomicBoolean;
-import org.gentianslip.core.limit.BufferQuota;
 import org.gentianslip.core.route.CallerLimits;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -34,7 +33,7 @@
   private final AtomicBoolean leaving = new AtomicBoolean();
   private final CallerServer server =
       new CallerServer(
-          loops, () -> CallerLimits.DEFAULT, leaving::get, BufferQuota.of(1 << 20), this::handle);
+          loops, () -> CallerLimits.DEFAULT, leaving::get, CallerBuffers.create(), this::handle);
   private int port;
 
   private void handle(BufferedHttpRequest request, ResponseWriter writer) {
