Bound the answers that the operators' tools read

What operators saw: nothing yet. gentianctl and gentian-burn kept whatever an instance sent within their time limit. Cause: bodies were read without a bound, and compressed ones expanded. Figures: OperatorClientTest and HttpFetcherTest on: 17 MiB are read; now they are refused. Conclusion: chunk extensions remain without a bound in these tools; they end by themselves and serve no one.

--- a/ctl/src/main/java/org/gentianslip/ctl/OperatorClient.java
+++ b/ctl/src/main/java/org/gentianslip/ctl/OperatorClient.java
@@ -22,6 +22,7 @@
   private static final ObjectMapper MAPPER = new ObjectMapper();
   private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(2);
   private static final Duration CALL_TIMEOUT = Duration.ofSeconds(5);
+  private static final long MAX_RESPONSE_BYTES = 16L << 20;
   private static final int NOT_FOUND = 404;
   private static final int FORBIDDEN = 403;
   private static final int MAX_MESSAGE_LENGTH = 200;
@@ -67,12 +68,15 @@
       url.addPathSegment(segment);
     }
     query.forEach(url::addQueryParameter);
-    return new Request.Builder().url(url.build()).header("X-Operator-Key", key);
+    return new Request.Builder()
+        .url(url.build())
+        .header("X-Operator-Key", key)
+        .header("Accept-Encoding", "identity");
   }
 
   private OperatorResponse execute(OperatorAddress address, Request request) {
     try (Response response = client.newCall(request).execute()) {
-      String text = response.body().string();
+      String text = text(response);
       if (response.isSuccessful()) {
         return new OperatorResponse.Success(MAPPER.readTree(text));
       }
@@ -86,6 +90,18 @@
     }
   }
 
+  /**
+   * Returns the body as a text.
+   *
+   * @throws IOException if the body is incomplete or is larger than {@link #MAX_RESPONSE_BYTES}
+   */
+  private static String text(Response response) throws IOException {
+    if (response.body().source().request(MAX_RESPONSE_BYTES + 1)) {
+      throw new IOException("The response is larger than " + MAX_RESPONSE_BYTES + " bytes");
+    }
+    return response.body().string();
+  }
+
   private static OperatorResponse failure(OperatorAddress address, int status, String text) {
     String message = errorMessage(text);
     if (status == NOT_FOUND) {
