--- a/entry/src/main/java/org/gentianslip/entry/gateway/BackendClient.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/BackendClient.java
@@ -149,7 +149,8 @@
                 var config =
                     new HttpDecoderConfig()
                         .setMaxHeaderSize(MAX_HEADER_BYTES)
-                        .setHeadersFactory(new ResponseHeadersFactory());
+                        .setHeadersFactory(new ResponseHeadersFactory())
+                        .setTrailersFactory(new BoundedHeadersFactory());
                 var connection = new BackendConnection(BackendClient.this, address);
                 channel
                     .pipeline()
--- a/entry/src/main/java/org/gentianslip/entry/gateway/CallerConnection.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/CallerConnection.java
@@ -26,6 +26,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
+import org.gentianslip.core.limit.BufferShare;
 import org.gentianslip.core.route.CallerLimits;
 import org.gentianslip.entry.http.RequestFraming;
 
@@ -33,7 +34,8 @@
  * Reads the requests of one connection, one after the other.
  *
  * <p>A request is passed to the handler once it has been read completely. Pipelined requests wait
- * until the response has been written. Confined to the event loop of the connection.
+ * until the response has been written and the caller has read most of it. Confined to the event
+ * loop of the connection.
  */
 final class CallerConnection extends ChannelInboundHandlerAdapter {
 
@@ -42,27 +44,40 @@
   /** The number of pipelined messages to buffer before reading is paused. */
   private static final int MAX_PENDING = 64;
 
+  /** The bytes of pipelined messages to buffer before reading is paused. */
+  private static final int MAX_PENDING_BYTES = 65_536;
+
+  /** The time in which a request is received completely, in milliseconds. */
+  static final long REQUEST_TIMEOUT_MILLIS = 60_000;
+
   private final Supplier<CallerLimits> limits;
   private final BooleanSupplier leaving;
   private final UnansweredRequests unanswered;
+  private final CallerBuffers buffers;
+  private final BufferShare received;
   private final RequestHandler handler;
   private final Deque<HttpObject> pending = new ArrayDeque<>();
   private ChannelHandlerContext ctx;
+  private int pendingBytes;
   private HttpRequest head;
   private ByteBuf body;
   private NettyResponseWriter writer;
   private boolean closing;
   private boolean readingRequest;
   private long lastActiveNanos = System.nanoTime();
+  private long requestBegunNanos;
 
   CallerConnection(
       Supplier<CallerLimits> limits,
       BooleanSupplier leaving,
       UnansweredRequests unanswered,
+      CallerBuffers buffers,
       RequestHandler handler) {
     this.limits = limits;
     this.leaving = leaving;
     this.unanswered = unanswered;
+    this.buffers = buffers;
+    this.received = BufferShare.of(buffers.requests());
     this.handler = handler;
   }
 
@@ -78,14 +93,39 @@
       ReferenceCountUtil.release(message);
       return;
     }
-    if (writer != null) {
-      pending.addLast(object);
-      if (pending.size() > MAX_PENDING) {
-        ctx.channel().config().setAutoRead(false);
-      }
+    if (mayProcess() && pending.isEmpty()) {
+      process(object);
       return;
     }
-    process(object);
+    pending.addLast(object);
+    pendingBytes += contentBytes(object);
+    if (isPendingFull()) {
+      ctx.channel().config().setAutoRead(false);
+    }
+  }
+
+  /** Returns whether the response to the last request was written and most of it was read. */
+  private boolean mayProcess() {
+    return writer == null && ctx.channel().isWritable();
+  }
+
+  private boolean isPendingFull() {
+    return pending.size() > MAX_PENDING || pendingBytes > MAX_PENDING_BYTES;
+  }
+
+  private static int contentBytes(HttpObject object) {
+    return object instanceof HttpContent content ? content.content().readableBytes() : 0;
+  }
+
+  private void processPending() {
+    while (mayProcess() && !closing && !pending.isEmpty()) {
+      HttpObject next = pending.removeFirst();
+      pendingBytes -= contentBytes(next);
+      process(next);
+    }
+    if (!ctx.channel().config().isAutoRead() && !isPendingFull()) {
+      ctx.channel().config().setAutoRead(true);
+    }
   }
 
   private void process(HttpObject object) {
@@ -121,6 +161,7 @@
     }
     head = request;
     readingRequest = true;
+    requestBegunNanos = System.nanoTime();
     if (HttpUtil.is100ContinueExpected(request)) {
       ctx.writeAndFlush(
           new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE));
@@ -145,11 +186,16 @@
     }
     if (content.content().isReadable()) {
       body = body == null ? Unpooled.buffer(content.content().readableBytes()) : body;
-      body.writeBytes(content.content());
-      if (body.readableBytes() > limits.get().bodyBytes()) {
+      int size = body.readableBytes() + content.content().readableBytes();
+      if (size > limits.get().bodyBytes()) {
         reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
         return;
       }
+      if (!received.tryResize(size)) {
+        reject(HttpResponseStatus.SERVICE_UNAVAILABLE);
+        return;
+      }
+      body.writeBytes(content.content());
     }
     if (content instanceof LastHttpContent) {
       dispatch();
@@ -186,7 +232,9 @@
   private BufferedHttpRequest buildRequest() {
     final byte[] bytes = body == null ? new byte[0] : ByteBufUtil.getBytes(body);
     HttpRequest request = head;
-    writer = new NettyResponseWriter(ctx, request, leaving, unanswered, this::onResponseWritten);
+    writer =
+        new NettyResponseWriter(
+            ctx, request, leaving, unanswered, buffers.responses(), this::onResponseWritten);
     head = null;
     body = null;
     readingRequest = false;
@@ -196,21 +244,19 @@
 
   private void onResponseWritten(boolean keepAlive) {
     writer = null;
+    received.release();
     lastActiveNanos = System.nanoTime();
     if (!keepAlive) {
       closing = true;
       return;
     }
-    while (writer == null && !closing && !pending.isEmpty()) {
-      process(pending.removeFirst());
-    }
-    if (!ctx.channel().config().isAutoRead() && pending.size() <= MAX_PENDING) {
-      ctx.channel().config().setAutoRead(true);
-    }
+    processPending();
   }
 
   private void reject(HttpResponseStatus status) {
     closing = true;
+    body = null;
+    received.release();
     LOGGER.atWarning().atMostEvery(1, TimeUnit.SECONDS).log(
         "gateway: event=malformed status=%s peer=%s", status.code(), ctx.channel().remoteAddress());
     var response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status);
@@ -219,13 +265,19 @@
     ctx.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE);
   }
 
-  /** Closes the connection if it received nothing for too long, in or between requests. */
+  /**
+   * Closes the connection if it received nothing for too long, in or between requests, or has been
+   * receiving one request for too long.
+   */
   void closeIfTimedOut(long nowNanos) {
     if (writer != null || closing) {
       return;
     }
     long idleMillis = TimeUnit.NANOSECONDS.toMillis(nowNanos - lastActiveNanos);
-    if (readingRequest && idleMillis > limits.get().headerTimeoutMillis()) {
+    long requestMillis = TimeUnit.NANOSECONDS.toMillis(nowNanos - requestBegunNanos);
+    boolean slow =
+        idleMillis > limits.get().headerTimeoutMillis() || requestMillis > REQUEST_TIMEOUT_MILLIS;
+    if (readingRequest && slow) {
       reject(HttpResponseStatus.REQUEST_TIMEOUT);
     } else if (!readingRequest && idleMillis > limits.get().idleTimeoutMillis()) {
       ctx.close();
@@ -247,6 +299,8 @@
   public void channelWritabilityChanged(ChannelHandlerContext context) {
     if (writer != null) {
       writer.onWritabilityChanged();
+    } else {
+      processPending();
     }
     context.fireChannelWritabilityChanged();
   }
@@ -255,6 +309,8 @@
   public void channelInactive(ChannelHandlerContext context) {
     pending.forEach(ReferenceCountUtil::release);
     pending.clear();
+    body = null;
+    received.release();
     if (writer != null) {
       writer.onDisconnect();
     }
--- a/entry/src/main/java/org/gentianslip/entry/gateway/CallerServer.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/CallerServer.java
@@ -10,6 +10,7 @@
 import io.netty.channel.group.DefaultChannelGroup;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.util.concurrent.GlobalEventExecutor;
 import java.util.concurrent.TimeUnit;
@@ -36,6 +37,7 @@
   private final EventLoopGroup loops;
   private final Supplier<CallerLimits> limits;
   private final BooleanSupplier leaving;
+  private final CallerBuffers buffers;
   private final RequestHandler handler;
   private final UnansweredRequests unanswered = new UnansweredRequests();
   private final ChannelGroup connections =
@@ -47,16 +49,19 @@
    *
    * @param limits supplies the limits in force
    * @param leaving supplies whether connections are closed after their next response
+   * @param buffers bound the bytes of requests and responses
    * @param handler handles the requests
    */
   CallerServer(
       EventLoopGroup loops,
       Supplier<CallerLimits> limits,
       BooleanSupplier leaving,
+      CallerBuffers buffers,
       RequestHandler handler) {
     this.loops = loops;
     this.limits = limits;
     this.leaving = leaving;
+    this.buffers = buffers;
     this.handler = handler;
   }
 
@@ -74,11 +79,18 @@
                   @Override
                   protected void initChannel(SocketChannel channel) {
                     connections.add(channel);
+                    var config =
+                        new HttpDecoderConfig()
+                            .setMaxInitialLineLength(MAX_LINE_BYTES)
+                            .setMaxHeaderSize(MAX_HEADER_BYTES)
+                            .setMaxChunkSize(CHUNK_BYTES)
+                            .setHeadersFactory(new BoundedHeadersFactory())
+                            .setTrailersFactory(new BoundedHeadersFactory());
                     channel
                         .pipeline()
                         .addLast(
-                            new HttpServerCodec(MAX_LINE_BYTES, MAX_HEADER_BYTES, CHUNK_BYTES),
-                            new CallerConnection(limits, leaving, unanswered, handler));
+                            new HttpServerCodec(config),
+                            new CallerConnection(limits, leaving, unanswered, buffers, handler));
                   }
                 })
             .bind(host, port)
--- a/entry/src/main/java/org/gentianslip/entry/gateway/Exchange.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/Exchange.java
@@ -15,6 +15,7 @@
   private Channel channel;
   private String connectionUse = "none";
   private boolean written;
+  private boolean reading = true;
   private boolean ended;
 
   Exchange(OutgoingRequest request, ResponseListener listener) {
@@ -49,6 +50,7 @@
     channel = writtenTo;
     connectionUse = use;
     written = true;
+    setReading(reading);
   }
 
   /** Returns the connection and the number of the request on it, for logs. */
@@ -82,8 +84,9 @@
     return written;
   }
 
-  /** Pauses or resumes reading the response. */
-  void setReading(boolean reading) {
+  /** Pauses or resumes reading the response, also one that has not begun. */
+  void setReading(boolean newReading) {
+    reading = newReading;
     if (channel != null && !ended) {
       channel.config().setAutoRead(reading);
     }
--- a/entry/src/main/java/org/gentianslip/entry/gateway/GatewayServer.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/GatewayServer.java
@@ -66,12 +66,18 @@
         () -> state.confirmationAgeNanos(System.nanoTime()) / NANOS_PER_SECOND);
     this.onPause = onPause;
     this.callerServer =
-        new CallerServer(eventLoops, this::limits, state::leaving, gateway::handleCallerRequest);
+        new CallerServer(
+            eventLoops,
+            this::limits,
+            state::leaving,
+            gateway.buffers(),
+            gateway::handleCallerRequest);
     this.forwardServer =
         new CallerServer(
             eventLoops,
             () -> CallerLimits.DEFAULT,
             state::leaving,
+            gateway.buffers(),
             gateway::handleForwardedRequest);
   }
 
--- a/entry/src/main/java/org/gentianslip/entry/gateway/NettyResponseWriter.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/NettyResponseWriter.java
@@ -18,6 +18,8 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import java.util.function.BooleanSupplier;
+import org.gentianslip.core.limit.BufferQuota;
+import org.gentianslip.core.limit.BufferShare;
 
 /**
  * Writes the response to one request.
@@ -32,6 +34,7 @@
   private final boolean closeRequested;
   private final BooleanSupplier leaving;
   private final UnansweredRequests unanswered;
+  private final BufferShare unread;
   private final CompletionListener completionListener;
   private CallerListener listener;
   private boolean keepAlive;
@@ -53,12 +56,14 @@
       HttpRequest request,
       BooleanSupplier leaving,
       UnansweredRequests unanswered,
+      BufferQuota responseBuffers,
       CompletionListener completionListener) {
     this.ctx = ctx;
     this.headOnly = request.method().equals(HttpMethod.HEAD);
     this.closeRequested = !HttpUtil.isKeepAlive(request);
     this.leaving = leaving;
     this.unanswered = unanswered;
+    this.unread = BufferShare.of(responseBuffers);
     this.completionListener = completionListener;
     unanswered.add();
   }
@@ -95,6 +100,7 @@
       response.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.length);
     }
     decideKeepAlive(response);
+    unread.resize(response.content().readableBytes());
     writeLast(response);
   }
 
@@ -136,7 +142,11 @@
   private void writeLast(Object last) {
     ended = true;
     var written = ctx.writeAndFlush(last);
-    written.addListener(f -> unanswered.remove());
+    written.addListener(
+        f -> {
+          unanswered.remove();
+          unread.release();
+        });
     if (!keepAlive) {
       written.addListener(ChannelFutureListener.CLOSE);
     }
--- a/entry/src/main/java/org/gentianslip/entry/gateway/SingleLengthHeaders.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/SingleLengthHeaders.java
@@ -1,6 +1,5 @@
 package org.gentianslip.entry.gateway;
 
-import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 
@@ -10,7 +9,7 @@
  * <p>The decoder of the library takes the first one of several lengths in responses of HTTP/1.0, so
  * that a part of a body would be read as the whole. Not thread-safe.
  */
-final class SingleLengthHeaders extends DefaultHttpHeaders {
+final class SingleLengthHeaders extends BoundedHeaders {
 
   /**
    * Adds a received header.
