Write equals and hashCode of the ids explicitly

Cause: ids are keys of most maps. The methods that a record generates are linked at run time (java.lang.runtime.ObjectMethods) and run as chains of method handles, which are slow until they are compiled. The trace of linked call sites showed nine such sites at the first seconds of an instance, all but one of them of ids.

They are equal and hash as before: by the text.

Ruled out: explicit methods for all records; PeerRecord is the only other one that the trace shows, in one comparison for each message.

--- a/core/src/main/java/org/gentianslip/core/id/InstanceId.java
+++ b/core/src/main/java/org/gentianslip/core/id/InstanceId.java
@@ -30,6 +30,17 @@
     return value.compareTo(other.value);
   }
 
+  // Explicit, as the generated methods are linked at run time and slow until compiled.
+  @Override
+  public boolean equals(Object other) {
+    return other instanceof InstanceId id && value.equals(id.value);
+  }
+
+  @Override
+  public int hashCode() {
+    return value.hashCode();
+  }
+
   @Override
   public String toString() {
     return value;
--- a/core/src/main/java/org/gentianslip/core/id/KindId.java
+++ b/core/src/main/java/org/gentianslip/core/id/KindId.java
@@ -29,6 +29,17 @@
     return value.compareTo(other.value);
   }
 
+  // Explicit, as the generated methods are linked at run time and slow until compiled.
+  @Override
+  public boolean equals(Object other) {
+    return other instanceof KindId id && value.equals(id.value);
+  }
+
+  @Override
+  public int hashCode() {
+    return value.hashCode();
+  }
+
   @Override
   public String toString() {
     return value;
