Start the HTTP server library without its configuration files

Cause: a sampling of stacks of a start showed 19 of 256 samples in Environment.loadEnvironment, which reads all system properties, variables and configuration files for each of the four servers. Their options are set in code.

Change: an empty configuration for each server.

--- a/entry/src/main/java/org/gentianslip/entry/http/HttpServer.java
+++ b/entry/src/main/java/org/gentianslip/entry/http/HttpServer.java
@@ -1,6 +1,8 @@
 package org.gentianslip.entry.http;
 
+import com.typesafe.config.ConfigFactory;
 import io.jooby.Context;
+import io.jooby.Environment;
 import io.jooby.ExecutionMode;
 import io.jooby.Jooby;
 import io.jooby.Server;
@@ -59,6 +61,8 @@
     options.setDefaultHeaders(false);
     options.setServer("netty");
     var app = new Jooby();
+    // Reading the configuration of the library from all its sources takes time at each start.
+    app.setEnvironment(new Environment(HttpServer.class.getClassLoader(), ConfigFactory.empty()));
     // The working directory may be read-only. Nothing is written to the temporary directory either,
     // because bodies stay in memory.
     app.setTmpdir(Path.of(System.getProperty("java.io.tmpdir")));
