Find the pace of a backend server that returns from its answers

Cause: after its cold time a server had no limit, and each instance took it for the idle one at the same moment; estimates of others' load are up to 1.5 s old. Change: ServerPace limits the requests of all instances at such a server. The number doubles every 200 ms up to the slots, each instance scales its portion by its own answers, and overdue answers hold it back. The cold rate stays the ceiling. Ruled out: growth without regard to answers, which put 48 requests on 24 slots of a server that takes 2 s an answer.

--- a/core/src/main/java/org/gentianslip/core/load/BackendLoad.java
+++ b/core/src/main/java/org/gentianslip/core/load/BackendLoad.java
@@ -5,6 +5,8 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.DoubleToLongFunction;
 import java.util.function.IntSupplier;
+import java.util.function.IntUnaryOperator;
+import org.gentianslip.core.limit.ServerPace;
 import org.gentianslip.core.limit.StatedLimit;
 import org.gentianslip.core.route.EngineProfile;
 
@@ -57,7 +59,13 @@
   private final PromptCache cache;
   private final PeerLoads peers = new PeerLoads();
   private final Availability availability;
+  private final ServerPace pace;
   private int running;
+
+  /** The requests that this instance had at the backend server when its pace became limited. */
+  private int runningAtReturn;
+
+  private boolean pacing;
   private double urgentPrefillMillis;
   private double otherPrefillMillis;
   private double failureShare;
@@ -74,11 +82,12 @@
    * @param engine the properties of its model engine, or null for a plain service
    */
   public BackendLoad(int slots, EngineProfile engine) {
-    this(slots, engine, new Availability());
+    this(slots, engine, new Availability(), new ServerPace());
   }
 
-  private BackendLoad(int slots, EngineProfile engine, Availability availability) {
+  private BackendLoad(int slots, EngineProfile engine, Availability availability, ServerPace pace) {
     this.availability = availability;
+    this.pace = pace;
     this.slots = Math.max(1, slots);
     this.isEngine = engine != null;
     this.cache = new PromptCache(engine == null ? 0 : (long) (CACHE_SHARE * engine.cacheTokens()));
@@ -94,7 +103,7 @@
     if (isEngine == (engineNow != null)) {
       return this;
     }
-    return new BackendLoad(slots, engineNow, availability);
+    return new BackendLoad(slots, engineNow, availability, pace);
   }
 
   /** Counts a request that is about to be sent, and returns the reservation that tracks it. */
@@ -103,6 +112,7 @@
     double prefillMillis = estimate.prefillMillis();
     final boolean outdated = isOutdated(nowNanos);
     cache.record(size.prompt());
+    pace.recordSend(nowNanos, running, estimate.totalMillis());
     running++;
     if (urgent) {
       urgentPrefillMillis += prefillMillis;
@@ -135,6 +145,11 @@
     waitRatio += SMOOTHING_FACTOR * (ratio - waitRatio);
   }
 
+  /** Records the time to the first part of an answer, which tells the pace of a server. */
+  synchronized void recordFirstPart(long nowNanos, double expectedMillis, double actualMillis) {
+    pace.recordAnswer(nowNanos, slots, expectedMillis, actualMillis);
+  }
+
   synchronized void requestEnded() {
     running--;
   }
@@ -174,6 +189,7 @@
   }
 
   synchronized void recordFailure(long nowNanos) {
+    pace.recordSetback(nowNanos, slots);
     failureShare += 2 * SMOOTHING_FACTOR * (1 - failureShare);
   }
 
@@ -184,6 +200,7 @@
   }
 
   synchronized void recordFullRefusal(long nowNanos) {
+    pace.recordSetback(nowNanos, slots);
     availability.recordFullRefusal(nowNanos);
   }
 
@@ -192,6 +209,7 @@
    */
   public synchronized void markColdUntil(long untilNanos) {
     availability.markColdUntil(untilNanos);
+    pace.begin(untilNanos);
   }
 
   /**
@@ -275,6 +293,21 @@
     return interval != Long.MAX_VALUE && (neverSent || nowNanos - lastSentNanos >= interval);
   }
 
+  /**
+   * Returns whether a request would keep to the pace of a backend server that starts or recovers.
+   *
+   * @param portion returns this instance's portion of the requests of all instances together
+   */
+  public synchronized boolean isWithinPace(long nowNanos, IntUnaryOperator portion) {
+    boolean limited = pace.isLimited(nowNanos, slots);
+    if (limited && !pacing) {
+      runningAtReturn = running;
+    }
+    pacing = limited;
+    return !limited
+        || running < runningAtReturn + portion.applyAsInt(pace.total(nowNanos, slots, running));
+  }
+
   /** Returns what the backend server has said about the requests that it takes, if anything. */
   public synchronized Optional<StatedLimit> limit() {
     return Optional.ofNullable(limit);
--- a/core/src/main/java/org/gentianslip/core/load/Reservation.java
+++ b/core/src/main/java/org/gentianslip/core/load/Reservation.java
@@ -13,6 +13,7 @@
   private final double expectedMillis;
   private final boolean outdated;
   private double outstandingPrefillMillis;
+  private boolean answered;
   private boolean ended;
 
   Reservation(
@@ -34,13 +35,23 @@
     synchronized (load) {
       load.prefillEnded(urgent, outstandingPrefillMillis);
       outstandingPrefillMillis = 0;
-      load.updateWaitRatio(expectedMillis, (nowNanos - sentNanos) / 1e6);
+      double millis = (nowNanos - sentNanos) / 1e6;
+      load.updateWaitRatio(expectedMillis, millis);
+      load.recordFirstPart(nowNanos, expectedMillis, millis);
+      answered = true;
     }
   }
 
   /** Records a complete, successful answer. */
   public void succeeded(long nowNanos) {
-    end(() -> load.recordSuccess(outdated, (nowNanos - sentNanos) / 1e6));
+    double millis = (nowNanos - sentNanos) / 1e6;
+    end(
+        () -> {
+          load.recordSuccess(outdated, millis);
+          if (!answered) {
+            load.recordFirstPart(nowNanos, expectedMillis, millis);
+          }
+        });
   }
 
   /** Records an error answer from a backend server that is otherwise healthy. */
--- a/core/src/main/java/org/gentianslip/core/load/SendRates.java
+++ b/core/src/main/java/org/gentianslip/core/load/SendRates.java
@@ -22,6 +22,11 @@
         public long intervalNanos(EngineId backend, double perSecond) {
           return 0;
         }
+
+        @Override
+        public int portion(EngineId backend, int total) {
+          return total;
+        }
       };
 
   /** Returns the requests per second that may be sent to a backend server while it is cold. */
@@ -34,4 +39,10 @@
    * @param perSecond the requests per second that it takes from all instances together
    */
   long intervalNanos(EngineId backend, double perSecond);
+
+  /**
+   * Returns how many of a number of requests at a backend server this instance may have, so that
+   * the portions of all instances of the region add up to the number.
+   */
+  int portion(EngineId backend, int total);
 }
--- a/entry/src/main/java/org/gentianslip/entry/gateway/BackendRegistry.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/BackendRegistry.java
@@ -17,6 +17,7 @@
 import org.gentianslip.core.id.InstanceId;
 import org.gentianslip.core.id.ServiceId;
 import org.gentianslip.core.limit.ColdRate;
+import org.gentianslip.core.limit.EngineSubsetting;
 import org.gentianslip.core.limit.LimitShare;
 import org.gentianslip.core.load.BackendGroup;
 import org.gentianslip.core.load.BackendLoad;
@@ -175,6 +176,14 @@
         return LimitShare.intervalNanos(
             config.get().id(), liveInRegion(nowNanos), backend, perSecond);
       }
+
+      @Override
+      public int portion(EngineId backend, int total) {
+        List<InstanceId> instances = liveInRegion(nowNanos);
+        return EngineSubsetting.shareOf(config.get().id(), instances, backend, instances.size())
+            .map(s -> s.portionOfFree(total))
+            .orElse(0);
+      }
     };
   }
 
