Keep the size of an instance apart from its stated capacity

Cause: the capacity in the record of an instance is to follow its load, but it also orders the relays, so each overload would move the relay.

Change: PeerRecord.size orders the relays; it is absent in messages of earlier versions and then equals the capacity. A member whose capacity has changed reports to its relay in the same round. Ruled out: announcing it to the relays of all data centres, about 500 messages a second at 5 ms each if 84 instances are overloaded.

--- a/core/src/main/java/org/gentianslip/core/fleet/ContactPlanner.java
+++ b/core/src/main/java/org/gentianslip/core/fleet/ContactPlanner.java
@@ -81,6 +81,7 @@
   private InstanceId lastRelay;
   private long relayChangeRound;
   private long relaySinceNanos;
+  private int reportedCapacity;
 
   /**
    * Creates a planner for the owner of a view.
@@ -148,8 +149,13 @@
     return relayContacts(nowNanos, self, seeds, waits, live, members.size());
   }
 
-  /** Returns whether this member reports to its relay in this round. */
+  /**
+   * Returns whether this member reports to its relay in this round; it does at once if its capacity
+   * has changed, so that others soon send it more or less work.
+   */
   private boolean reports(PeerRecord self, List<PeerRecord> members, boolean busy) {
+    final boolean changed = self.capacity() != reportedCapacity;
+    reportedCapacity = self.capacity();
     InstanceId relayId = members.get(0).id();
     if (!relayId.equals(lastRelay)) {
       lastRelay = relayId;
@@ -157,7 +163,7 @@
     }
     boolean active = busy || wasBusy;
     wasBusy = busy;
-    if (round - relayChangeRound < INTRODUCTION_ROUNDS) {
+    if (changed || round - relayChangeRound < INTRODUCTION_ROUNDS) {
       return true;
     }
     int interval = turns(members.size()) * (active ? 1 : IDLE_ROUNDS);
--- a/core/src/main/java/org/gentianslip/core/fleet/PeerRecord.java
+++ b/core/src/main/java/org/gentianslip/core/fleet/PeerRecord.java
@@ -15,9 +15,10 @@
  * @param callerAddress the address for callers, as {@code IP:PORT}
  * @param controlAddress the address for messages of other instances
  * @param forwardAddress the address for forwarded requests
- * @param capacity its processor capacity relative to other instances, greater than 0
+ * @param capacity its present processor capacity, in hundredths of a core, greater than 0
  * @param ready whether it serves requests
  * @param leaving whether it is shutting down
+ * @param size its processor capacity without overload, in hundredths of a core, greater than 0
  */
 public record PeerRecord(
     InstanceId id,
@@ -30,7 +31,36 @@
     String forwardAddress,
     int capacity,
     boolean ready,
-    boolean leaving) {
+    boolean leaving,
+    int size) {
+
+  /** Creates the record of an instance that has its full capacity. */
+  public PeerRecord(
+      InstanceId id,
+      long incarnation,
+      long beat,
+      RegionId region,
+      DataCentreId dataCentre,
+      String callerAddress,
+      String controlAddress,
+      String forwardAddress,
+      int capacity,
+      boolean ready,
+      boolean leaving) {
+    this(
+        id,
+        incarnation,
+        beat,
+        region,
+        dataCentre,
+        callerAddress,
+        controlAddress,
+        forwardAddress,
+        capacity,
+        ready,
+        leaving,
+        capacity);
+  }
 
   /** Returns whether this record is newer than another record of the same instance. */
   public boolean isNewerThan(PeerRecord other) {
@@ -54,6 +84,7 @@
         forwardAddress,
         capacity,
         ready,
-        leaving);
+        leaving,
+        size);
   }
 }
--- a/core/src/main/java/org/gentianslip/core/fleet/RelayOrder.java
+++ b/core/src/main/java/org/gentianslip/core/fleet/RelayOrder.java
@@ -13,8 +13,9 @@
  * The order in which the instances of a data centre act as its relay.
  *
  * <p>Instances with equal views have equal orders, without any agreement. Instances that are ready
- * come before others, then those of larger capacity; the rest follows a hash, so that the relays of
- * different data centres are spread over the instances. Stateless and thread-safe.
+ * come before others, then larger ones, whatever their present load, so that load does not move the
+ * relay; the rest follows a hash, so that the relays of different data centres are spread over the
+ * instances. Stateless and thread-safe.
  */
 final class RelayOrder {
 
@@ -37,7 +38,7 @@
     members.sort(
         Comparator.comparing((PeerRecord p) -> suspected.test(p.id()))
             .thenComparing(p -> !p.ready())
-            .thenComparing(p -> -p.capacity())
+            .thenComparing(p -> -p.size())
             .thenComparing(p -> RendezvousHash.hash(dataCentre.value(), p.id().value())));
     return members;
   }
--- a/core/src/test/java/org/gentianslip/core/fleet/FleetExchangeTest.java
+++ b/core/src/test/java/org/gentianslip/core/fleet/FleetExchangeTest.java
@@ -64,6 +64,41 @@
     }
   }
 
+  @Nested
+  @DisplayName("when the capacity of an instance falls")
+  class WhenCapacityFalls {
+
+    private static final int PER_DATA_CENTRE = 14;
+
+    /** The time in which a member has reported a change, with the delay of the network. */
+    private static final long REPORT_MILLIS = ContactPlanner.ROUND_MILLIS + 10;
+
+    /** The time between two reports of a member that has no requests. */
+    private static final long IDLE_REPORT_MILLIS = 4 * ContactPlanner.ROUND_MILLIS + 10;
+
+    private final FleetSimulation fleet = started(SEED, PER_DATA_CENTRE);
+
+    @ParameterizedTest
+    @ValueSource(ints = {0, 1, 5, 13})
+    void tellsItsDataCentreWithinOnePeriodOfIdleMembersAndAllSoon(int index) {
+      Node node = fleet.nodes.get(index);
+      node.capacity = 4;
+      fleet.runMillis(REPORT_MILLIS + IDLE_REPORT_MILLIS);
+      long near = fleet.knowing(node, n -> n.dataCentre.equals(node.dataCentre));
+      assertThat(near, is(PER_DATA_CENTRE - 1L));
+      fleet.runMillis(4_000);
+      assertThat(fleet.knowing(node, n -> true), is(fleet.nodes.size() - 1L));
+    }
+
+    @Test
+    void keepsTheRelays() {
+      List<Node> relays = fleet.nodes.stream().filter(n -> n.planner.isRelay()).toList();
+      relays.forEach(n -> n.capacity = 1);
+      fleet.runMillis(5_000);
+      assertThat(fleet.nodes.stream().filter(n -> n.planner.isRelay()).toList(), is(relays));
+    }
+  }
+
   @Nested
   @DisplayName("when instances stop")
   class WhenInstancesStop {
--- a/core/src/test/java/org/gentianslip/core/fleet/FleetSimulation.java
+++ b/core/src/test/java/org/gentianslip/core/fleet/FleetSimulation.java
@@ -9,6 +9,7 @@
 import java.util.Random;
 import java.util.SplittableRandom;
 import java.util.function.BiPredicate;
+import java.util.function.Predicate;
 import org.gentianslip.core.id.DataCentreId;
 import org.gentianslip.core.id.InstanceId;
 import org.gentianslip.core.id.RegionId;
@@ -49,7 +50,8 @@
     final InstanceId id;
     final DataCentreId dataCentre;
     final RegionId region;
-    private final int capacity;
+    private final int size;
+    int capacity;
     private long incarnation;
     private long beat;
     private int process;
@@ -65,6 +67,7 @@
       this.id = InstanceId.of(id);
       this.dataCentre = DataCentreId.of(dataCentre);
       this.region = RegionId.of(region);
+      this.size = capacity;
       this.capacity = capacity;
       byAddress.put(id, this);
     }
@@ -96,7 +99,8 @@
           id.value(),
           capacity,
           true,
-          leaving);
+          leaving,
+          size);
     }
 
     private PeerRecord self() {
@@ -224,6 +228,17 @@
     return pairs == 0 ? 1 : (double) known / pairs;
   }
 
+  /** Returns how many of some running nodes know the present capacity of a node. */
+  long knowing(Node node, Predicate<Node> receivers) {
+    return nodes.stream()
+        .filter(n -> n != node && n.running && receivers.test(n))
+        .filter(
+            n ->
+                n.view.live(nowNanos).stream()
+                    .anyMatch(p -> p.id().equals(node.id) && p.capacity() == node.capacity))
+        .count();
+  }
+
   /** Returns the largest number of messages that one node sent or answered, and resets it. */
   long takeMostMessages() {
     long most = 0;
--- a/entry/src/main/java/org/gentianslip/entry/fleet/FleetMessage.java
+++ b/entry/src/main/java/org/gentianslip/entry/fleet/FleetMessage.java
@@ -114,7 +114,11 @@
     }
   }
 
-  /** The JSON form of a {@link PeerRecord}. */
+  /**
+   * The JSON form of a {@link PeerRecord}.
+   *
+   * @param size null in messages of earlier versions, which have no other capacity
+   */
   @JsonFormat(shape = JsonFormat.Shape.ARRAY)
   record Instance(
       String id,
@@ -127,7 +131,8 @@
       String forward,
       int capacity,
       boolean ready,
-      boolean leaving) {
+      boolean leaving,
+      Integer size) {
 
     static Instance of(PeerRecord peer) {
       return new Instance(
@@ -141,7 +146,8 @@
           peer.forwardAddress(),
           peer.capacity(),
           peer.ready(),
-          peer.leaving());
+          peer.leaving(),
+          peer.size());
     }
 
     PeerRecord toRecord() {
@@ -156,7 +162,8 @@
           forward,
           capacity,
           ready,
-          leaving);
+          leaving,
+          size == null ? capacity : size);
     }
   }
 
