Refuse, bound and pass on by the load of the own processor

Cause: requests wait in an overloaded instance, are sent after their deadline or after their caller has left, and other instances send it as much work as before.

A WriteCheck runs immediately before bytes are written: it sets the time left (less the one-way time for another region) and writes nothing if none is left or the caller has left; while the loop is delayed, the connection of the caller is read once more for that. A request without a written attempt ends as not run, also if the deadline passes during a connect (504 before). The own record, the directory and the choice of an instance of another region use the present capacity.

Not run: a load of real processes.

--- a/entry/src/main/java/org/gentianslip/entry/fleet/InstanceSelector.java
+++ b/entry/src/main/java/org/gentianslip/entry/fleet/InstanceSelector.java
@@ -60,7 +60,7 @@
     String ownAddress = config.host() + ":" + config.callerPort();
     if (state.ready()) {
       listOf(config.region(), region, allowed, local, inAllowedRegions, others)
-          .add(new Candidate(ownAddress, config.capacity()));
+          .add(new Candidate(ownAddress, state.presentCapacity()));
     }
     for (List<Candidate> candidates : List.of(local, inAllowedRegions, others)) {
       if (!candidates.isEmpty()) {
--- a/entry/src/main/java/org/gentianslip/entry/gateway/Attempt.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/Attempt.java
@@ -105,11 +105,30 @@
             execution.id(),
             execution.gateway().edgeHeaders().requestId(),
             fresh,
-            connectMillis);
+            connectMillis,
+            this::prepareWrite);
     exchange = execution.gateway().client(execution.writer().eventLoop()).send(outgoing, this);
     exchange.setReading(execution.writer().isWritable());
   }
 
+  /** Sets the time left in the headers; returns false if none is left or the caller has left. */
+  private boolean prepareWrite(long nowNanos, HttpHeaders requestHeaders) {
+    long leftMillis = execution.remainingMillis(nowNanos) - oneWayMillis();
+    if (leftMillis <= 0 || !execution.isCallerConnected(nowNanos)) {
+      return false;
+    }
+    setRemainingMillis(requestHeaders, leftMillis);
+    return true;
+  }
+
+  /** Returns the time that the request takes to its target, in milliseconds. */
+  abstract long oneWayMillis();
+
+  /** Sets the time left when the request reaches its target. */
+  void setRemainingMillis(HttpHeaders requestHeaders, long millis) {
+    requestHeaders.set(execution.gateway().edgeHeaders().deadlineMillis(), Long.toString(millis));
+  }
+
   /** Returns the number of complete events of the stream that were received. */
   int receivedEvents() {
     return splitter.events();
@@ -232,6 +251,16 @@
     execution.completeStream(execution.responseHeaders(headers));
   }
 
+  @Override
+  public void onNotWritten() {
+    if (ended) {
+      return;
+    }
+    end();
+    onCancelled();
+    execution.onAttemptNotWritten(this);
+  }
+
   @Override
   public void onFailure(boolean written, String cause) {
     if (ended) {
--- a/entry/src/main/java/org/gentianslip/entry/gateway/BackendAttempt.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/BackendAttempt.java
@@ -50,7 +50,7 @@
     sentNanos = nowNanos;
     reservation =
         decision.option().load().reserve(nowNanos, urgent, execution().size(), decision.estimate());
-    HttpHeaders headers = execution().requestHeaders(nowNanos);
+    HttpHeaders headers = execution().requestHeaders();
     execution()
         .gateway()
         .edgeHeaders()
@@ -63,6 +63,11 @@
     send(backend.address(), headers, fresh, timeoutMillis);
   }
 
+  @Override
+  long oneWayMillis() {
+    return 0;
+  }
+
   private Optional<Backend> promptSource() {
     return decision.estimate().copiedTokens() > 0
         ? decision.option().fetch().map(PromptFetch::source)
--- a/entry/src/main/java/org/gentianslip/entry/gateway/BackendClient.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/BackendClient.java
@@ -33,9 +33,9 @@
  * An HTTP client with a connection pool that sends each request to a backend server or another
  * instance at most once.
  *
- * <p>A request is written only after its connection is established, so a failure to connect proves
- * that no byte was written. Idle connections leave the pool as soon as the other side closes them.
- * Confined to one event loop.
+ * <p>A request is written only after its connection is established and its {@link WriteCheck} has
+ * passed, so a failure to connect proves that no byte was written. Idle connections leave the pool
+ * as soon as the other side closes them. Confined to one event loop.
  */
 final class BackendClient {
 
@@ -181,8 +181,13 @@
     write(connection, exchange);
   }
 
-  private static void write(BackendConnection connection, Exchange exchange) {
+  private void write(BackendConnection connection, Exchange exchange) {
     OutgoingRequest request = exchange.request();
+    if (!request.check().prepare(System.nanoTime(), request.headers())) {
+      release(connection);
+      exchange.endUnwritten();
+      return;
+    }
     connection.assign(exchange);
     exchange.markWritten(connection.channel(), connection.use());
     connection
--- a/entry/src/main/java/org/gentianslip/entry/gateway/Exchange.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/Exchange.java
@@ -72,6 +72,13 @@
     }
   }
 
+  /** Ends the exchange because its request may not be written any more, unless it has ended. */
+  void endUnwritten() {
+    if (markEnded()) {
+      listener.onNotWritten();
+    }
+  }
+
   /**
    * Cancels the exchange; its listener is not called any more.
    *
--- a/entry/src/main/java/org/gentianslip/entry/gateway/ForwardAttempt.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/ForwardAttempt.java
@@ -22,13 +22,23 @@
 
   @Override
   void start(long nowNanos, int connectMillis) {
-    HttpHeaders headers = execution().requestHeaders(nowNanos);
-    headers.set(Gateway.REMAINING_MILLIS, Long.toString(execution().remainingMillis(nowNanos)));
+    HttpHeaders headers = execution().requestHeaders();
     headers.set(Gateway.FORWARDED_BY, execution().gateway().state().config().id().value());
     ForwardHeaders.setExcluded(headers, execution().excludedBackends());
     send(peer.forwardAddress(), headers, false, connectMillis);
   }
 
+  @Override
+  long oneWayMillis() {
+    return ForwardTargets.ONE_WAY_MILLIS;
+  }
+
+  @Override
+  void setRemainingMillis(HttpHeaders requestHeaders, long millis) {
+    super.setRemainingMillis(requestHeaders, millis);
+    requestHeaders.set(Gateway.REMAINING_MILLIS, Long.toString(millis));
+  }
+
   @Override
   void recordFailure(long nowNanos, String cause) {
     execution().gateway().state().forwardTargets().pauseInstance(nowNanos, peer.id());
--- a/entry/src/main/java/org/gentianslip/entry/gateway/ForwardTargets.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/ForwardTargets.java
@@ -40,8 +40,11 @@
 
   private static final double NANOS_PER_MILLI = 1e6;
 
+  /** The assumed one-way time to another region, in milliseconds. */
+  static final long ONE_WAY_MILLIS = 56;
+
   /** The assumed round-trip time to another region, in milliseconds. */
-  private static final double DEFAULT_ROUND_TRIP_MILLIS = 112;
+  private static final double DEFAULT_ROUND_TRIP_MILLIS = 2 * ONE_WAY_MILLIS;
 
   private final FleetView fleet;
   private final RegionId ownRegion;
@@ -174,14 +177,23 @@
     return pausedUntil == null ? 0 : Math.max(0, pausedUntil - nowNanos);
   }
 
-  /** Returns a random available instance of a region. */
+  /** Returns an available instance of a region, drawn in proportion to the present capacities. */
   Optional<PeerRecord> selectInstance(long nowNanos, RegionId region) {
     List<PeerRecord> available =
         fleet.snapshot(nowNanos).serving(region).stream()
             .filter(p -> pauseNanos(nowNanos, p) == 0)
             .toList();
-    return available.isEmpty()
-        ? Optional.empty()
-        : Optional.of(available.get(ThreadLocalRandom.current().nextInt(available.size())));
+    long total = available.stream().mapToLong(PeerRecord::capacity).sum();
+    if (total <= 0) {
+      return available.stream().findFirst();
+    }
+    long drawn = ThreadLocalRandom.current().nextLong(total);
+    for (PeerRecord peer : available) {
+      drawn -= peer.capacity();
+      if (drawn < 0) {
+        return Optional.of(peer);
+      }
+    }
+    return Optional.empty();
   }
 }
--- a/entry/src/main/java/org/gentianslip/entry/gateway/GatewayMetrics.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/GatewayMetrics.java
@@ -71,6 +71,18 @@
         ageSeconds);
   }
 
+  /** Registers the gauges of the processor, whose values are read at each scrape. */
+  void registerProcessorGauges(DoubleSupplier delaySeconds, DoubleSupplier capacityCores) {
+    gauge(
+        "gentian_gateway_loop_delay_seconds",
+        "The longest recent wait of a request in an event loop.",
+        delaySeconds);
+    gauge(
+        "gentian_gateway_stated_capacity_cores",
+        "The processor capacity stated to other instances.",
+        capacityCores);
+  }
+
   private void gauge(String name, String help, DoubleSupplier value) {
     GaugeWithCallback.builder()
         .name(name)
--- a/entry/src/main/java/org/gentianslip/entry/gateway/GatewayServer.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/GatewayServer.java
@@ -36,6 +36,8 @@
 
   private static final double NANOS_PER_SECOND = 1e9;
 
+  private static final double HUNDREDTHS_PER_CORE = 100;
+
   private final GatewayState state;
   private final GatewayMetrics metrics = new GatewayMetrics();
   private final DecisionLog decisions = new DecisionLog();
@@ -64,6 +66,9 @@
         gateway::inFlight,
         gateway::version,
         () -> state.confirmationAgeNanos(System.nanoTime()) / NANOS_PER_SECOND);
+    metrics.registerProcessorGauges(
+        () -> state.processor().delayNanos(System.nanoTime()) / NANOS_PER_SECOND,
+        () -> state.presentCapacity() / HUNDREDTHS_PER_CORE);
     this.onPause = onPause;
     this.callerServer =
         new CallerServer(
@@ -107,6 +112,7 @@
         gateway.closeIdle();
         onPause.run();
       }
+      state.processor().updateCapacity(now);
       gateway.closeExpired();
       state.quarantine().update(now).forEach(GatewayServer::log);
     } catch (RuntimeException e) {
--- a/entry/src/main/java/org/gentianslip/entry/gateway/GatewayState.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/GatewayState.java
@@ -51,6 +51,7 @@
   private final PromptLocator prompts;
   private final ForwardTargets forwardTargets;
   private final PromptQuarantine quarantine;
+  private final ProcessorGuard processor;
   private volatile Optional<ShutdownPlan> shutdownPlan = Optional.empty();
   private volatile boolean refusing;
   private volatile long confirmedNanos = System.nanoTime();
@@ -62,6 +63,7 @@
    */
   public GatewayState(GatewayConfig config, long startedMillis) {
     this.config = new AtomicReference<>(config);
+    this.processor = new ProcessorGuard(config.capacity());
     this.fleet = new FleetView(record(config, startedMillis));
     this.backends = new BackendRegistry(this::config, fleet, System.nanoTime());
     this.prompts = new PromptLocator(this::config);
@@ -99,9 +101,20 @@
         c.host() + ":" + c.callerPort(),
         c.controlAddress(),
         c.host() + ":" + c.forwardPort(),
-        c.capacity(),
+        processor.capacity(),
         ready(),
-        leaving());
+        leaving(),
+        c.capacity());
+  }
+
+  /** Returns the guard of this instance's processor. */
+  ProcessorGuard processor() {
+    return processor;
+  }
+
+  /** Returns the present processor capacity of this instance, in hundredths of a core. */
+  public int presentCapacity() {
+    return processor.capacity();
   }
 
   /** Returns the published state. */
--- a/entry/src/main/java/org/gentianslip/entry/gateway/HeaderFilter.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/HeaderFilter.java
@@ -26,16 +26,13 @@
   }
 
   /**
-   * Returns the headers of a request to pass on to a backend server or another instance.
+   * Returns the headers of a request to pass on to a backend server or another instance, without
+   * the time left, which is set when they are written.
    *
-   * @param remainingMillis the time left for the request, in milliseconds
    * @param lastEventId the id of the event after which a stream continues, if one was passed on
    */
   static HttpHeaders forUpstream(
-      EdgeHeaders edgeHeaders,
-      BufferedHttpRequest request,
-      long remainingMillis,
-      Optional<String> lastEventId) {
+      EdgeHeaders edgeHeaders, BufferedHttpRequest request, Optional<String> lastEventId) {
     var copy = new DefaultHttpHeaders(false);
     Set<String> connectionTokens = HopByHopHeaders.connectionTokens(request.headers());
     for (var header : request.headers()) {
@@ -49,7 +46,6 @@
         copy.add(header.getKey(), header.getValue());
       }
     }
-    copy.set(edgeHeaders.deadlineMillis(), Long.toString(remainingMillis));
     lastEventId.ifPresent(id -> copy.set(edgeHeaders.lastEventId(), id));
     if (request.body().length > 0 || request.headers().contains(HttpHeaderNames.CONTENT_LENGTH)) {
       copy.set(HttpHeaderNames.CONTENT_LENGTH, request.body().length);
--- a/entry/src/main/java/org/gentianslip/entry/gateway/NettyResponseWriter.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/NettyResponseWriter.java
@@ -1,9 +1,11 @@
 package org.gentianslip.entry.gateway;
 
 import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.EventLoop;
+import io.netty.channel.nio.AbstractNioChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultHttpResponse;
@@ -83,6 +85,19 @@
     return ctx.channel().isWritable();
   }
 
+  @Override
+  public boolean checkConnected() {
+    Channel channel = ctx.channel();
+    // During the shutdown requests are handled inside a read, which must not be nested.
+    if (channel.isActive()
+        && channel.config().isAutoRead()
+        && !leaving.getAsBoolean()
+        && channel.unsafe() instanceof AbstractNioChannel.NioUnsafe unsafe) {
+      unsafe.read();
+    }
+    return channel.isActive();
+  }
+
   @Override
   public void writeResponse(int status, HttpHeaders headers, byte[] body) {
     if (ended) {
--- a/entry/src/main/java/org/gentianslip/entry/gateway/OutgoingRequest.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/OutgoingRequest.java
@@ -15,6 +15,7 @@
  * @param idHeader the name of the response header with the request id
  * @param fresh whether the request requires a new connection
  * @param connectMillis the connect timeout, in milliseconds
+ * @param check decides immediately before the write whether the request is still sent
  */
 @SuppressWarnings("ArrayRecordComponent")
 record OutgoingRequest(
@@ -26,4 +27,5 @@
     String id,
     String idHeader,
     boolean fresh,
-    int connectMillis) {}
+    int connectMillis,
+    WriteCheck check) {}
--- a/entry/src/main/java/org/gentianslip/entry/gateway/RequestExecution.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/RequestExecution.java
@@ -130,6 +130,14 @@
     return TimeUnit.NANOSECONDS.toMillis(deadlineNanos - nowNanos);
   }
 
+  /**
+   * Returns whether the caller is still connected. While the event loop is delayed, its connection
+   * is read once more, as the end of it may not have been noticed yet.
+   */
+  boolean isCallerConnected(long nowNanos) {
+    return !gateway.state().processor().isDelayed(nowNanos) || writer.checkConnected();
+  }
+
   private void startNextAttempt() {
     if (ended) {
       return;
@@ -268,6 +276,20 @@
     startNextAttempt();
   }
 
+  /** Called when an attempt was not written, as no time is left or the caller has left. */
+  void onAttemptNotWritten(Attempt attempt) {
+    if (!isCurrent(attempt)) {
+      return;
+    }
+    long now = System.nanoTime();
+    requestLog.recordEvent(now, "not written");
+    if (!isCallerConnected(now)) {
+      onDisconnect();
+      return;
+    }
+    refuseOrAbort("no-time", AttemptPlanner.DEFAULT_RETRY_MILLIS);
+  }
+
   private void recordPossibleRun(Attempt attempt) {
     planner.recordPossibleRun(attempt.target());
     attempt.exclude(System.nanoTime(), planner);
@@ -373,12 +395,12 @@
     if (ended) {
       return;
     }
+    boolean written = current != null && current.mayHaveBeenWritten();
     cancelCurrent();
-    boolean notAttempted = !mayHaveRun && !planner.hasAttempted();
     if (!finish("timeout")) {
       return;
     }
-    if (notAttempted) {
+    if (!mayHaveRun && !written) {
       long retryAfterMillis = AttemptPlanner.DEFAULT_RETRY_MILLIS;
       response.writeResponse(503, gateway.notRunHeaders(id, retryAfterMillis), new byte[0]);
     } else {
@@ -460,8 +482,7 @@
   }
 
   /** Returns the request headers to pass on to a backend server or another instance. */
-  HttpHeaders requestHeaders(long nowNanos) {
-    return HeaderFilter.forUpstream(
-        gateway.edgeHeaders(), request, remainingMillis(nowNanos), response.lastEventId());
+  HttpHeaders requestHeaders() {
+    return HeaderFilter.forUpstream(gateway.edgeHeaders(), request, response.lastEventId());
   }
 }
--- a/entry/src/main/java/org/gentianslip/entry/gateway/ResponseListener.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/ResponseListener.java
@@ -21,4 +21,10 @@
    * @param cause the cause, for logs
    */
   void onFailure(boolean written, String cause);
+
+  /**
+   * Called when the request was not written because its {@link WriteCheck} did not allow it. No
+   * other call follows.
+   */
+  void onNotWritten();
 }
--- a/entry/src/main/java/org/gentianslip/entry/gateway/ResponseWriter.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/ResponseWriter.java
@@ -32,6 +32,12 @@
   /** Returns whether the write buffer of the connection has room. */
   boolean isWritable();
 
+  /**
+   * Returns whether the caller is connected, after reading what has arrived from it. A disconnect
+   * that is found is also passed to the listener, later.
+   */
+  boolean checkConnected();
+
   /** Sets the listener for connection events, replacing any previous one. */
   void setListener(CallerListener listener);
 }
--- a/entry/src/test/java/org/gentianslip/entry/gateway/CallerServerTest.java
+++ b/entry/src/test/java/org/gentianslip/entry/gateway/CallerServerTest.java
@@ -2,6 +2,7 @@
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.contains;
+import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.startsWith;
 
 import io.netty.channel.nio.NioEventLoopGroup;
@@ -13,9 +14,11 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.atomic.AtomicBoolean;
+import org.awaitility.Awaitility;
 import org.gentianslip.core.route.CallerLimits;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -34,13 +37,30 @@
   private final CallerServer server =
       new CallerServer(
           loops, () -> CallerLimits.DEFAULT, leaving::get, CallerBuffers.create(), this::handle);
+  private final CountDownLatch handling = new CountDownLatch(1);
+  private final CountDownLatch proceed = new CountDownLatch(1);
+  private final CompletableFuture<Boolean> connected = new CompletableFuture<>();
   private int port;
 
   private void handle(BufferedHttpRequest request, ResponseWriter writer) {
     handled.add(request.path());
+    if (request.path().equals("/check")) {
+      checkConnected(writer);
+    }
     writer.writeResponse(200, EmptyHttpHeaders.INSTANCE, new byte[0]);
   }
 
+  /** Keeps the event loop busy until the test goes on, then asks for the state of the caller. */
+  private void checkConnected(ResponseWriter writer) {
+    try {
+      handling.countDown();
+      proceed.await();
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+    connected.complete(writer.checkConnected());
+  }
+
   @BeforeEach
   void listen() throws Exception {
     try (var free = new ServerSocket(0)) {
@@ -76,6 +96,29 @@
     }
   }
 
+  @Test
+  void noticesThatTheCallerHasLeftWhileTheEventLoopIsBusy() throws Exception {
+    try (var caller = new Socket(HOST, port)) {
+      write(caller, "/check");
+      handling.await();
+    }
+    proceed.countDown();
+    assertThat(connected.get(), is(false));
+  }
+
+  @Test
+  void keepsPipelinedRequestsWhenItLooksForTheEndOfTheConnection() throws Exception {
+    try (var caller = new Socket(HOST, port)) {
+      write(caller, "/check");
+      handling.await();
+      write(caller, "/next");
+      proceed.countDown();
+      assertThat(connected.get(), is(true));
+      assertThat(readStatus(caller), startsWith("HTTP/1.1 200"));
+      Awaitility.await().until(() -> handled.size() == 2);
+    }
+  }
+
   @Test
   void doesNotHandleRequestsOfCallersThatHaveLeftWhileItWasBusy() throws Exception {
     abandonRequestWhileBusy(false);
--- /dev/null
+++ b/entry/src/test/java/org/gentianslip/entry/gateway/PlainHeaders.java
@@ -0,0 +1,81 @@
+package org.gentianslip.entry.gateway;
+
+import io.netty.handler.codec.http.HttpHeaders;
+import java.util.Optional;
+import java.util.OptionalDouble;
+import java.util.OptionalLong;
+import org.gentianslip.core.load.RequestSize;
+import org.gentianslip.core.published.Backend;
+
+/** Header conventions with names only. */
+final class PlainHeaders implements EdgeHeaders {
+
+  @Override
+  public String requestId() {
+    return "Request-Id";
+  }
+
+  @Override
+  public String deadlineMillis() {
+    return "Deadline";
+  }
+
+  @Override
+  public String lastEventId() {
+    return "Last-Event";
+  }
+
+  @Override
+  public boolean isReserved(String name) {
+    return false;
+  }
+
+  @Override
+  public boolean isKept(String name) {
+    return false;
+  }
+
+  @Override
+  public RequestSize sizeOf(HttpHeaders headers, long bodyBytes) {
+    return RequestSize.UNKNOWN;
+  }
+
+  @Override
+  public void addForBackend(
+      HttpHeaders headers, Backend backend, int rank, Optional<Backend> source) {}
+
+  @Override
+  public boolean isNotRun(int status, HttpHeaders headers) {
+    return false;
+  }
+
+  @Override
+  public boolean isSigned(HttpHeaders headers) {
+    return true;
+  }
+
+  @Override
+  public boolean isOtherBackend(int status, HttpHeaders headers) {
+    return false;
+  }
+
+  @Override
+  public OptionalDouble requestsPerSecond(HttpHeaders headers) {
+    return OptionalDouble.empty();
+  }
+
+  @Override
+  public boolean isLeaving(HttpHeaders headers) {
+    return false;
+  }
+
+  @Override
+  public OptionalLong pauseMillis(int status, HttpHeaders headers) {
+    return OptionalLong.empty();
+  }
+
+  @Override
+  public Optional<Long> coldMillis(HttpHeaders headers) {
+    return Optional.empty();
+  }
+}
--- a/entry/src/test/java/org/gentianslip/entry/gateway/ReceivedAnswer.java
+++ b/entry/src/test/java/org/gentianslip/entry/gateway/ReceivedAnswer.java
@@ -12,6 +12,9 @@
   /** What is read for an exchange that ended without a complete answer. */
   static final String FAILURE = "failure";
 
+  /** What {@link #await} returns if the request was not written. */
+  static final String NOT_WRITTEN = "not written";
+
   /** The time after which a test gives up, as the exchange would never end. */
   private static final long GIVE_UP_SECONDS = 10;
 
@@ -49,6 +52,11 @@
     end(FAILURE);
   }
 
+  @Override
+  public void onNotWritten() {
+    end(NOT_WRITTEN);
+  }
+
   private void end(String text) {
     if (!result.complete(text)) {
       result.obtrudeException(new AssertionError("the exchange ended twice"));
