--- a/entry/src/test/java/org/gentianslip/entry/gateway/PlainHeaders.java
+++ b/entry/src/test/java/org/gentianslip/entry/gateway/PlainHeaders.java
@@ -7,8 +7,13 @@
 import org.gentianslip.core.load.RequestSize;
 import org.gentianslip.core.published.Backend;
 
-/** Header conventions with names only. */
-final class PlainHeaders implements EdgeHeaders {
+/**
+ * Header conventions with names only.
+ *
+ * @param beginning runs on the event loop for each request that is begun
+ * @param sending runs on the event loop for each request that is sent to a backend server
+ */
+record PlainHeaders(Runnable beginning, Runnable sending) implements EdgeHeaders {
 
   @Override
   public String requestId() {
@@ -37,12 +42,15 @@
 
   @Override
   public RequestSize sizeOf(HttpHeaders headers, long bodyBytes) {
+    beginning.run();
     return RequestSize.UNKNOWN;
   }
 
   @Override
   public void addForBackend(
-      HttpHeaders headers, Backend backend, int rank, Optional<Backend> source) {}
+      HttpHeaders headers, Backend backend, int rank, Optional<Backend> source) {
+    sending.run();
+  }
 
   @Override
   public boolean isNotRun(int status, HttpHeaders headers) {
