--- /dev/null
+++ b/entry/src/test/java/org/gentianslip/entry/gateway/PlainHeaders.java
@@ -0,0 +1,89 @@
+package org.gentianslip.entry.gateway;
+
+import io.netty.handler.codec.http.HttpHeaders;
+import java.util.Optional;
+import java.util.OptionalDouble;
+import java.util.OptionalLong;
+import org.gentianslip.core.load.RequestSize;
+import org.gentianslip.core.published.Backend;
+
+/**
+ * Header conventions with names only.
+ *
+ * @param beginning runs on the event loop for each request that is begun
+ * @param sending runs on the event loop for each request that is sent to a backend server
+ */
+record PlainHeaders(Runnable beginning, Runnable sending) implements EdgeHeaders {
+
+  @Override
+  public String requestId() {
+    return "Request-Id";
+  }
+
+  @Override
+  public String deadlineMillis() {
+    return "Deadline";
+  }
+
+  @Override
+  public String lastEventId() {
+    return "Last-Event";
+  }
+
+  @Override
+  public boolean isReserved(String name) {
+    return false;
+  }
+
+  @Override
+  public boolean isKept(String name) {
+    return false;
+  }
+
+  @Override
+  public RequestSize sizeOf(HttpHeaders headers, long bodyBytes) {
+    beginning.run();
+    return RequestSize.UNKNOWN;
+  }
+
+  @Override
+  public void addForBackend(
+      HttpHeaders headers, Backend backend, int rank, Optional<Backend> source) {
+    sending.run();
+  }
+
+  @Override
+  public boolean isNotRun(int status, HttpHeaders headers) {
+    return false;
+  }
+
+  @Override
+  public boolean isSigned(HttpHeaders headers) {
+    return true;
+  }
+
+  @Override
+  public boolean isOtherBackend(int status, HttpHeaders headers) {
+    return false;
+  }
+
+  @Override
+  public OptionalDouble requestsPerSecond(HttpHeaders headers) {
+    return OptionalDouble.empty();
+  }
+
+  @Override
+  public boolean isLeaving(HttpHeaders headers) {
+    return false;
+  }
+
+  @Override
+  public OptionalLong pauseMillis(int status, HttpHeaders headers) {
+    return OptionalLong.empty();
+  }
+
+  @Override
+  public Optional<Long> coldMillis(HttpHeaders headers) {
+    return Optional.empty();
+  }
+}
