Split admission out of the gateway's request handling

Cause: customers, quotas and overload each add a check before a request is executed, and all of them would have gone into Gateway.handle.

Change: RequestAdmission holds the checks and returns a sealed AdmissionResult: admitted, refused (not run, may be sent again) or rejected. Gateway writes the answers, log lines and metrics for it. A request without an id now also leaves a log line (outcome=no-id); answers are unchanged.

--- a/entry/src/main/java/org/gentianslip/entry/gateway/Gateway.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/Gateway.java
@@ -4,9 +4,7 @@
 import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaders;
-import java.util.Locale;
 import java.util.Map;
-import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
@@ -51,24 +49,17 @@
   /** The statuses that guarantee to callers that a request did not run. */
   private static final Set<Integer> NOT_RUN_STATUSES = Set.of(408, 421, 429, 503);
 
-  /** The retry delay sent while this instance cannot serve a request yet, in milliseconds. */
-  private static final long NOT_READY_RETRY_MILLIS = 300;
-
   /** The reason for refusing or ending a request because this instance is leaving. */
   static final String LEAVING = "leaving";
 
   /** The retry delay sent during shutdown, in milliseconds; short, as other instances can serve. */
   static final long LEAVING_RETRY_MILLIS = 20;
 
-  /**
-   * The age of the published state from which an unknown path is refused, not answered with 404.
-   */
-  private static final long STALE_ROUTES_NANOS = TimeUnit.SECONDS.toNanos(8);
-
   private static final double MILLIS_PER_SECOND = 1_000.0;
 
   private final GatewayState state;
   private final EdgeHeaders edgeHeaders;
+  private final RequestAdmission admission;
   private final GatewayMetrics metrics;
   private final DecisionLog decisions;
   private final CallerBuffers buffers = CallerBuffers.create();
@@ -79,6 +70,7 @@
       GatewayState state, EdgeHeaders edgeHeaders, GatewayMetrics metrics, DecisionLog decisions) {
     this.state = state;
     this.edgeHeaders = edgeHeaders;
+    this.admission = new RequestAdmission(state, edgeHeaders);
     this.metrics = metrics;
     this.decisions = decisions;
   }
@@ -160,55 +152,48 @@
   }
 
   private void handle(BufferedHttpRequest request, ResponseWriter writer, boolean forwarded) {
-    String id = request.headers().get(edgeHeaders.requestId(), "");
-    Optional<RouteTable> table = state.published().routes();
-    if (table.isEmpty() || state.refusing()) {
-      String reason = table.isEmpty() ? "no-configuration" : LEAVING;
-      refuse(id, writer, reason, table.isEmpty() ? NOT_READY_RETRY_MILLIS : LEAVING_RETRY_MILLIS);
-      return;
-    }
-    Optional<Route> route =
-        table.get().find(request.host().toLowerCase(Locale.ROOT), request.path());
-    if (route.isEmpty()) {
-      respondUnknownRoute(id, request, writer, forwarded);
-      return;
+    AdmissionResult result = admission.admit(request, forwarded);
+    if (result instanceof AdmissionResult.Admitted admitted) {
+      execute(request, writer, forwarded, admitted.route());
+    } else if (result instanceof AdmissionResult.Refused refused) {
+      refuse(request, writer, refused);
+    } else if (result instanceof AdmissionResult.Rejected rejected) {
+      reject(request, writer, rejected);
     }
-    if (id.isEmpty()) {
-      metrics.countRequest("none", "400");
-      writer.writeResponse(400, failureHeaders(id), new byte[0]);
-      return;
-    }
-    if (forwarded && !route.get().allows(state.config().region())) {
-      refuse(id, writer, "region-not-allowed", NOT_READY_RETRY_MILLIS);
-      return;
-    }
-    long limitMillis = timeLimitMillis(request, route.get(), forwarded);
-    var execution =
-        new RequestExecution(this, request, writer, route.get(), forwarded, limitMillis);
+  }
+
+  private void execute(
+      BufferedHttpRequest request, ResponseWriter writer, boolean forwarded, Route route) {
+    long limitMillis = timeLimitMillis(request, route, forwarded);
+    var execution = new RequestExecution(this, request, writer, route, forwarded, limitMillis);
     inFlight.add(execution);
     execution.start();
   }
 
-  private void respondUnknownRoute(
-      String id, BufferedHttpRequest request, ResponseWriter writer, boolean forwarded) {
-    boolean stale = state.confirmationAgeNanos(System.nanoTime()) > STALE_ROUTES_NANOS;
-    if (forwarded || stale) {
-      refuse(id, writer, "route-not-known", NOT_READY_RETRY_MILLIS);
-      return;
-    }
-    metrics.countRequest("none", "404");
+  private void refuse(
+      BufferedHttpRequest request, ResponseWriter writer, AdmissionResult.Refused refused) {
+    String id = idOf(request);
+    metrics.countRequest("none", "refused");
+    metrics.countRefusal("none", refused.reason());
     LOGGER.atInfo().log(
-        "gateway: event=request id=%s host=%s path=%s version=%s outcome=unknown-path",
-        id, request.host(), request.path(), version());
-    writer.writeResponse(404, failureHeaders(id), new byte[0]);
+        "gateway: event=request id=%s version=%s outcome=refused reason=%s",
+        id, version(), refused.reason());
+    HttpHeaders headers = notRunHeaders(id, refused.retryAfterMillis());
+    writer.writeResponse(refused.status(), headers, new byte[0]);
   }
 
-  private void refuse(String id, ResponseWriter writer, String reason, long retryAfterMillis) {
-    metrics.countRequest("none", "refused");
-    metrics.countRefusal("none", reason);
+  private void reject(
+      BufferedHttpRequest request, ResponseWriter writer, AdmissionResult.Rejected rejected) {
+    String id = idOf(request);
+    metrics.countRequest("none", Integer.toString(rejected.status()));
     LOGGER.atInfo().log(
-        "gateway: event=request id=%s version=%s outcome=refused reason=%s", id, version(), reason);
-    writer.writeResponse(503, notRunHeaders(id, retryAfterMillis), new byte[0]);
+        "gateway: event=request id=%s host=%s path=%s version=%s outcome=%s",
+        id, request.host(), request.path(), version(), rejected.outcome());
+    writer.writeResponse(rejected.status(), failureHeaders(id), new byte[0]);
+  }
+
+  private String idOf(BufferedHttpRequest request) {
+    return request.headers().get(edgeHeaders.requestId(), "");
   }
 
   private long timeLimitMillis(BufferedHttpRequest request, Route route, boolean forwarded) {
