--- /dev/null
+++ b/core/src/main/java/org/gentianslip/core/customer/package-info.java
@@ -0,0 +1,2 @@
+/** Customers: which key belongs to whom, and what a customer may use. */
+package org.gentianslip.core.customer;
--- a/core/src/main/java/org/gentianslip/core/fleet/Contact.java
+++ b/core/src/main/java/org/gentianslip/core/fleet/Contact.java
@@ -12,7 +12,8 @@
  */
 public record Contact(Optional<InstanceId> id, String controlAddress, LoadScope scope) {
 
-  static Contact of(PeerRecord peer, LoadScope scope) {
+  /** Returns an instance to which a load is reported. */
+  public static Contact of(PeerRecord peer, LoadScope scope) {
     return new Contact(Optional.of(peer.id()), peer.controlAddress(), scope);
   }
 
--- a/core/src/main/java/org/gentianslip/core/route/Route.java
+++ b/core/src/main/java/org/gentianslip/core/route/Route.java
@@ -1,7 +1,10 @@
 package org.gentianslip.core.route;
 
+import java.util.HashSet;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
+import org.gentianslip.core.customer.Customer;
 import org.gentianslip.core.id.RegionId;
 import org.gentianslip.core.id.ServiceId;
 
@@ -20,6 +23,7 @@
  * @param rank the rank; 0 is the most urgent one
  * @param services the services that serve the route, at least one
  * @param allowedRegions the regions that may serve requests; empty if all regions may
+ * @param isPublic whether requests need no key of a customer
  */
 public record Route(
     String name,
@@ -32,7 +36,36 @@
     int maxBackends,
     int rank,
     List<WeightedService> services,
-    Set<RegionId> allowedRegions) {
+    Set<RegionId> allowedRegions,
+    boolean isPublic) {
+
+  /** Creates a route that is not public. */
+  public Route(
+      String name,
+      String host,
+      String prefix,
+      Repeatability repeatability,
+      boolean streaming,
+      long timeoutMillis,
+      long objectiveMillis,
+      int maxBackends,
+      int rank,
+      List<WeightedService> services,
+      Set<RegionId> allowedRegions) {
+    this(
+        name,
+        host,
+        prefix,
+        repeatability,
+        streaming,
+        timeoutMillis,
+        objectiveMillis,
+        maxBackends,
+        rank,
+        services,
+        allowedRegions,
+        false);
+  }
 
   /**
    * Validates the components and copies the collections.
@@ -58,6 +91,41 @@
     return allowedRegions.isEmpty() || allowedRegions.contains(region);
   }
 
+  /**
+   * Returns this route with a customer's rank and within its regions, or an empty value if no
+   * region is left.
+   */
+  public Optional<Route> forCustomer(Customer customer) {
+    Set<RegionId> regions = allowedRegions;
+    if (regions.isEmpty()) {
+      regions = customer.allowedRegions();
+    } else if (!customer.allowedRegions().isEmpty()) {
+      regions = new HashSet<>(regions);
+      regions.retainAll(customer.allowedRegions());
+      if (regions.isEmpty()) {
+        return Optional.empty();
+      }
+    }
+    int effectiveRank = customer.rank().orElse(rank);
+    if (effectiveRank == rank && regions.equals(allowedRegions)) {
+      return Optional.of(this);
+    }
+    return Optional.of(
+        new Route(
+            name,
+            host,
+            prefix,
+            repeatability,
+            streaming,
+            timeoutMillis,
+            objectiveMillis,
+            maxBackends,
+            effectiveRank,
+            services,
+            regions,
+            isPublic));
+  }
+
   /**
    * Returns the service that serves a request, drawn in proportion to the weights.
    *
--- a/core/src/main/java/org/gentianslip/core/route/RouteTable.java
+++ b/core/src/main/java/org/gentianslip/core/route/RouteTable.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import org.gentianslip.core.customer.CustomerTable;
 import org.gentianslip.core.id.RegionId;
 import org.gentianslip.core.id.ServiceId;
 
@@ -23,19 +24,35 @@
   private final Map<String, Map<String, Route>> routes = new HashMap<>();
   private final Map<ServiceId, ServiceProfile> services = new HashMap<>();
   private final CallerLimits limits;
+  private final Optional<CustomerTable> customers;
 
-  private RouteTable(long version, CallerLimits limits) {
+  private RouteTable(long version, CallerLimits limits, Optional<CustomerTable> customers) {
     this.version = version;
-    this.limits = limits;
+    this.limits = customers.isPresent() ? limits.forKeys() : limits;
+    this.customers = customers;
   }
 
-  /** Returns a table. If two routes have the same host and prefix, the first one is used. */
+  /** Returns a table without customers. */
   public static RouteTable of(
       long version,
       Collection<Route> routes,
       Collection<ServiceProfile> services,
       CallerLimits limits) {
-    var table = new RouteTable(version, limits);
+    return of(version, routes, services, limits, Optional.empty());
+  }
+
+  /**
+   * Returns a table. If two routes have the same host and prefix, the first one is used.
+   *
+   * @param customers the customers; empty if requests need no key
+   */
+  public static RouteTable of(
+      long version,
+      Collection<Route> routes,
+      Collection<ServiceProfile> services,
+      CallerLimits limits,
+      Optional<CustomerTable> customers) {
+    var table = new RouteTable(version, limits, customers);
     for (Route route : routes) {
       table
           .routes
@@ -56,6 +73,11 @@
     return limits;
   }
 
+  /** Returns the customers; empty if requests need no key. */
+  public Optional<CustomerTable> customers() {
+    return customers;
+  }
+
   /** Returns the number of routes. */
   public int size() {
     return routes.values().stream().mapToInt(Map::size).sum();
--- /dev/null
+++ b/core/src/main/java/org/gentianslip/core/time/package-info.java
@@ -0,0 +1,2 @@
+/** Readings of clocks, as values. */
+package org.gentianslip.core.time;
