Admit requests by the customer's key and forward them by its name

Change: a configuration with a list of customers requires a key on routes that are not public. The key is read at admission, looked up again before each further attempt, and passed on to nobody; backend servers get the customer's name, other instances get it in X-Gentian-Customer. Instances state the age of their configuration in a new, optional field of their messages.

The updater now applies, passes on and confirms changes under one lock: a call without news could otherwise confirm a state that another thread had not passed on yet. With customers, an overlong header gets 400, not 431.

GatewayMetricsTest registers the new gauge.

--- /dev/null
+++ b/entry/src/main/java/org/gentianslip/entry/clock/package-info.java
@@ -0,0 +1,2 @@
+/** Reads the clocks of this machine. */
+package org.gentianslip.entry.clock;
--- a/entry/src/main/java/org/gentianslip/entry/fleet/FleetExchange.java
+++ b/entry/src/main/java/org/gentianslip/entry/fleet/FleetExchange.java
@@ -14,8 +14,12 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.gentianslip.core.fleet.Contact;
 import org.gentianslip.core.fleet.ContactPlanner;
+import org.gentianslip.core.fleet.LoadScope;
 import org.gentianslip.core.fleet.PeerRecord;
 import org.gentianslip.core.published.ItemSnapshot;
+import org.gentianslip.core.published.RevocationRule;
+import org.gentianslip.core.time.ClockReading;
+import org.gentianslip.entry.clock.Clocks;
 import org.gentianslip.entry.gateway.GatewayState;
 import org.gentianslip.entry.http.Json;
 import org.gentianslip.entry.published.PublishedStateUpdater;
@@ -34,6 +38,9 @@
   private static final String SYNC = "/peer/v1/fleet/sync";
   private static final String PUBLISHED = "/peer/v1/fleet/published";
 
+  /** The rounds from one question for a confirmation to the next; few, as all may ask at once. */
+  private static final int SEEK_ROUNDS = 2;
+
   private final GatewayState state;
   private final PublishedStateUpdater updater;
   private final FleetMessages messages;
@@ -42,6 +49,7 @@
   private final AtomicBoolean pulling = new AtomicBoolean();
   private final Set<String> pendingAddresses = ConcurrentHashMap.newKeySet();
   private boolean wasRelay;
+  private int seekRounds;
 
   /** Creates an exchange for this instance. */
   public FleetExchange(GatewayState state, PublishedStateUpdater updater) {
@@ -94,9 +102,27 @@
     }
     state.prompts().dropExpired(nowNanos);
     contacts.forEach(c -> send(nowNanos, c));
+    seekConfirmation(nowNanos);
     updater.setRelay(planner.isRelay());
   }
 
+  /**
+   * Asks the other instances in turn whether the configuration is the newest one, if neither the
+   * publisher nor a relay has confirmed it for long.
+   */
+  private void seekConfirmation(long nowNanos) {
+    RevocationRule rule = state.config().bounds().revocation();
+    if (!rule.seeks(state.knowledge().confirmation(), Clocks.read())) {
+      return;
+    }
+    seekRounds++;
+    List<PeerRecord> live = state.fleet().live(nowNanos);
+    if (seekRounds % SEEK_ROUNDS == 0 && !live.isEmpty()) {
+      PeerRecord peer = live.get(Math.floorMod(seekRounds / SEEK_ROUNDS, live.size()));
+      send(nowNanos, Contact.of(peer, LoadScope.NONE));
+    }
+  }
+
   /** Tells the relays of all data centres now that the state of this instance has changed. */
   public void announce(long nowNanos) {
     planner.announcement(nowNanos).forEach(c -> send(nowNanos, c));
@@ -107,6 +133,7 @@
     if (address.equals(state.config().controlAddress()) || !pendingAddresses.add(address)) {
       return;
     }
+    ClockReading sent = Clocks.read();
     FleetMessage message =
         contact.id().isPresent()
             ? messages.create(nowNanos, contact.id().get(), contact.scope())
@@ -121,6 +148,7 @@
           public void onResponse(FleetMessage response) {
             pendingAddresses.remove(address);
             apply(response);
+            messages.applyConfirmation(response, sent);
             planner.answered(response.self().toRecord().id());
           }
 
--- a/entry/src/main/java/org/gentianslip/entry/fleet/FleetMessage.java
+++ b/entry/src/main/java/org/gentianslip/entry/fleet/FleetMessage.java
@@ -7,6 +7,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
@@ -25,6 +26,7 @@
 import org.gentianslip.core.limit.StatedLimit;
 import org.gentianslip.core.load.PromptHolder;
 import org.gentianslip.core.load.PromptPart;
+import org.gentianslip.core.published.Confirmation;
 import org.gentianslip.core.published.Revision;
 import org.gentianslip.core.quarantine.CompletionReport;
 import org.gentianslip.core.quarantine.CrashReport;
@@ -53,6 +55,8 @@
  * @param evidenceAck what the sender has received of the receiver's evidence
  * @param limits what backend servers of the region have said about the requests that they take, by
  *     id
+ * @param confirmedAge the time since {@code version} was known to be the newest one, in
+ *     milliseconds; null if it is unknown or the sender has an earlier version
  */
 record FleetMessage(
     Instance self,
@@ -72,7 +76,10 @@
     List<Completion> completions,
     long evidenceNumber,
     Ack evidenceAck,
-    Map<String, Limit> limits) {
+    Map<String, Limit> limits,
+    JsonNode confirmedAge) {
+
+  private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
 
   FleetMessage {
     peers = peers == null ? List.of() : List.copyOf(peers);
@@ -91,6 +98,22 @@
     return Revision.of(era, revision);
   }
 
+  /** Returns the stated age of the confirmation in milliseconds, if it is readable. */
+  OptionalLong confirmedAgeMillis() {
+    if (confirmedAge == null || confirmedAge.isNull()) {
+      return OptionalLong.empty();
+    }
+    boolean valid =
+        confirmedAge.isIntegralNumber()
+            && confirmedAge.canConvertToLong()
+            && Confirmation.isValidAge(confirmedAge.longValue());
+    if (!valid) {
+      LOGGER.atWarning().atMostEvery(10, TimeUnit.SECONDS).log(
+          "fleet: event=bad-age instance=%s use=unknown", self.id());
+    }
+    return valid ? OptionalLong.of(confirmedAge.longValue()) : OptionalLong.empty();
+  }
+
   /** Returns the part of this message that concerns the fleet. */
   SyncMessage toSync() {
     return new SyncMessage(
--- a/entry/src/main/java/org/gentianslip/entry/fleet/FleetMessages.java
+++ b/entry/src/main/java/org/gentianslip/entry/fleet/FleetMessages.java
@@ -1,10 +1,12 @@
 package org.gentianslip.entry.fleet;
 
+import com.fasterxml.jackson.databind.node.LongNode;
 import com.google.common.flogger.FluentLogger;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
@@ -21,7 +23,8 @@
 import org.gentianslip.core.published.Revision;
 import org.gentianslip.core.quarantine.EvidenceBatch;
 import org.gentianslip.core.quarantine.PromptQuarantine;
-import org.gentianslip.core.route.RouteTable;
+import org.gentianslip.core.time.ClockReading;
+import org.gentianslip.entry.clock.Clocks;
 import org.gentianslip.entry.gateway.GatewayState;
 import org.gentianslip.entry.published.PublishedStateUpdater;
 
@@ -57,10 +60,6 @@
     this.updater = updater;
   }
 
-  private long routesVersion() {
-    return state.published().routes().map(RouteTable::version).orElse(0L);
-  }
-
   /** Returns a message for an instance of which only the address is known. */
   FleetMessage introduction() {
     return message(
@@ -120,6 +119,8 @@
       EvidenceBatch evidence,
       SyncAck evidenceAck,
       Map<String, FleetMessage.Limit> limits) {
+    // Read before the version in force, which is then at least as recent as was confirmed.
+    OptionalLong confirmedAge = state.knowledge().ageMillis(Clocks.read());
     Revision published = updater.revision();
     return new FleetMessage(
         FleetMessage.Instance.of(sync.self()),
@@ -129,7 +130,7 @@
         sync.summaries().stream().map(FleetMessage.Summary::of).toList(),
         published.number(),
         published.era(),
-        routesVersion(),
+        state.routesVersion(),
         scope,
         loads,
         prompts,
@@ -139,7 +140,25 @@
         evidence.completions().stream().map(c -> FleetMessage.Completion.of(nowNanos, c)).toList(),
         evidence.number(),
         FleetMessage.Ack.of(evidenceAck),
-        limits);
+        limits,
+        confirmedAge.isPresent() ? LongNode.valueOf(confirmedAge.getAsLong()) : null);
+  }
+
+  /**
+   * Applies what the response of another instance tells about the configuration. Any other message
+   * may have been under way for long, so that its age is not known.
+   *
+   * @param sent a reading of the clocks from before the message was created that is responded to
+   */
+  void applyConfirmation(FleetMessage response, ClockReading sent) {
+    response
+        .confirmedAgeMillis()
+        .ifPresent(
+            millis ->
+                state
+                    .knowledge()
+                    .applyResponse(
+                        state.routesVersion(), response.version(), millis, sent, Clocks.read()));
   }
 
   private static Map<String, int[]> loads(
@@ -210,7 +229,9 @@
         .forEach(
             (id, limit) ->
                 state.load(EngineId.of(id)).ifPresent(l -> l.applyLimit(limit.toLimit(nowNanos))));
-    boolean behind = message.version() > routesVersion() || state.published().routes().isEmpty();
+    state.knowledge().recordStated(message.version(), nowNanos);
+    boolean behind =
+        message.version() > state.routesVersion() || state.published().routes().isEmpty();
     boolean stale =
         state.confirmationAgeNanos(nowNanos) > STALE_NANOS
             && message.publishedRevision().isAfter(updater.revision());
--- a/entry/src/main/java/org/gentianslip/entry/gateway/AdmissionResult.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/AdmissionResult.java
@@ -1,5 +1,7 @@
 package org.gentianslip.entry.gateway;
 
+import java.util.Optional;
+import org.gentianslip.core.customer.Customer;
 import org.gentianslip.core.route.Route;
 
 /** Whether a request is executed, or how it is answered instead. Immutable and thread-safe. */
@@ -8,9 +10,22 @@
   /**
    * The request is executed.
    *
-   * @param route the route on which it is executed
+   * @param route the route on which it is executed, with the customer's rank and regions
+   * @param customer the customer, if the request has one
+   * @param dropsKey whether the header with the key is not passed on
    */
-  record Admitted(Route route) implements AdmissionResult {}
+  record Admitted(Route route, Optional<Customer> customer, boolean dropsKey)
+      implements AdmissionResult {
+
+    static Admitted without(Route route, boolean dropsKey) {
+      return new Admitted(route, Optional.empty(), dropsKey);
+    }
+
+    /** Returns the id of the customer, or {@code none}, for logs. */
+    String customerName() {
+      return customer.map(c -> c.id().value()).orElse("none");
+    }
+  }
 
   /**
    * The request is not run and may be sent again.
--- a/entry/src/main/java/org/gentianslip/entry/gateway/AttemptPlanner.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/AttemptPlanner.java
@@ -6,6 +6,7 @@
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import org.gentianslip.core.id.EngineId;
 import org.gentianslip.core.id.RegionId;
 import org.gentianslip.core.id.ServiceId;
@@ -42,6 +43,7 @@
   private final ServiceId service;
   private final RequestSize size;
   private final RequestTraits traits;
+  private final BooleanSupplier maySendAgain;
   private final boolean forwarded;
   private final Set<EngineId> possibleRuns = new HashSet<>();
   private final Set<EngineId> excluded = new HashSet<>();
@@ -50,18 +52,26 @@
   private int forwards;
   private boolean answerBegun;
 
+  /**
+   * Creates a planner.
+   *
+   * @param maySendAgain tests before each attempt after the first whether the customer's key is
+   *     still valid
+   */
   AttemptPlanner(
       GatewayState state,
       Route route,
       ServiceId service,
       RequestSize size,
       RequestTraits traits,
+      BooleanSupplier maySendAgain,
       boolean forwarded) {
     this.state = state;
     this.route = route;
     this.service = service;
     this.size = size;
     this.traits = traits;
+    this.maySendAgain = maySendAgain;
     this.forwarded = forwarded;
   }
 
@@ -90,6 +100,9 @@
 
   /** Chooses the target of the next attempt without claiming a repeat. */
   BackendDecision choose(long nowNanos, long remainingMillis) {
+    if (attempts > 0 && !maySendAgain.getAsBoolean()) {
+      return new BackendDecision.Refuse(CustomerAdmission.KEY_REVOKED, DEFAULT_RETRY_MILLIS);
+    }
     OptionalLong holdNanos =
         state.quarantine().holdNanos(nowNanos, traits, part -> state.triesAgain(nowNanos, part));
     if (holdNanos.isPresent()) {
--- a/entry/src/main/java/org/gentianslip/entry/gateway/BackendAttempt.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/BackendAttempt.java
@@ -54,7 +54,8 @@
     execution()
         .gateway()
         .edgeHeaders()
-        .addForBackend(headers, backend, execution().route().rank(), promptSource());
+        .addForBackend(
+            headers, backend, execution().route().rank(), execution().customer(), promptSource());
     boolean fresh =
         execution().route().repeatability() == Repeatability.ONCE
             && !execution().route().streaming();
--- a/entry/src/main/java/org/gentianslip/entry/gateway/CallerConnection.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/CallerConnection.java
@@ -168,7 +168,10 @@
     }
   }
 
-  private static HttpResponseStatus statusOf(Throwable cause) {
+  private HttpResponseStatus statusOf(Throwable cause) {
+    if (cause instanceof TooLongHttpHeaderException && limits.get().withKeys()) {
+      return HttpResponseStatus.BAD_REQUEST;
+    }
     boolean tooLong =
         cause instanceof TooLongHttpHeaderException || cause instanceof TooLongHttpLineException;
     return tooLong
--- /dev/null
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/CustomerAdmission.java
@@ -0,0 +1,171 @@
+package org.gentianslip.entry.gateway;
+
+import com.google.common.flogger.FluentLogger;
+import io.netty.handler.codec.http.HttpHeaders;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import org.gentianslip.core.customer.Customer;
+import org.gentianslip.core.customer.CustomerTable;
+import org.gentianslip.core.id.CustomerId;
+import org.gentianslip.core.published.Confirmation;
+import org.gentianslip.core.published.RevocationRule;
+import org.gentianslip.core.route.Route;
+import org.gentianslip.core.route.RouteTable;
+import org.gentianslip.core.time.ClockReading;
+import org.gentianslip.entry.clock.Clocks;
+
+/**
+ * Finds the customer of a request and what it may use.
+ *
+ * <p>A caller's request carries a key. A forwarded request names the customer, whose key the
+ * instance that received it from the caller has checked. Keys appear in no log line and no result.
+ * Stateless and safe for use by several threads.
+ */
+final class CustomerAdmission {
+
+  /** The reason for refusing a forwarded request whose customer is not known here. */
+  static final String CUSTOMER_UNKNOWN = "customer-unknown";
+
+  /** The reason for refusing keys because the configuration may be out of date. */
+  static final String KEYS_UNCONFIRMED = "keys-unconfirmed";
+
+  /** The reason for not continuing a request whose key was removed since it was admitted. */
+  static final String KEY_REVOKED = "key-revoked";
+
+  private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+
+  /** The retry delay, in milliseconds; others or the next confirmation can serve after it. */
+  private static final long RETRY_MILLIS = 300;
+
+  private static final int UNAUTHORIZED = 401;
+  private static final int FORBIDDEN = 403;
+  private static final int UNAVAILABLE = 503;
+
+  private final GatewayState state;
+  private final EdgeHeaders edgeHeaders;
+
+  CustomerAdmission(GatewayState state, EdgeHeaders edgeHeaders) {
+    this.state = state;
+    this.edgeHeaders = edgeHeaders;
+  }
+
+  /**
+   * Decides about a request on a route.
+   *
+   * @param confirmation what is known of the table, read before it
+   * @param maxAgeNanos the age of the confirmation from which an unknown key is not rejected
+   */
+  AdmissionResult admit(
+      BufferedHttpRequest request,
+      Route route,
+      RouteTable table,
+      Optional<Confirmation> confirmation,
+      long maxAgeNanos,
+      boolean forwarded) {
+    if (forwarded) {
+      return admitForwarded(request, route, table);
+    }
+    if (table.customers().isEmpty() || route.isPublic()) {
+      return AdmissionResult.Admitted.without(route, table.customers().isPresent());
+    }
+    List<String> keys = request.headers().getAll(edgeHeaders.customerKey());
+    if (keys.size() != 1) {
+      return unauthorized(keys.isEmpty() ? "no-key" : "several-keys");
+    }
+    int length = keys.get(0).length();
+    if (length == 0 || length > CustomerTable.MAX_KEY_BYTES) {
+      return unauthorized(length == 0 ? "empty-key" : "long-key");
+    }
+    ClockReading now = Clocks.read();
+    RevocationRule rule = state.config().bounds().revocation();
+    if (!rule.mayAccept(confirmation, now)) {
+      long ageMillis = confirmation.map(c -> c.ageNanos(now) / 1_000_000).orElse(-1L);
+      LOGGER.atWarning().atMostEvery(1, TimeUnit.SECONDS).log(
+          "gateway: event=keys-unconfirmed age-millis=%s limit-millis=%s version=%s",
+          ageMillis, rule.limitMillis(), table.version());
+      return refused(KEYS_UNCONFIRMED);
+    }
+    Optional<Customer> customer = findByKey(table.customers().get(), request.headers());
+    if (customer.isEmpty()) {
+      return unknownKey(now, confirmation, table.version(), maxAgeNanos);
+    }
+    return restricted(route, customer.get());
+  }
+
+  private AdmissionResult admitForwarded(
+      BufferedHttpRequest request, Route route, RouteTable table) {
+    List<String> names = ForwardHeaders.customers(request.headers());
+    if (names.isEmpty() && (table.customers().isEmpty() || route.isPublic())) {
+      return AdmissionResult.Admitted.without(route, table.customers().isPresent());
+    }
+    Optional<Customer> customer =
+        names.size() == 1
+            ? ForwardHeaders.parseCustomer(names.get(0))
+                .flatMap(id -> table.customers().flatMap(c -> c.find(id)))
+            : Optional.empty();
+    Optional<Route> effective = customer.flatMap(route::forCustomer);
+    if (effective.isEmpty()) {
+      return refused(CUSTOMER_UNKNOWN);
+    }
+    return new AdmissionResult.Admitted(effective.get(), customer, true);
+  }
+
+  private static AdmissionResult restricted(Route route, Customer customer) {
+    return route
+        .forCustomer(customer)
+        .<AdmissionResult>map(r -> new AdmissionResult.Admitted(r, Optional.of(customer), true))
+        .orElseGet(
+            () ->
+                new AdmissionResult.Rejected(
+                    FORBIDDEN,
+                    "forbidden reason=no-region route="
+                        + route.name()
+                        + " customer="
+                        + customer.id()));
+  }
+
+  /**
+   * An unknown key may be one of a later configuration, if that in force may be out of date. The age
+   * is that of the confirmation, which also counts the time during which the machine was suspended.
+   */
+  private AdmissionResult unknownKey(
+      ClockReading now, Optional<Confirmation> confirmation, long version, long maxAgeNanos) {
+    long ageNanos = confirmation.map(c -> c.ageNanos(now)).orElse(Long.MAX_VALUE);
+    boolean behind = state.knowledge().isBehind(version, now.steadyNanos());
+    return behind || ageNanos > maxAgeNanos
+        ? refused("key-not-known")
+        : unauthorized("unknown-key age-millis=" + TimeUnit.NANOSECONDS.toMillis(ageNanos));
+  }
+
+  private static AdmissionResult unauthorized(String reason) {
+    return new AdmissionResult.Rejected(UNAUTHORIZED, "unauthorized reason=" + reason);
+  }
+
+  private static AdmissionResult refused(String reason) {
+    return new AdmissionResult.Refused(UNAVAILABLE, reason, RETRY_MILLIS);
+  }
+
+  /** Returns whether an admitted request may be sent once more under the present configuration. */
+  boolean maySendAgain(
+      BufferedHttpRequest request, AdmissionResult.Admitted admitted, boolean forwarded) {
+    if (admitted.customer().isEmpty()) {
+      return true;
+    }
+    CustomerId id = admitted.customer().get().id();
+    Optional<CustomerTable> customers = state.published().routes().flatMap(RouteTable::customers);
+    return customers.isEmpty()
+        || (forwarded
+            ? customers.get().find(id).isPresent()
+            : findByKey(customers.get(), request.headers())
+                .map(c -> c.id().equals(id))
+                .orElse(false));
+  }
+
+  private Optional<Customer> findByKey(CustomerTable customers, HttpHeaders headers) {
+    // The characters of a header are the bytes that were received.
+    String key = headers.get(edgeHeaders.customerKey(), "");
+    return customers.findByKey(key.getBytes(StandardCharsets.ISO_8859_1));
+  }
+}
--- a/entry/src/main/java/org/gentianslip/entry/gateway/EdgeHeaders.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/EdgeHeaders.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.OptionalLong;
+import org.gentianslip.core.id.CustomerId;
 import org.gentianslip.core.load.RequestSize;
 import org.gentianslip.core.published.Backend;
 
@@ -23,6 +24,9 @@
   /** Returns the name of the header with the id of the event after which a stream continues. */
   String lastEventId();
 
+  /** Returns the name of the header with a customer's key. */
+  String customerKey();
+
   /** Returns whether only the gateway may set a header; it is dropped from callers' requests. */
   boolean isReserved(String name);
 
@@ -36,9 +40,15 @@
    * Adds the gateway's own headers to a request for a backend server.
    *
    * @param rank the rank of the request, 0 being the most urgent
+   * @param customer the customer, if the request has one
    * @param source the engine to copy the shared part of the prompt from, if any
    */
-  void addForBackend(HttpHeaders headers, Backend backend, int rank, Optional<Backend> source);
+  void addForBackend(
+      HttpHeaders headers,
+      Backend backend,
+      int rank,
+      Optional<CustomerId> customer,
+      Optional<Backend> source);
 
   /** Returns whether a response proves that the request did not run and will not run. */
   boolean isNotRun(int status, HttpHeaders headers);
--- a/entry/src/main/java/org/gentianslip/entry/gateway/ForwardAttempt.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/ForwardAttempt.java
@@ -25,6 +25,7 @@
     HttpHeaders headers = execution().requestHeaders(nowNanos);
     headers.set(Gateway.REMAINING_MILLIS, Long.toString(execution().remainingMillis(nowNanos)));
     headers.set(Gateway.FORWARDED_BY, execution().gateway().state().config().id().value());
+    execution().customer().ifPresent(c -> ForwardHeaders.setCustomer(headers, c));
     ForwardHeaders.setExcluded(headers, execution().excludedBackends());
     send(peer.forwardAddress(), headers, false, connectMillis);
   }
@@ -115,6 +116,12 @@
       execution().onQuarantined(this);
       return;
     }
+    if (outcome.equals(Gateway.NOT_RUN)
+        && headers.get(Gateway.REASON, "").equals(CustomerAdmission.CUSTOMER_UNKNOWN)) {
+      // Other customers' requests may still go there.
+      execution().onAttemptNotRun(this, "instance does not know the customer");
+      return;
+    }
     if (outcome.equals(Gateway.NOT_RUN)) {
       recordRefusalIfAnyBackendWasAllowed();
       execution().onAttemptNotRun(this, "instance refused");
--- a/entry/src/main/java/org/gentianslip/entry/gateway/Gateway.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/Gateway.java
@@ -83,6 +83,10 @@
     return edgeHeaders;
   }
 
+  RequestAdmission admission() {
+    return admission;
+  }
+
   /** Returns the client of an event loop, creating it if necessary. */
   BackendClient client(EventLoop loop) {
     return clients.computeIfAbsent(loop, BackendClient::new);
@@ -154,7 +158,7 @@
   private void handle(BufferedHttpRequest request, ResponseWriter writer, boolean forwarded) {
     AdmissionResult result = admission.admit(request, forwarded);
     if (result instanceof AdmissionResult.Admitted admitted) {
-      execute(request, writer, forwarded, admitted.route());
+      execute(request, writer, forwarded, admitted);
     } else if (result instanceof AdmissionResult.Refused refused) {
       refuse(request, writer, refused);
     } else if (result instanceof AdmissionResult.Rejected rejected) {
@@ -163,9 +167,12 @@
   }
 
   private void execute(
-      BufferedHttpRequest request, ResponseWriter writer, boolean forwarded, Route route) {
-    long limitMillis = timeLimitMillis(request, route, forwarded);
-    var execution = new RequestExecution(this, request, writer, route, forwarded, limitMillis);
+      BufferedHttpRequest request,
+      ResponseWriter writer,
+      boolean forwarded,
+      AdmissionResult.Admitted admitted) {
+    long limitMillis = timeLimitMillis(request, admitted.route(), forwarded);
+    var execution = new RequestExecution(this, request, writer, admitted, forwarded, limitMillis);
     inFlight.add(execution);
     execution.start();
   }
@@ -179,6 +186,9 @@
         "gateway: event=request id=%s version=%s outcome=refused reason=%s",
         id, version(), refused.reason());
     HttpHeaders headers = notRunHeaders(id, refused.retryAfterMillis());
+    if (refused.reason().equals(CustomerAdmission.CUSTOMER_UNKNOWN)) {
+      headers.set(REASON, refused.reason());
+    }
     writer.writeResponse(refused.status(), headers, new byte[0]);
   }
 
--- a/entry/src/main/java/org/gentianslip/entry/gateway/GatewayBounds.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/GatewayBounds.java
@@ -1,5 +1,7 @@
 package org.gentianslip.entry.gateway;
 
+import org.gentianslip.core.published.RevocationRule;
+
 /**
  * The limits that operators set for all instances. Immutable and safe for use by several threads.
  *
@@ -11,6 +13,7 @@
  * @param coldExtra the additional requests per second to a cold backend server, allowed to all
  *     instances together
  * @param graceMillis the time from the shutdown request to the end of the process, in milliseconds
+ * @param revocation how old the configuration may be when keys of customers are accepted
  */
 public record GatewayBounds(
     double repeatShare,
@@ -18,7 +21,26 @@
     long repeatWindowMillis,
     double coldShare,
     double coldExtra,
-    long graceMillis) {
+    long graceMillis,
+    RevocationRule revocation) {
+
+  /** Creates bounds under which keys are accepted whatever the age of the configuration. */
+  public GatewayBounds(
+      double repeatShare,
+      double repeatExtra,
+      long repeatWindowMillis,
+      double coldShare,
+      double coldExtra,
+      long graceMillis) {
+    this(
+        repeatShare,
+        repeatExtra,
+        repeatWindowMillis,
+        coldShare,
+        coldExtra,
+        graceMillis,
+        RevocationRule.NONE);
+  }
 
   /** The factor for bounds shared by all instances, as their known number may be outdated. */
   static final double SAFETY_FACTOR = 0.85;
--- a/entry/src/main/java/org/gentianslip/entry/gateway/GatewayMetrics.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/GatewayMetrics.java
@@ -71,6 +71,18 @@
         ageSeconds);
   }
 
+  /**
+   * Registers the gauge of the age of the configuration.
+   *
+   * @param ageSeconds the age in seconds, infinite if it was never confirmed
+   */
+  void registerConfigurationAge(DoubleSupplier ageSeconds) {
+    gauge(
+        "gentian_gateway_configuration_age_seconds",
+        "Time since the configuration in force was known to be the newest.",
+        ageSeconds);
+  }
+
   private void gauge(String name, String help, DoubleSupplier value) {
     GaugeWithCallback.builder()
         .name(name)
--- a/entry/src/main/java/org/gentianslip/entry/gateway/GatewayServer.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/GatewayServer.java
@@ -14,6 +14,7 @@
 import org.gentianslip.core.route.CallerLimits;
 import org.gentianslip.core.route.RouteTable;
 import org.gentianslip.core.shutdown.ShutdownPlan;
+import org.gentianslip.entry.clock.Clocks;
 import org.gentianslip.entry.explain.DecisionLog;
 import org.gentianslip.entry.operator.OperatorView;
 
@@ -64,6 +65,7 @@
         gateway::inFlight,
         gateway::version,
         () -> state.confirmationAgeNanos(System.nanoTime()) / NANOS_PER_SECOND);
+    metrics.registerConfigurationAge(() -> state.knowledge().ageSeconds(Clocks.read()));
     this.onPause = onPause;
     this.callerServer =
         new CallerServer(
--- a/entry/src/main/java/org/gentianslip/entry/gateway/GatewayState.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/GatewayState.java
@@ -25,9 +25,11 @@
 import org.gentianslip.core.load.RequestSize;
 import org.gentianslip.core.membership.RendezvousHash;
 import org.gentianslip.core.published.Backend;
+import org.gentianslip.core.published.ConfigurationKnowledge;
 import org.gentianslip.core.published.PublishedState;
 import org.gentianslip.core.quarantine.PromptQuarantine;
 import org.gentianslip.core.route.Route;
+import org.gentianslip.core.route.RouteTable;
 import org.gentianslip.core.shutdown.ShutdownPlan;
 
 /**
@@ -54,6 +56,7 @@
   private volatile Optional<ShutdownPlan> shutdownPlan = Optional.empty();
   private volatile boolean refusing;
   private volatile long confirmedNanos = System.nanoTime();
+  private final ConfigurationKnowledge knowledge = new ConfigurationKnowledge();
 
   /**
    * Creates a state that has only a configuration.
@@ -119,6 +122,16 @@
     return nowNanos - confirmedNanos;
   }
 
+  /** Returns what is known of how recent the configuration is. */
+  public ConfigurationKnowledge knowledge() {
+    return knowledge;
+  }
+
+  /** Returns the version of the configuration in force, or 0 if there is none. */
+  public long routesVersion() {
+    return published.get().routes().map(RouteTable::version).orElse(0L);
+  }
+
   /** Applies a published state; routes never revert to an older version. */
   public void applyPublished(long nowNanos, PublishedState next) {
     PublishedState before = published.get();
--- a/entry/src/main/java/org/gentianslip/entry/gateway/RequestAdmission.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/RequestAdmission.java
@@ -3,6 +3,7 @@
 import java.util.Locale;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import org.gentianslip.core.published.Confirmation;
 import org.gentianslip.core.route.Route;
 import org.gentianslip.core.route.RouteTable;
 
@@ -17,9 +18,7 @@
   /** The retry delay sent while this instance cannot serve a request yet, in milliseconds. */
   private static final long NOT_READY_RETRY_MILLIS = 300;
 
-  /**
-   * The age of the published state from which an unknown path is refused, not answered with 404.
-   */
+  /** The age of the published state from which an unknown path or key is refused, not rejected. */
   private static final long STALE_ROUTES_NANOS = TimeUnit.SECONDS.toNanos(8);
 
   private static final int BAD_REQUEST = 400;
@@ -28,10 +27,12 @@
 
   private final GatewayState state;
   private final EdgeHeaders edgeHeaders;
+  private final CustomerAdmission customers;
 
   RequestAdmission(GatewayState state, EdgeHeaders edgeHeaders) {
     this.state = state;
     this.edgeHeaders = edgeHeaders;
+    this.customers = new CustomerAdmission(state, edgeHeaders);
   }
 
   /**
@@ -40,6 +41,8 @@
    * @param forwarded whether another instance forwards the request
    */
   AdmissionResult admit(BufferedHttpRequest request, boolean forwarded) {
+    // Read before the table, which is then at least as recent as was confirmed.
+    final Optional<Confirmation> confirmation = state.knowledge().confirmation();
     Optional<RouteTable> table = state.published().routes();
     if (table.isEmpty()) {
       return refused("no-configuration");
@@ -56,10 +59,21 @@
     if (request.headers().get(edgeHeaders.requestId(), "").isEmpty()) {
       return new AdmissionResult.Rejected(BAD_REQUEST, "no-id");
     }
-    if (forwarded && !route.get().allows(state.config().region())) {
+    AdmissionResult result =
+        customers.admit(
+            request, route.get(), table.get(), confirmation, STALE_ROUTES_NANOS, forwarded);
+    if (forwarded
+        && result instanceof AdmissionResult.Admitted admitted
+        && !admitted.route().allows(state.config().region())) {
       return refused("region-not-allowed");
     }
-    return new AdmissionResult.Admitted(route.get());
+    return result;
+  }
+
+  /** Returns whether an admitted request may be sent once more under the present configuration. */
+  boolean maySendAgain(
+      BufferedHttpRequest request, AdmissionResult.Admitted admitted, boolean forwarded) {
+    return customers.maySendAgain(request, admitted, forwarded);
   }
 
   private AdmissionResult unknownRoute(boolean forwarded) {
--- a/entry/src/main/java/org/gentianslip/entry/gateway/RequestExecution.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/RequestExecution.java
@@ -6,7 +6,9 @@
 import java.util.Set;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
+import org.gentianslip.core.customer.Customer;
 import org.gentianslip.core.fleet.PeerRecord;
+import org.gentianslip.core.id.CustomerId;
 import org.gentianslip.core.id.EngineId;
 import org.gentianslip.core.id.ServiceId;
 import org.gentianslip.core.load.BackendDecision;
@@ -15,6 +17,7 @@
 import org.gentianslip.core.load.RetryDelay;
 import org.gentianslip.core.quarantine.RequestTraits;
 import org.gentianslip.core.route.Route;
+import org.gentianslip.core.route.RouteTable;
 
 /**
  * The execution of one request, from its arrival to its final response.
@@ -40,6 +43,7 @@
   private final Gateway gateway;
   private final BufferedHttpRequest request;
   private final ResponseWriter writer;
+  private final AdmissionResult.Admitted admitted;
   private final Route route;
   private final AttemptPlanner planner;
   private final CallerResponse response;
@@ -56,16 +60,17 @@
       Gateway gateway,
       BufferedHttpRequest request,
       ResponseWriter writer,
-      Route route,
+      AdmissionResult.Admitted admitted,
       boolean forwarded,
       long remainingMillis) {
     this.gateway = gateway;
     this.request = request;
     this.writer = writer;
     this.response = new CallerResponse(writer);
-    this.route = route;
+    this.admitted = admitted;
+    this.route = admitted.route();
     this.id = request.headers().get(gateway.edgeHeaders().requestId(), "");
-    this.requestLog = new RequestLog(id, request, route, forwarded, gateway.openTrace(id));
+    this.requestLog = new RequestLog(id, request, admitted, forwarded, gateway.openTrace(id));
     RequestSize size = gateway.edgeHeaders().sizeOf(request.headers(), request.body().length);
     this.planner =
         new AttemptPlanner(
@@ -74,6 +79,7 @@
             route.serviceFor(gateway.splitFraction(id)),
             size,
             RequestTraits.of(size, request::fingerprint),
+            () -> gateway.admission().maySendAgain(request, admitted, forwarded),
             forwarded);
     if (forwarded) {
       ForwardHeaders.excluded(request.headers()).forEach(planner::exclude);
@@ -105,6 +111,11 @@
     return route;
   }
 
+  /** Returns the customer, if the request has one. */
+  Optional<CustomerId> customer() {
+    return admitted.customer().map(Customer::id);
+  }
+
   RequestSize size() {
     return planner.size();
   }
@@ -461,7 +472,16 @@
 
   /** Returns the request headers to pass on to a backend server or another instance. */
   HttpHeaders requestHeaders(long nowNanos) {
-    return HeaderFilter.forUpstream(
-        gateway.edgeHeaders(), request, remainingMillis(nowNanos), response.lastEventId());
+    HttpHeaders headers =
+        HeaderFilter.forUpstream(
+            gateway.edgeHeaders(), request, remainingMillis(nowNanos), response.lastEventId());
+    if (admitted.dropsKey() || hasCustomers()) {
+      headers.remove(gateway.edgeHeaders().customerKey());
+    }
+    return headers;
+  }
+
+  private boolean hasCustomers() {
+    return gateway.state().published().routes().flatMap(RouteTable::customers).isPresent();
   }
 }
--- a/entry/src/main/java/org/gentianslip/entry/gateway/RequestLog.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/RequestLog.java
@@ -1,7 +1,6 @@
 package org.gentianslip.entry.gateway;
 
 import com.google.common.flogger.FluentLogger;
-import org.gentianslip.core.route.Route;
 import org.gentianslip.entry.explain.DecisionLog;
 
 /** Records the decisions for one request and logs them when it ends. Confined to one event loop. */
@@ -11,7 +10,7 @@
 
   private final String id;
   private final BufferedHttpRequest request;
-  private final Route route;
+  private final AdmissionResult.Admitted admitted;
   private final boolean forwarded;
   private final DecisionLog.Trace trace;
   private final StringBuilder trail = new StringBuilder();
@@ -19,16 +18,20 @@
   RequestLog(
       String id,
       BufferedHttpRequest request,
-      Route route,
+      AdmissionResult.Admitted admitted,
       boolean forwarded,
       DecisionLog.Trace trace) {
     this.id = id;
     this.request = request;
-    this.route = route;
+    this.admitted = admitted;
     this.forwarded = forwarded;
     this.trace = trace;
     String from = forwarded ? "another instance" : "a caller";
-    addStep(request.receivedNanos(), "received", from, "route " + route.name());
+    addStep(
+        request.receivedNanos(),
+        "received",
+        from,
+        "route " + admitted.route().name() + " customer " + admitted.customerName());
   }
 
   /**
@@ -70,11 +73,12 @@
   void finish(long nowNanos, long version, String outcome) {
     addStep(nowNanos, "ended", "", outcome);
     LOGGER.atInfo().log(
-        "gateway: event=request id=%s route=%s rank=%s version=%s forwarded=%s millis=%s trail=[%s]"
-            + " outcome=%s",
+        "gateway: event=request id=%s route=%s customer=%s rank=%s version=%s forwarded=%s"
+            + " millis=%s trail=[%s] outcome=%s",
         id,
-        route.name(),
-        route.rank(),
+        admitted.route().name(),
+        admitted.customerName(),
+        admitted.route().rank(),
         version,
         forwarded,
         request.elapsedMillis(nowNanos),
--- a/entry/src/main/java/org/gentianslip/entry/gateway/RouteReport.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/RouteReport.java
@@ -37,6 +37,8 @@
     add(values, "coldShare", Json.tree(bounds.coldShare()), file);
     add(values, "coldExtra", Json.tree(bounds.coldExtra()), file);
     add(values, "graceMillis", Json.tree(bounds.graceMillis()), file);
+    add(values, "strictRevocation", Json.tree(bounds.revocation().strict()), file);
+    add(values, "revocationMillis", Json.tree(bounds.revocation().limitMillis()), file);
     return body;
   }
 
--- a/entry/src/main/java/org/gentianslip/entry/published/PublishedStateUpdater.java
+++ b/entry/src/main/java/org/gentianslip/entry/published/PublishedStateUpdater.java
@@ -8,6 +8,8 @@
 import org.gentianslip.core.published.PublishedItemStore;
 import org.gentianslip.core.published.PublishedState;
 import org.gentianslip.core.published.Revision;
+import org.gentianslip.core.time.ClockReading;
+import org.gentianslip.entry.clock.Clocks;
 
 /**
  * Keeps the published state up to date.
@@ -49,12 +51,14 @@
   private final PublishedSource source;
   private final ItemDecoder decoder;
   private final Listener listener;
+  private final WatchLimit watchLimit;
   private final PublishedItemStore items;
   private final Thread thread = new Thread(this::run, "published");
   private volatile boolean closed;
   private volatile boolean failing;
   private volatile boolean relay = true;
   private volatile long recoveredNanos;
+  private boolean changePending;
   private boolean listingRead;
 
   /** Receives updates of the published state. */
@@ -65,10 +69,36 @@
 
     /** Called when the publisher or a peer has confirmed that the state is up to date. */
     void onConfirmed(long nowNanos);
+
+    /**
+     * Called when all changes are applied that were published before a moment.
+     *
+     * @param begun the clocks when the call to the publisher was begun
+     */
+    default void onNewest(ClockReading begun) {}
   }
 
-  /** Creates an updater without any items. */
+  /** Limits how long a call waits for changes. */
+  public interface WatchLimit {
+
+    /**
+     * Returns the maximum time of a call, in milliseconds.
+     *
+     * @param relay whether other instances rely on this one
+     * @param maxMillis the time without a limit
+     */
+    long millis(boolean relay, long maxMillis);
+  }
+
+  /** Creates an updater without any items, whose calls have no further limit. */
   public PublishedStateUpdater(PublishedSource source, ItemDecoder decoder, Listener listener) {
+    this(source, decoder, listener, (isRelay, maxMillis) -> maxMillis);
+  }
+
+  /** Creates an updater without any items. */
+  public PublishedStateUpdater(
+      PublishedSource source, ItemDecoder decoder, Listener listener, WatchLimit watchLimit) {
+    this.watchLimit = watchLimit;
     this.source = source;
     this.decoder = decoder;
     this.listener = listener;
@@ -111,24 +141,26 @@
   }
 
   private void poll() throws IOException {
+    ClockReading begun = Clocks.read();
     if (!listingRead) {
-      replace(source.list());
+      replace(begun, source.list());
       listingRead = true;
       return;
     }
+    Duration limit = relay ? RELAY_WATCH_TIMEOUT : WATCH_TIMEOUT;
     PublishedSource.Changes changes =
-        source.watch(revision(), relay ? RELAY_WATCH_TIMEOUT : WATCH_TIMEOUT);
+        source.watch(revision(), Duration.ofMillis(watchLimit.millis(relay, limit.toMillis())));
     long now = System.nanoTime();
     if (changes.historyLost()) {
       LOGGER.atWarning().log("published: event=history-lost revision=%s", revision());
       listingRead = false;
       return;
     }
-    boolean changed;
     synchronized (this) {
-      changed = items.apply(now, changes.changes(), changes.revision(), isRecovering(now));
+      notifyConfirmed(
+          now, items.apply(now, changes.changes(), changes.revision(), isRecovering(now)));
+      listener.onNewest(begun);
     }
-    notifyConfirmed(now, changed);
   }
 
   private void markRecovered() {
@@ -166,7 +198,7 @@
   }
 
   /** Replaces all items by those of the publisher, unless they are older. */
-  private void replace(PublishedSource.Listing listing) {
+  private void replace(ClockReading begun, PublishedSource.Listing listing) {
     long now = System.nanoTime();
     boolean changed;
     Revision before;
@@ -174,11 +206,12 @@
       before = items.revision();
       noteEra(now, listing.revision());
       changed = items.replace(now, listing.items(), listing.revision(), isRecovering(now));
+      notifyConfirmed(now, changed);
+      listener.onNewest(begun);
     }
     LOGGER.atInfo().log(
         "published: event=listing revision=%s before=%s after=%s changed=%s items=%s",
         listing.revision(), before, revision(), changed, listing.items().size());
-    notifyConfirmed(now, changed);
   }
 
   /**
@@ -194,6 +227,7 @@
       before = items.revision();
       noteEra(now, copy.revision());
       changed = items.replace(now, copy, isRecovering(now));
+      notifyConfirmed(now, changed);
     }
     LOGGER.atInfo().log(
         "published: event=copied from=%s revision=%s before=%s after=%s changed=%s items=%s "
@@ -206,7 +240,6 @@
         copy.items().size(),
         copy.removals().size(),
         copy.unconfirmed().size());
-    notifyConfirmed(now, changed);
   }
 
   /** A new era is an outage, in which leases may have expired. */
@@ -218,24 +251,26 @@
 
   /** Applies delayed changes; must be called periodically. */
   public void expireItems(long nowNanos) {
-    boolean changed;
     synchronized (this) {
-      changed = items.expire(nowNanos);
-    }
-    if (changed) {
-      notifyChanged(nowNanos);
+      notifyChanged(nowNanos, items.expire(nowNanos));
     }
   }
 
   private void notifyConfirmed(long nowNanos, boolean changed) {
     listener.onConfirmed(nowNanos);
-    if (changed) {
-      notifyChanged(nowNanos);
-    }
+    notifyChanged(nowNanos, changed);
   }
 
-  private synchronized void notifyChanged(long nowNanos) {
-    listener.onChanged(nowNanos, decoder.decode(items.items(), items.revision()));
+  /**
+   * Passes a change on, or one that could not be passed on before. Called with the lock held, so
+   * that no other thread takes the items for applied before the listener has them.
+   */
+  private void notifyChanged(long nowNanos, boolean changed) {
+    changePending |= changed;
+    if (changePending) {
+      listener.onChanged(nowNanos, decoder.decode(items.items(), items.revision()));
+      changePending = false;
+    }
   }
 
   private static void sleep(long millis) {
--- a/entry/src/test/java/org/gentianslip/entry/gateway/GatewayMetricsTest.java
+++ b/entry/src/test/java/org/gentianslip/entry/gateway/GatewayMetricsTest.java
@@ -29,6 +29,7 @@
   private static List<String> lines() {
     var metrics = new GatewayMetrics();
     metrics.registerGauges(() -> 0, () -> 0, () -> 0);
+    metrics.registerConfigurationAge(() -> 0);
     metrics.countRequest("0", "answered");
     metrics.countRefusal("0", "too-late");
     metrics.countAttempt("0", "backend", false);
