Keep a silent stream with its engine while the engine runs it

Cause: silence of a stream was taken for the failure of its engine, and the close of a connection for the end of the run.

Ruled out: repeats of the caller or the client library; the second run begins with the trail event of silence, or with the break.

A run that is listed stays, a released one is awaited. An engine without the call that answers anything, or sends on another connection, counts as alive. A forwarded stream stays while its instance is heard; that instance returns it if its engine hangs. A silent engine of a service that is not known to have the call keeps a stream until the time left allows one more attempt elsewhere, as a late answer is worth more than a second run. Calls for runs close their connection, as an engine may close it after an answer that is no report.

--- a/core/src/main/java/org/gentianslip/core/fleet/FleetView.java
+++ b/core/src/main/java/org/gentianslip/core/fleet/FleetView.java
@@ -62,6 +62,12 @@
     return next;
   }
 
+  /** Returns whether the process that sent a record is live, so far as is known. */
+  public boolean isLive(long nowNanos, PeerRecord peer) {
+    return live(nowNanos).stream()
+        .anyMatch(p -> p.id().equals(peer.id()) && p.incarnation() == peer.incarnation());
+  }
+
   /** Returns all remembered instances, live or silent. */
   public Collection<PeerRecord> known(long nowNanos) {
     return peers.known(nowNanos);
--- /dev/null
+++ b/core/src/main/java/org/gentianslip/core/stream/RunEvidence.java
@@ -0,0 +1,20 @@
+package org.gentianslip.core.stream;
+
+/** What a call for the runs of an engine has told about one of its runs. */
+public enum RunEvidence {
+  /** The engine's report lists the run. */
+  LISTED,
+  /** The engine's report does not list the run. */
+  NOT_LISTED,
+  /** The engine has sent something that is no report, so it is alive without the call. */
+  NO_REPORT,
+  /** The engine has accepted the connection and sent nothing in time. */
+  NO_ANSWER,
+  /** The engine has not accepted a connection in time. */
+  UNREACHABLE;
+
+  /** Returns whether the engine has sent anything. */
+  public boolean isSignOfLife() {
+    return this == LISTED || this == NOT_LISTED || this == NO_REPORT;
+  }
+}
--- a/core/src/main/java/org/gentianslip/core/stream/package-info.java
+++ b/core/src/main/java/org/gentianslip/core/stream/package-info.java
@@ -1,2 +1,2 @@
-/** Splitting of streams of server-sent events at event boundaries. */
+/** Streams of server-sent events: their boundaries, and the runs behind silent streams. */
 package org.gentianslip.core.stream;
--- a/entry/src/main/java/org/gentianslip/entry/gateway/Attempt.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/Attempt.java
@@ -59,6 +59,16 @@
   /** Records that the target failed before any byte of the request was written. */
   abstract void recordUnreachable(long nowNanos);
 
+  /**
+   * Called when the stream of this attempt was silent for too long; the attempt may be replaced.
+   *
+   * @param timeoutMillis the time without data after which a stream counts as silent
+   */
+  abstract void onSilentStream(long nowNanos, long silentMillis, long timeoutMillis);
+
+  /** Starts the request elsewhere once the run of this attempt, which failed, has ended. */
+  abstract void replaceBroken();
+
   /**
    * Returns the backend server that may run the request, or a placeholder for it while it is chosen
    * by another instance.
--- a/entry/src/main/java/org/gentianslip/entry/gateway/AttemptPlanner.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/AttemptPlanner.java
@@ -96,6 +96,11 @@
       return new BackendDecision.Refuse(
           QUARANTINED, TimeUnit.NANOSECONDS.toMillis(holdNanos.getAsLong()));
     }
+    return select(nowNanos, remainingMillis);
+  }
+
+  /** Chooses as {@link #choose} does, but for the quarantine, and leaves all state as it is. */
+  BackendDecision select(long nowNanos, long remainingMillis) {
     List<Backend> holders = state.holders(nowNanos, route, size);
     Candidates localCandidates =
         route.allows(state.config().region())
@@ -131,7 +136,7 @@
   }
 
   /** Returns the expected time to the complete answer; a stream lasts beyond its first event. */
-  private double completeMillis(BackendDecision decision) {
+  double completeMillis(BackendDecision decision) {
     double minMillis = route.streaming() ? route.objectiveMillis() : 0;
     if (decision instanceof BackendDecision.ToBackend toBackend) {
       return Math.max(minMillis, toBackend.estimate().completeMillis());
--- a/entry/src/main/java/org/gentianslip/entry/gateway/BackendAttempt.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/BackendAttempt.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
 import org.gentianslip.core.id.EngineId;
 import org.gentianslip.core.limit.StatedLimit;
 import org.gentianslip.core.load.BackendDecision;
@@ -35,6 +36,8 @@
 
   private final BackendDecision.ToBackend decision;
   private final Backend backend;
+  private final AtomicLong heardNanos;
+  private long writtenNanos = lastReceivedNanos();
   private Reservation reservation;
   private long sentNanos;
 
@@ -42,6 +45,8 @@
     super(execution);
     this.decision = decision;
     this.backend = decision.option().backend();
+    this.heardNanos =
+        execution.gateway().engineContacts().heardNanos(System.nanoTime(), backend.id());
   }
 
   @Override
@@ -111,6 +116,25 @@
     reservation.unreachable(nowNanos);
   }
 
+  /** Returns when any part of the body was last received, or when this attempt was created. */
+  long writtenNanos() {
+    return writtenNanos;
+  }
+
+  Backend backend() {
+    return backend;
+  }
+
+  @Override
+  void onSilentStream(long nowNanos, long silentMillis, long timeoutMillis) {
+    RunGuard.startSilent(execution(), this, timeoutMillis);
+  }
+
+  @Override
+  void replaceBroken() {
+    RunGuard.startBroken(execution(), this);
+  }
+
   @Override
   EngineId target() {
     return backend.id();
@@ -134,6 +158,7 @@
   @Override
   public void onHead(int status, HttpHeaders headers) {
     super.onHead(status, headers);
+    heardNanos.set(lastReceivedNanos());
     EdgeHeaders edgeHeaders = execution().gateway().edgeHeaders();
     if (edgeHeaders.isOtherBackend(status, headers)) {
       return;
@@ -145,6 +170,13 @@
     }
   }
 
+  @Override
+  public void onBodyPart(byte[] bytes) {
+    super.onBodyPart(bytes);
+    writtenNanos = System.nanoTime();
+    heardNanos.set(writtenNanos);
+  }
+
   private void recordPause(long millis) {
     long bounded = Math.min(millis, MAX_PAUSE_MILLIS);
     long until = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(bounded);
--- a/entry/src/main/java/org/gentianslip/entry/gateway/BackendConnection.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/BackendConnection.java
@@ -6,6 +6,8 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
@@ -82,6 +84,9 @@
   void assign(Exchange next) {
     exchange = next;
     sent.add(next.request().id(), isHead(next));
+    HttpHeaders headers = next.request().headers();
+    reusable =
+        reusable && !headers.contains(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE, true);
     skippingResponse = false;
     skippedBytes = 0;
     skippedResponses = 0;
--- a/entry/src/main/java/org/gentianslip/entry/gateway/ForwardAttempt.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/ForwardAttempt.java
@@ -1,5 +1,6 @@
 package org.gentianslip.entry.gateway;
 
+import com.google.common.flogger.FluentLogger;
 import io.netty.handler.codec.http.HttpHeaders;
 import java.util.Optional;
 import org.gentianslip.core.fleet.PeerRecord;
@@ -11,6 +12,8 @@
  */
 final class ForwardAttempt extends Attempt {
 
+  private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+
   private final PeerRecord peer;
   private Optional<EngineId> backend = Optional.empty();
   private boolean answered;
@@ -60,6 +63,25 @@
     super.onHead(status, headers);
   }
 
+  /** The instance watches its engine, so the request stays there while it is heard. */
+  @Override
+  void onSilentStream(long nowNanos, long silentMillis, long timeoutMillis) {
+    boolean live = execution().gateway().state().fleet().isLive(nowNanos, peer);
+    LOGGER.atInfo().log(
+        "gateway: event=silent-forward id=%s instance=%s silent-millis=%s live=%s",
+        execution().id(), peer.id(), silentMillis, live);
+    if (live && mayHaveBeenWritten()) {
+      SilenceMonitor.start(this, timeoutMillis);
+    } else {
+      execution().replaceSilent(this, silentMillis);
+    }
+  }
+
+  @Override
+  void replaceBroken() {
+    execution().startNextAttempt();
+  }
+
   @Override
   EngineId target() {
     return backend.orElseGet(() -> EngineId.of("at:" + peer.id().value()));
--- a/entry/src/main/java/org/gentianslip/entry/gateway/Gateway.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/Gateway.java
@@ -16,6 +16,7 @@
 import org.gentianslip.core.route.Route;
 import org.gentianslip.core.route.RouteTable;
 import org.gentianslip.core.route.ServiceProfile;
+import org.gentianslip.core.stream.EngineContacts;
 import org.gentianslip.entry.explain.DecisionLog;
 
 /**
@@ -69,6 +70,8 @@
 
   private final GatewayState state;
   private final EdgeHeaders edgeHeaders;
+  private final EngineReports engineReports;
+  private final EngineContacts engineContacts = new EngineContacts();
   private final GatewayMetrics metrics;
   private final DecisionLog decisions;
   private final CallerBuffers buffers = CallerBuffers.create();
@@ -76,9 +79,14 @@
   private final Map<EventLoop, BackendClient> clients = new ConcurrentHashMap<>();
 
   Gateway(
-      GatewayState state, EdgeHeaders edgeHeaders, GatewayMetrics metrics, DecisionLog decisions) {
+      GatewayState state,
+      EdgeHeaders edgeHeaders,
+      EngineReports engineReports,
+      GatewayMetrics metrics,
+      DecisionLog decisions) {
     this.state = state;
     this.edgeHeaders = edgeHeaders;
+    this.engineReports = engineReports;
     this.metrics = metrics;
     this.decisions = decisions;
   }
@@ -91,6 +99,14 @@
     return edgeHeaders;
   }
 
+  EngineReports engineReports() {
+    return engineReports;
+  }
+
+  EngineContacts engineContacts() {
+    return engineContacts;
+  }
+
   /** Returns the client of an event loop, creating it if necessary. */
   BackendClient client(EventLoop loop) {
     return clients.computeIfAbsent(loop, BackendClient::new);
--- a/entry/src/main/java/org/gentianslip/entry/gateway/GatewayServer.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/GatewayServer.java
@@ -57,9 +57,10 @@
    *
    * @param onPause runs after a pause of this process has been detected
    */
-  public GatewayServer(GatewayState state, EdgeHeaders edgeHeaders, Runnable onPause) {
+  public GatewayServer(
+      GatewayState state, EdgeHeaders edgeHeaders, EngineReports engineReports, Runnable onPause) {
     this.state = state;
-    this.gateway = new Gateway(state, edgeHeaders, metrics, decisions);
+    this.gateway = new Gateway(state, edgeHeaders, engineReports, metrics, decisions);
     metrics.registerGauges(
         gateway::inFlight,
         gateway::version,
--- a/entry/src/main/java/org/gentianslip/entry/gateway/RequestExecution.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/RequestExecution.java
@@ -13,6 +13,7 @@
 import org.gentianslip.core.load.BackendSelector;
 import org.gentianslip.core.load.RequestSize;
 import org.gentianslip.core.load.RetryDelay;
+import org.gentianslip.core.published.Backend;
 import org.gentianslip.core.quarantine.RequestTraits;
 import org.gentianslip.core.route.Route;
 
@@ -130,7 +131,8 @@
     return TimeUnit.NANOSECONDS.toMillis(deadlineNanos - nowNanos);
   }
 
-  private void startNextAttempt() {
+  /** Starts the next attempt, or ends the request if none is possible. */
+  void startNextAttempt() {
     if (ended) {
       return;
     }
@@ -209,7 +211,16 @@
   }
 
   /** Called when an attempt has received nothing for too long; may replace the attempt. */
-  void onSilence(Attempt attempt, long silentMillis) {
+  void onSilence(Attempt attempt, long silentMillis, long timeoutMillis) {
+    if (route.streaming()) {
+      attempt.onSilentStream(System.nanoTime(), silentMillis, timeoutMillis);
+    } else {
+      replaceSilent(attempt, silentMillis);
+    }
+  }
+
+  /** Replaces an attempt by one elsewhere if that is possible. */
+  void replaceSilent(Attempt attempt, long silentMillis) {
     long now = System.nanoTime();
     if (!writer.isWritable() || !planner.mayUseAnotherBackend() || !response.canResume()) {
       return;
@@ -220,14 +231,86 @@
       attempt.include(planner);
       return;
     }
+    closeSilent(now, attempt, silentMillis);
+    execute(now, alternative);
+  }
+
+  private void closeSilent(long nowNanos, Attempt attempt, long silentMillis) {
     boolean written = attempt.mayHaveBeenWritten();
-    attempt.recordSilence(now);
+    attempt.recordSilence(nowNanos);
     attempt.cancel();
     if (written) {
       recordPossibleRun(attempt);
     }
-    requestLog.recordEvent(now, "silent for " + silentMillis + " ms");
-    execute(now, alternative);
+    requestLog.recordEvent(nowNanos, "silent for " + silentMillis + " ms");
+  }
+
+  /** Returns whether a stream may be replaced, as the caller reads and it can be resumed. */
+  boolean mayReplace() {
+    return writer.isWritable() && response.canResume();
+  }
+
+  /**
+   * Returns the expected time of one more attempt elsewhere, in milliseconds; negative if none is
+   * possible. For a forwarded request the other instance makes that attempt.
+   */
+  double millisElsewhere(long nowNanos, Attempt attempt) {
+    if (planner.forwarded()) {
+      return route.maxBackends() > 1 ? route.objectiveMillis() : -1;
+    }
+    BackendDecision decision = decisionElsewhere(nowNanos, attempt);
+    return decision instanceof BackendDecision.Refuse ? -1 : planner.completeMillis(decision);
+  }
+
+  /** Returns another engine of this region that serves such requests, if any. */
+  Optional<Backend> otherEngine(long nowNanos, Attempt attempt) {
+    attempt.exclude(nowNanos, planner);
+    BackendDecision decision = planner.select(nowNanos, remainingMillis(nowNanos));
+    attempt.include(planner);
+    return decision instanceof BackendDecision.ToBackend other
+        ? Optional.of(other.option().backend())
+        : Optional.empty();
+  }
+
+  private BackendDecision decisionElsewhere(long nowNanos, Attempt attempt) {
+    boolean released = planner.possibleRuns().contains(attempt.target());
+    if (!released && !planner.mayUseAnotherBackend()) {
+      return new BackendDecision.Refuse("no-backend", 0);
+    }
+    attempt.exclude(nowNanos, planner);
+    BackendDecision decision = planner.select(nowNanos, remainingMillis(nowNanos));
+    if (!released) {
+      attempt.include(planner);
+    }
+    return decision;
+  }
+
+  /** Closes the connection of a silent stream, which is not started elsewhere yet. */
+  void releaseSilent(long nowNanos, Attempt attempt) {
+    closeSilent(nowNanos, attempt, silentMillis(nowNanos, attempt));
+  }
+
+  private static long silentMillis(long nowNanos, Attempt attempt) {
+    return TimeUnit.NANOSECONDS.toMillis(nowNanos - attempt.lastReceivedNanos());
+  }
+
+  /**
+   * Starts a silent stream elsewhere, or returns it to the instance that forwarded it.
+   *
+   * @return whether the attempt was given up; false if no other one is possible now
+   */
+  boolean moveSilent(long nowNanos, Attempt attempt) {
+    if (planner.possibleRuns().contains(attempt.target())) {
+      startNextAttempt();
+      return true;
+    }
+    if (planner.forwarded()) {
+      releaseSilent(nowNanos, attempt);
+      abort("silent");
+      return true;
+    }
+    replaceSilent(attempt, silentMillis(nowNanos, attempt));
+    return !isCurrent(attempt);
   }
 
   /** Called when the target of an attempt has proven that it did not run the request. */
@@ -264,6 +347,10 @@
         abort("no-event-id");
         return;
       }
+      if (route.streaming() && millisElsewhere(System.nanoTime(), attempt) >= 0) {
+        attempt.replaceBroken();
+        return;
+      }
     }
     startNextAttempt();
   }
--- a/entry/src/main/java/org/gentianslip/entry/gateway/SilenceMonitor.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/SilenceMonitor.java
@@ -35,6 +35,6 @@
       scheduleCheck(timeoutMillis - silentMillis + 1);
       return;
     }
-    attempt.execution().onSilence(attempt, silentMillis);
+    attempt.execution().onSilence(attempt, silentMillis, timeoutMillis);
   }
 }
