--- a/entry/src/main/java/org/gentianslip/entry/gateway/Gateway.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/Gateway.java
@@ -17,6 +17,7 @@
 import org.gentianslip.core.route.Route;
 import org.gentianslip.core.route.RouteTable;
 import org.gentianslip.core.route.ServiceProfile;
+import org.gentianslip.core.stream.EngineContacts;
 import org.gentianslip.entry.explain.DecisionLog;
 
 /**
@@ -63,6 +64,8 @@
   private final GatewayState state;
   private final EdgeHeaders edgeHeaders;
   private final RequestAdmission admission;
+  private final EngineReports engineReports;
+  private final EngineContacts engineContacts = new EngineContacts();
   private final GatewayMetrics metrics;
   private final DecisionLog decisions;
   private final CallerBuffers buffers = CallerBuffers.create();
@@ -70,10 +73,15 @@
   private final Map<EventLoop, BackendClient> clients = new ConcurrentHashMap<>();
 
   Gateway(
-      GatewayState state, EdgeHeaders edgeHeaders, GatewayMetrics metrics, DecisionLog decisions) {
+      GatewayState state,
+      EdgeHeaders edgeHeaders,
+      EngineReports engineReports,
+      GatewayMetrics metrics,
+      DecisionLog decisions) {
     this.state = state;
     this.edgeHeaders = edgeHeaders;
     this.admission = new RequestAdmission(state, edgeHeaders);
+    this.engineReports = engineReports;
     this.metrics = metrics;
     this.decisions = decisions;
   }
@@ -90,6 +98,14 @@
     return admission;
   }
 
+  EngineReports engineReports() {
+    return engineReports;
+  }
+
+  EngineContacts engineContacts() {
+    return engineContacts;
+  }
+
   /** Returns the client of an event loop, creating it if necessary. */
   BackendClient client(EventLoop loop) {
     return clients.computeIfAbsent(loop, BackendClient::new);
