--- a/core/src/main/java/org/gentianslip/core/published/ConfigurationKnowledge.java
+++ b/core/src/main/java/org/gentianslip/core/published/ConfigurationKnowledge.java
@@ -21,6 +21,8 @@
 
   private final AtomicReference<Optional<Confirmation>> confirmation =
       new AtomicReference<>(Optional.empty());
+  private final AtomicReference<Optional<Confirmation>> byOthers =
+      new AtomicReference<>(Optional.empty());
   private volatile Stated highest = new Stated(Long.MIN_VALUE, 0);
 
   /** The highest version that other instances have stated, and when. */
@@ -31,13 +33,26 @@
     return confirmation.get();
   }
 
+  /** Returns the latest confirmation by another instance. */
+  public Optional<Confirmation> confirmationByOthers() {
+    return byOthers.get();
+  }
+
   /**
    * Records that the version in force was the newest one at a moment.
    *
    * @param now a present reading of the clocks
    */
   public void confirm(Confirmation next, ClockReading now) {
-    confirmation.updateAndGet(
+    record(confirmation, next, now);
+    if (next.byPeer()) {
+      record(byOthers, next, now);
+    }
+  }
+
+  private static void record(
+      AtomicReference<Optional<Confirmation>> latest, Confirmation next, ClockReading now) {
+    latest.updateAndGet(
         known -> Optional.of(known.map(k -> Confirmation.latest(k, next, now)).orElse(next)));
   }
 
--- a/core/src/test/java/org/gentianslip/core/published/RevocationPropertyTest.java
+++ b/core/src/test/java/org/gentianslip/core/published/RevocationPropertyTest.java
@@ -89,6 +89,19 @@
     assertThat(RevocationSimulation.RULE.watchMillis(false, 4_000, own, at(0, 0)), is(833L));
   }
 
+  @Example
+  @Label("keeps a confirmation by another instance when the own watch ends")
+  void keepsConfirmationByOthers() {
+    // Members watched in short calls after each watch, 1,395 calls in place of 608 on a calm day.
+    var knowledge = new ConfigurationKnowledge();
+    knowledge.applyResponse(1, 1, 0, at(1_000, 1_000), at(1_010, 1_010));
+    knowledge.confirm(new Confirmation(1, at(1_500, 1_500), false), at(1_510, 1_510));
+    assertThat(
+        RevocationSimulation.RULE.watchMillis(
+            false, 4_000, knowledge.confirmationByOthers(), at(1_510, 1_510)),
+        is(4_000L));
+  }
+
   @Example
   @Label("watches in long calls only while others confirm the configuration")
   void reliesOnOthers() {
