--- a/entry/src/main/java/org/gentianslip/entry/fleet/FleetMessage.java
+++ b/entry/src/main/java/org/gentianslip/entry/fleet/FleetMessage.java
@@ -56,7 +56,7 @@
  * @param limits what backend servers of the region have said about the requests that they take, by
  *     id
  * @param confirmedAge the time since {@code version} was known to be the newest one, in
- *     milliseconds; null if it is unknown or the sender has an earlier version
+ *     milliseconds; null if it is unknown, and in messages of earlier processes
  */
 record FleetMessage(
     Instance self,
--- a/entry/src/main/java/org/gentianslip/entry/gateway/CustomerAdmission.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/CustomerAdmission.java
@@ -127,8 +127,9 @@
   }
 
   /**
-   * An unknown key may be one of a later configuration, if that in force may be out of date. The age
-   * is that of the confirmation, which also counts the time during which the machine was suspended.
+   * An unknown key may be one of a later configuration, if that in force may be out of date. The
+   * age is that of the confirmation, which also counts the time during which the machine was
+   * suspended.
    */
   private AdmissionResult unknownKey(
       ClockReading now, Optional<Confirmation> confirmation, long version, long maxAgeNanos) {
