Lower the limit of the wait for customers beyond their share

Cause: CustomerShares decided about shares under load, and nothing on a request's path asked it. Change: AttemptPlanner records the work of customers at each service and passes the factor to BackendSelector, where it scales the part of the objective that a wait may take. Requests without a customer have the factor 1. Work that other instances send is not reported yet, so each instance judges by what it sends itself.

--- a/core/src/main/java/org/gentianslip/core/load/BackendSelector.java
+++ b/core/src/main/java/org/gentianslip/core/load/BackendSelector.java
@@ -89,6 +89,22 @@
       long remainingMillis,
       Candidates candidates,
       List<RegionOption> regions) {
+    return select(nowNanos, route, size, remainingMillis, candidates, regions, 1);
+  }
+
+  /**
+   * Selects as the other method does, with a shorter limit for a customer beyond its share.
+   *
+   * @param limitFactor the part of the objective's limit that applies, above 0 and at most 1
+   */
+  public static BackendDecision select(
+      long nowNanos,
+      Route route,
+      RequestSize size,
+      long remainingMillis,
+      Candidates candidates,
+      List<RegionOption> regions,
+      double limitFactor) {
     BackendOption best = null;
     BackendEstimate bestEstimate = null;
     double bestCost = Double.MAX_VALUE;
@@ -111,7 +127,7 @@
         bestCost = cost;
       }
     }
-    double limitMillis = limitMillis(route, remainingMillis);
+    double limitMillis = limitMillis(route, remainingMillis, limitFactor);
     RegionOption remote = null;
     boolean mayUseRegion = false;
     double pauseMillis = Double.MAX_VALUE;
@@ -158,9 +174,10 @@
         noTarget ? "no-backend" : "too-late", Math.min(excessMillis, pauseMillis));
   }
 
-  private static double limitMillis(Route route, long remainingMillis) {
+  private static double limitMillis(Route route, long remainingMillis, double limitFactor) {
     double factor = route.rank() == 0 ? URGENT_OBJECTIVE_FACTOR : OTHER_OBJECTIVE_FACTOR;
-    return Math.min(factor * route.objectiveMillis(), REMAINING_SHARE * remainingMillis);
+    return Math.min(
+        limitFactor * factor * route.objectiveMillis(), REMAINING_SHARE * remainingMillis);
   }
 
   private static double cost(BackendEstimate estimate) {
--- a/entry/src/main/java/org/gentianslip/entry/gateway/AttemptPlanner.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/AttemptPlanner.java
@@ -7,10 +7,12 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
+import org.gentianslip.core.id.CustomerId;
 import org.gentianslip.core.id.EngineId;
 import org.gentianslip.core.id.RegionId;
 import org.gentianslip.core.id.ServiceId;
 import org.gentianslip.core.load.BackendDecision;
+import org.gentianslip.core.load.BackendEstimate;
 import org.gentianslip.core.load.BackendSelector;
 import org.gentianslip.core.load.Candidates;
 import org.gentianslip.core.load.RegionOption;
@@ -18,6 +20,7 @@
 import org.gentianslip.core.published.Backend;
 import org.gentianslip.core.quarantine.RequestTraits;
 import org.gentianslip.core.route.Route;
+import org.gentianslip.core.route.RouteTable;
 import org.gentianslip.core.shutdown.RequestTime;
 import org.gentianslip.core.shutdown.ShutdownPlan;
 
@@ -43,6 +46,7 @@
   private final ServiceId service;
   private final RequestSize size;
   private final RequestTraits traits;
+  private final Optional<CustomerId> customer;
   private final BooleanSupplier maySendAgain;
   private final boolean forwarded;
   private final Set<EngineId> possibleRuns = new HashSet<>();
@@ -55,6 +59,7 @@
   /**
    * Creates a planner.
    *
+   * @param customer the customer of the request, if it has one
    * @param maySendAgain tests before each attempt after the first whether the customer's key is
    *     still valid
    */
@@ -64,6 +69,7 @@
       ServiceId service,
       RequestSize size,
       RequestTraits traits,
+      Optional<CustomerId> customer,
       BooleanSupplier maySendAgain,
       boolean forwarded) {
     this.state = state;
@@ -71,6 +77,7 @@
     this.service = service;
     this.size = size;
     this.traits = traits;
+    this.customer = customer;
     this.maySendAgain = maySendAgain;
     this.forwarded = forwarded;
   }
@@ -124,12 +131,41 @@
             ? List.of()
             : state.forwardCandidates(nowNanos, route, service, holders, this::mayUse);
     BackendDecision decision =
-        BackendSelector.select(nowNanos, route, size, remainingMillis, localCandidates, regions);
+        BackendSelector.select(
+            nowNanos,
+            route,
+            size,
+            remainingMillis,
+            localCandidates,
+            regions,
+            limitFactor(nowNanos));
     return maySend(nowNanos, decision, remainingMillis)
         ? decision
         : new BackendDecision.Refuse(Gateway.LEAVING, 0);
   }
 
+  /** Returns the part of the limit that applies, which is smaller beyond a customer's share. */
+  private double limitFactor(long nowNanos) {
+    if (customer.isEmpty()) {
+      return 1;
+    }
+    return state
+        .published()
+        .routes()
+        .flatMap(RouteTable::customers)
+        .map(c -> state.customerWork().limitFactor(nowNanos, service, customer.get(), c))
+        .orElse(1.0);
+  }
+
+  /** Records the work of a request of a customer that is sent to a backend server. */
+  void recordWork(long nowNanos, BackendEstimate estimate) {
+    customer.ifPresent(
+        c ->
+            state
+                .customerWork()
+                .record(nowNanos, service, c, estimate.prefillMillis() + estimate.serviceMillis()));
+  }
+
   /**
    * Returns whether this instance will last long enough for a decision. A stream that has begun is
    * continued in any case, as no failure can be sent in its place.
--- a/entry/src/main/java/org/gentianslip/entry/gateway/GatewayState.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/GatewayState.java
@@ -52,6 +52,7 @@
   private final BackendRegistry backends;
   private final PromptLocator prompts;
   private final ForwardTargets forwardTargets;
+  private final CustomerWork customerWork = new CustomerWork();
   private final PromptQuarantine quarantine;
   private final ProcessorGuard processor;
   private volatile Optional<ShutdownPlan> shutdownPlan = Optional.empty();
@@ -255,6 +256,11 @@
     return forwardTargets;
   }
 
+  /** Returns the recent work of customers. */
+  CustomerWork customerWork() {
+    return customerWork;
+  }
+
   /** Returns the parts of prompts that are kept away from engines. */
   public PromptQuarantine quarantine() {
     return quarantine;
--- a/entry/src/main/java/org/gentianslip/entry/gateway/RequestExecution.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/RequestExecution.java
@@ -80,6 +80,7 @@
             route.serviceFor(gateway.splitFraction(id)),
             size,
             RequestTraits.of(size, request::fingerprint),
+            admitted.customer().map(Customer::id),
             () -> gateway.admission().maySendAgain(request, admitted, forwarded),
             forwarded);
     if (forwarded) {
@@ -178,6 +179,7 @@
     var backend = decision.option().backend();
     var attempt = new BackendAttempt(this, decision);
     current = attempt;
+    planner.recordWork(nowNanos, decision.estimate());
     countAttempt("backend");
     requestLog.recordAttempt(
         nowNanos,
