--- a/entry/src/main/java/org/gentianslip/entry/gateway/Gateway.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/Gateway.java
@@ -7,7 +7,6 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
@@ -72,6 +71,7 @@
   private final EdgeHeaders edgeHeaders;
   private final GatewayMetrics metrics;
   private final DecisionLog decisions;
+  private final OverloadCheck overload = new OverloadCheck(this);
   private final CallerBuffers buffers = CallerBuffers.create();
   private final Set<RequestExecution> inFlight = ConcurrentHashMap.newKeySet();
   private final Map<EventLoop, BackendClient> clients = new ConcurrentHashMap<>();
@@ -161,7 +161,7 @@
   }
 
   private void handle(BufferedHttpRequest request, ResponseWriter writer, boolean forwarded) {
-    if (refusesForProcessor(request, writer, forwarded)) {
+    if (overload.refuses(request, writer, forwarded)) {
       return;
     }
     String id = request.headers().get(edgeHeaders.requestId(), "");
@@ -193,38 +193,6 @@
     execution.start();
   }
 
-  /**
-   * Records the wait of a request and refuses it if the processor can't serve it in time. Requests
-   * without a route are left to the checks that follow.
-   */
-  private boolean refusesForProcessor(
-      BufferedHttpRequest request, ResponseWriter writer, boolean forwarded) {
-    long now = System.nanoTime();
-    if (!state.processor().recordWait(now, request)) {
-      return false;
-    }
-    Optional<Route> route =
-        state
-            .published()
-            .routes()
-            .flatMap(t -> t.find(request.host().toLowerCase(Locale.ROOT), request.path()));
-    if (route.isEmpty()) {
-      return false;
-    }
-    long remainingMillis = timeLimitMillis(request, route.get(), forwarded);
-    String id = request.headers().get(edgeHeaders.requestId(), "");
-    OptionalLong retryMillis =
-        state.processor().retryAfterMillis(now, id, request, route.get(), remainingMillis);
-    if (retryMillis.isEmpty()) {
-      return false;
-    }
-    String rank = Integer.toString(route.get().rank());
-    metrics.countRequest(rank, "refused");
-    metrics.countRefusal(rank, ProcessorGuard.OVERLOADED);
-    writer.writeResponse(503, notRunHeaders(id, retryMillis.getAsLong()), new byte[0]);
-    return true;
-  }
-
   private void respondUnknownRoute(
       String id, BufferedHttpRequest request, ResponseWriter writer, boolean forwarded) {
     boolean stale = state.confirmationAgeNanos(System.nanoTime()) > STALE_ROUTES_NANOS;
@@ -247,7 +215,8 @@
     writer.writeResponse(503, notRunHeaders(id, retryAfterMillis), new byte[0]);
   }
 
-  private long timeLimitMillis(BufferedHttpRequest request, Route route, boolean forwarded) {
+  /** Returns the time left for a request when it was read, in milliseconds. */
+  long timeLimitMillis(BufferedHttpRequest request, Route route, boolean forwarded) {
     String name = forwarded ? REMAINING_MILLIS : edgeHeaders.deadlineMillis();
     long requestedMillis = parseMillis(request.headers().get(name), route.timeoutMillis());
     long millis = Math.min(requestedMillis, route.timeoutMillis());
