--- a/core/src/main/java/org/gentianslip/core/limit/ServerPace.java
+++ b/core/src/main/java/org/gentianslip/core/limit/ServerPace.java
@@ -141,11 +141,12 @@
    * @param expected the time that was expected when the request was sent, in milliseconds
    * @param actualMillis the time that it took, in milliseconds
    */
-  public void recordAnswer(long nowNanos, int slots, double expectedMillis, double actualMillis) {
+  public void recordAnswer(long nowNanos, int slots, double expected, double actualMillis) {
+    progressNanos = nowNanos;
     if (!isLimited(nowNanos, slots)) {
       return;
     }
-    if (actualMillis > SLOW_FACTOR * Math.max(MIN_COMPARED_MILLIS, expectedMillis)) {
+    if (actualMillis > slowMillis(expected)) {
       recordSetback(nowNanos, slots);
       return;
     }
--- a/core/src/main/java/org/gentianslip/core/load/BackendLoad.java
+++ b/core/src/main/java/org/gentianslip/core/load/BackendLoad.java
@@ -109,7 +109,7 @@
   /** Counts a request that is about to be sent, and returns the reservation that tracks it. */
   public synchronized Reservation reserve(
       long nowNanos, boolean urgent, RequestSize size, BackendEstimate estimate) {
-    double prefillMillis = estimate.prefillMillis();
+    final double prefillMillis = estimate.prefillMillis();
     final boolean outdated = isOutdated(nowNanos);
     cache.record(size.prompt());
     pace.recordSend(nowNanos, running, estimate.totalMillis());
