Exchange the use of quotas, count it and show it to operators

The decision in core needs the usage of other instances, and operators need to see why requests are refused. Messages carry usage by customer, bounds are read from the settings, metrics count at most 64 customers by name, and gentianctl status shows each quota.

--- a/ctl/src/main/java/org/gentianslip/ctl/StatusTables.java
+++ b/ctl/src/main/java/org/gentianslip/ctl/StatusTables.java
@@ -25,6 +25,7 @@
     addTable("Instances", instances(statuses), lines);
     addTable("Other listed instances", otherInstances(statuses), lines);
     addTable("Engines", engines(statuses), lines);
+    addTable("Quotas (tokens of a window)", QuotaTable.of(statuses), lines);
     addRejections(statuses, lines);
     return lines;
   }
--- a/entry/src/main/java/org/gentianslip/entry/fleet/FleetExchange.java
+++ b/entry/src/main/java/org/gentianslip/entry/fleet/FleetExchange.java
@@ -12,10 +12,13 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
+import org.gentianslip.core.fleet.Activity;
 import org.gentianslip.core.fleet.Contact;
 import org.gentianslip.core.fleet.ContactPlanner;
+import org.gentianslip.core.fleet.DataCentreReport;
 import org.gentianslip.core.fleet.PeerRecord;
 import org.gentianslip.core.published.ItemSnapshot;
+import org.gentianslip.core.quota.QuotaLedger;
 import org.gentianslip.entry.gateway.GatewayState;
 import org.gentianslip.entry.http.Json;
 import org.gentianslip.entry.published.PublishedStateUpdater;
@@ -70,8 +73,7 @@
       planner.answered(sender.id());
       ctx.setResponseType(MediaType.json);
       return ctx.send(
-          Json.bytes(
-              messages.create(System.nanoTime(), sender.id(), message.scope().ofResponse())));
+          Json.bytes(messages.respond(System.nanoTime(), sender, message.scope().ofResponse())));
     } catch (JsonProcessingException | IllegalArgumentException | NullPointerException e) {
       LOGGER.atWarning().atMostEvery(10, TimeUnit.SECONDS).log(
           "fleet: event=bad-message from=%s cause=%s", ctx.getRemoteAddress(), e.getMessage());
@@ -81,22 +83,32 @@
 
   /** Performs one round; must be called every {@link #ROUND_MILLIS}, by one thread. */
   public void round(long nowNanos) {
+    QuotaLedger quotas = state.quotas().ledger();
+    var report =
+        new DataCentreReport(
+            state.waits(nowNanos), quotas.centre(nowNanos, state.fleet().formerUsage()));
     List<Contact> contacts =
         planner.plan(
-            nowNanos,
-            state.ownRecord(),
-            state.config().seeds(),
-            state.waits(nowNanos),
-            state.hasLoad(nowNanos));
+            nowNanos, state.ownRecord(), state.config().seeds(), report, activity(nowNanos));
+    contacts.forEach(c -> send(nowNanos, c));
     if (planner.isRelay() != wasRelay) {
       wasRelay = planner.isRelay();
       LOGGER.atInfo().log("fleet: event=relay active=%s", wasRelay);
     }
     state.prompts().dropExpired(nowNanos);
-    contacts.forEach(c -> send(nowNanos, c));
+    quotas.forgetIdle(nowNanos);
     updater.setRelay(planner.isRelay());
   }
 
+  private Activity activity(long nowNanos) {
+    QuotaLedger quotas = state.quotas().ledger();
+    if (quotas.hasSurge(nowNanos)) {
+      return Activity.URGENT;
+    }
+    boolean busy = state.hasLoad(nowNanos) || !quotas.own(nowNanos).isEmpty();
+    return busy ? Activity.BUSY : Activity.IDLE;
+  }
+
   /** Tells the relays of all data centres now that the state of this instance has changed. */
   public void announce(long nowNanos) {
     planner.announcement(nowNanos).forEach(c -> send(nowNanos, c));
--- a/entry/src/main/java/org/gentianslip/entry/fleet/FleetMessage.java
+++ b/entry/src/main/java/org/gentianslip/entry/fleet/FleetMessage.java
@@ -53,6 +53,8 @@
  * @param evidenceAck what the sender has received of the receiver's evidence
  * @param limits what backend servers of the region have said about the requests that they take, by
  *     id
+ * @param usage the tokens that customers used and requested, of the sender or of the others in its
+ *     data centre; null in messages of earlier versions, and if the scope asks for none
  */
 record FleetMessage(
     Instance self,
@@ -72,7 +74,8 @@
     List<Completion> completions,
     long evidenceNumber,
     Ack evidenceAck,
-    Map<String, Limit> limits) {
+    Map<String, Limit> limits,
+    Map<String, JsonNode> usage) {
 
   FleetMessage {
     peers = peers == null ? List.of() : List.copyOf(peers);
@@ -180,6 +183,7 @@
    * @param waits the waits by service, in milliseconds
    * @param failures the costs of failures by service, in milliseconds; null in messages of earlier
    *     versions
+   * @param usage the use of quotas by customer; null in messages of earlier versions
    */
   @JsonFormat(shape = JsonFormat.Shape.ARRAY)
   record Summary(
@@ -187,7 +191,8 @@
       String region,
       long beat,
       Map<String, JsonNode> waits,
-      Map<String, JsonNode> failures) {
+      Map<String, JsonNode> failures,
+      Map<String, JsonNode> usage) {
 
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
 
@@ -211,7 +216,12 @@
                 failures.put(service.value(), rounded(wait.failureMillis()));
               });
       return new Summary(
-          summary.dataCentre().value(), summary.region().value(), summary.beat(), waits, failures);
+          summary.dataCentre().value(),
+          summary.region().value(),
+          summary.beat(),
+          waits,
+          failures,
+          UsageFields.of(summary.usage()));
     }
 
     DataCentreSummary toSummary() {
@@ -225,7 +235,11 @@
                       believed(service, wait),
                       costs.containsKey(service) ? believed(service, costs.get(service)) : 0)));
       return new DataCentreSummary(
-          DataCentreId.of(dataCentre), RegionId.of(region), beat, byService);
+          DataCentreId.of(dataCentre),
+          RegionId.of(region),
+          beat,
+          byService,
+          usage == null ? Map.of() : UsageFields.read(usage));
     }
 
     private static JsonNode rounded(double millis) {
--- a/entry/src/main/java/org/gentianslip/entry/fleet/FleetMessages.java
+++ b/entry/src/main/java/org/gentianslip/entry/fleet/FleetMessages.java
@@ -1,5 +1,6 @@
 package org.gentianslip.entry.fleet;
 
+import com.fasterxml.jackson.databind.JsonNode;
 import com.google.common.flogger.FluentLogger;
 import java.util.HashMap;
 import java.util.List;
@@ -13,6 +14,7 @@
 import org.gentianslip.core.fleet.SyncAck;
 import org.gentianslip.core.fleet.SyncCursors;
 import org.gentianslip.core.fleet.SyncMessage;
+import org.gentianslip.core.id.CustomerId;
 import org.gentianslip.core.id.EngineId;
 import org.gentianslip.core.id.InstanceId;
 import org.gentianslip.core.load.BackendLoad;
@@ -21,6 +23,8 @@
 import org.gentianslip.core.published.Revision;
 import org.gentianslip.core.quarantine.EvidenceBatch;
 import org.gentianslip.core.quarantine.PromptQuarantine;
+import org.gentianslip.core.quota.QuotaUsage;
+import org.gentianslip.core.quota.UsageSource;
 import org.gentianslip.core.route.RouteTable;
 import org.gentianslip.entry.gateway.GatewayState;
 import org.gentianslip.entry.published.PublishedStateUpdater;
@@ -73,7 +77,8 @@
         SyncAck.NONE,
         new EvidenceBatch(List.of(), List.of(), 0),
         SyncAck.NONE,
-        Map.of());
+        Map.of(),
+        null);
   }
 
   /**
@@ -82,6 +87,26 @@
    * @param scope whose loads to report
    */
   FleetMessage create(long nowNanos, InstanceId receiver, LoadScope scope) {
+    Map<CustomerId, QuotaUsage> usage =
+        scope == LoadScope.INSTANCE ? state.quotas().ledger().report(nowNanos) : null;
+    return compose(nowNanos, receiver, scope, usage);
+  }
+
+  /** Returns the response to a message. */
+  FleetMessage respond(long nowNanos, PeerRecord sender, LoadScope scope) {
+    Map<CustomerId, QuotaUsage> usage =
+        scope == LoadScope.REGION
+            ? state.quotas().ledger().centreWithout(nowNanos, sourceOf(sender))
+            : null;
+    return compose(nowNanos, sender.id(), scope, usage);
+  }
+
+  private static UsageSource sourceOf(PeerRecord peer) {
+    return new UsageSource(peer.id(), peer.incarnation());
+  }
+
+  private FleetMessage compose(
+      long nowNanos, InstanceId receiver, LoadScope scope, Map<CustomerId, QuotaUsage> usage) {
     SyncMessage sync = state.fleet().compose(nowNanos, state.ownRecord(), receiver);
     long promptNumber = state.prompts().lastChange();
     List<FleetMessage.Prompt> prompts =
@@ -106,7 +131,8 @@
         promptCursors.receivedFrom(receiver),
         evidence,
         evidenceCursors.receivedFrom(receiver),
-        limits(nowNanos, backends));
+        limits(nowNanos, backends),
+        usage == null ? null : UsageFields.of(usage));
   }
 
   private FleetMessage message(
@@ -119,7 +145,8 @@
       SyncAck promptAck,
       EvidenceBatch evidence,
       SyncAck evidenceAck,
-      Map<String, FleetMessage.Limit> limits) {
+      Map<String, FleetMessage.Limit> limits,
+      Map<String, JsonNode> usage) {
     Revision published = updater.revision();
     return new FleetMessage(
         FleetMessage.Instance.of(sync.self()),
@@ -139,7 +166,8 @@
         evidence.completions().stream().map(c -> FleetMessage.Completion.of(nowNanos, c)).toList(),
         evidence.number(),
         FleetMessage.Ack.of(evidenceAck),
-        limits);
+        limits,
+        usage);
   }
 
   private static Map<String, int[]> loads(
@@ -198,6 +226,7 @@
           peer.id(), peer.region(), peer.incarnation());
     }
     source(peer, message.scope(), relay).ifPresent(s -> applyLoads(nowNanos, s, message.loads()));
+    applyUsage(nowNanos, peer, message, relay);
     message.prompts().forEach(p -> state.addPromptHolder(peer.id(), p.toHolder(nowNanos)));
     promptCursors.record(
         peer.id(),
@@ -217,6 +246,19 @@
     return (behind || stale) && message.version() > 0;
   }
 
+  private void applyUsage(long nowNanos, PeerRecord peer, FleetMessage message, boolean relay) {
+    boolean sameDataCentre = peer.dataCentre().equals(state.config().dataCentre());
+    if (message.usage() == null || !sameDataCentre) {
+      return;
+    }
+    if (message.scope() == LoadScope.INSTANCE) {
+      Map<CustomerId, QuotaUsage> usage = UsageFields.read(message.usage());
+      state.quotas().ledger().applyMember(nowNanos, sourceOf(peer), usage);
+    } else if (message.scope() == LoadScope.REGION && !relay) {
+      state.quotas().ledger().applyRelay(nowNanos, UsageFields.read(message.usage()));
+    }
+  }
+
   private void applyEvidence(long nowNanos, PeerRecord peer, FleetMessage message) {
     PromptQuarantine quarantine = state.quarantine();
     message
--- a/entry/src/main/java/org/gentianslip/entry/gateway/AdmissionResult.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/AdmissionResult.java
@@ -1,5 +1,7 @@
 package org.gentianslip.entry.gateway;
 
+import java.util.Optional;
+import org.gentianslip.core.quota.QuotaGrant;
 import org.gentianslip.core.route.Route;
 
 /** Whether a request is executed, or how it is answered instead. Immutable and thread-safe. */
@@ -9,8 +11,9 @@
    * The request is executed.
    *
    * @param route the route on which it is executed
+   * @param grant what was counted for it in its customer's quota, if it has one
    */
-  record Admitted(Route route) implements AdmissionResult {}
+  record Admitted(Route route, Optional<QuotaGrant> grant) implements AdmissionResult {}
 
   /**
    * The request is not run and may be sent again.
--- a/entry/src/main/java/org/gentianslip/entry/gateway/EdgeHeaders.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/EdgeHeaders.java
@@ -32,6 +32,12 @@
   /** Returns the size of the work that the headers of a request declare. */
   RequestSize sizeOf(HttpHeaders headers, long bodyBytes);
 
+  /**
+   * Returns the tokens that a request declares, those of its prompt and those to generate together;
+   * empty if it declares none, or not in a readable way.
+   */
+  OptionalLong statedTokens(HttpHeaders headers);
+
   /**
    * Adds the gateway's own headers to a request for a backend server.
    *
--- a/entry/src/main/java/org/gentianslip/entry/gateway/Gateway.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/Gateway.java
@@ -154,7 +154,7 @@
   private void handle(BufferedHttpRequest request, ResponseWriter writer, boolean forwarded) {
     AdmissionResult result = admission.admit(request, forwarded);
     if (result instanceof AdmissionResult.Admitted admitted) {
-      execute(request, writer, forwarded, admitted.route());
+      execute(request, writer, forwarded, admitted);
     } else if (result instanceof AdmissionResult.Refused refused) {
       refuse(request, writer, refused);
     } else if (result instanceof AdmissionResult.Rejected rejected) {
@@ -163,9 +163,15 @@
   }
 
   private void execute(
-      BufferedHttpRequest request, ResponseWriter writer, boolean forwarded, Route route) {
+      BufferedHttpRequest request,
+      ResponseWriter writer,
+      boolean forwarded,
+      AdmissionResult.Admitted admitted) {
+    Route route = admitted.route();
     long limitMillis = timeLimitMillis(request, route, forwarded);
-    var execution = new RequestExecution(this, request, writer, route, forwarded, limitMillis);
+    var execution =
+        new RequestExecution(
+            this, request, writer, route, forwarded, limitMillis, admitted.grant());
     inFlight.add(execution);
     execution.start();
   }
--- a/entry/src/main/java/org/gentianslip/entry/gateway/GatewayBounds.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/GatewayBounds.java
@@ -1,5 +1,7 @@
 package org.gentianslip.entry.gateway;
 
+import org.gentianslip.core.quota.QuotaBounds;
+
 /**
  * The limits that operators set for all instances. Immutable and safe for use by several threads.
  *
@@ -11,6 +13,7 @@
  * @param coldExtra the additional requests per second to a cold backend server, allowed to all
  *     instances together
  * @param graceMillis the time from the shutdown request to the end of the process, in milliseconds
+ * @param quotas the tolerance within which the quotas of customers hold
  */
 public record GatewayBounds(
     double repeatShare,
@@ -18,7 +21,8 @@
     long repeatWindowMillis,
     double coldShare,
     double coldExtra,
-    long graceMillis) {
+    long graceMillis,
+    QuotaBounds quotas) {
 
   /** The factor for bounds shared by all instances, as their known number may be outdated. */
   static final double SAFETY_FACTOR = 0.85;
--- a/entry/src/main/java/org/gentianslip/entry/gateway/GatewayMetrics.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/GatewayMetrics.java
@@ -1,17 +1,20 @@
 package org.gentianslip.entry.gateway;
 
 import io.prometheus.metrics.core.metrics.Counter;
+import io.prometheus.metrics.core.metrics.CounterWithCallback;
 import io.prometheus.metrics.core.metrics.GaugeWithCallback;
 import io.prometheus.metrics.core.metrics.Histogram;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import java.util.Map;
 import java.util.function.DoubleSupplier;
+import java.util.function.Supplier;
 import org.gentianslip.entry.metrics.MetricsText;
 
 /**
  * The metrics of routed requests.
  *
- * <p>Label values are ranks and constants of this program only, so their number is bounded. Safe
- * for use by several threads.
+ * <p>Label values are ranks, constants of this program and the first 64 customers only, so their
+ * number is bounded. Safe for use by several threads.
  */
 final class GatewayMetrics {
 
@@ -71,6 +74,25 @@
         ageSeconds);
   }
 
+  /** Registers the counts by customer with a quota, which are read at each scrape. */
+  void registerQuotas(Supplier<Map<String, CustomerQuotas.Counts>> counts) {
+    CounterWithCallback.builder()
+        .name("gentian_gateway_quota_requests_total")
+        .help("Requests of customers with a quota: admitted, refused, or returned as not run.")
+        .labelNames("customer", "outcome")
+        .callback(
+            c ->
+                counts
+                    .get()
+                    .forEach(
+                        (customer, n) -> {
+                          c.call(n.admitted().sum(), customer, "admitted");
+                          c.call(n.refused().sum(), customer, "refused");
+                          c.call(n.returned().sum(), customer, "returned");
+                        }))
+        .register(registry);
+  }
+
   private void gauge(String name, String help, DoubleSupplier value) {
     GaugeWithCallback.builder()
         .name(name)
--- a/entry/src/main/java/org/gentianslip/entry/gateway/GatewayOperatorView.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/GatewayOperatorView.java
@@ -70,6 +70,7 @@
     addInstances(nowNanos, body.putArray("instances"));
     addEngines(nowNanos, body.putArray("engines"));
     addQuarantine(body.putArray("quarantine"));
+    addQuotas(nowNanos, body.putArray("quotas"));
     return body;
   }
 
@@ -86,6 +87,24 @@
     }
   }
 
+  private void addQuotas(long nowNanos, ArrayNode quotas) {
+    state
+        .quotas()
+        .states(nowNanos)
+        .forEach(
+            (customer, s) ->
+                quotas
+                    .addObject()
+                    .put("customer", customer.value())
+                    .put("allowance", Math.round(s.allowance()))
+                    .put("usable", Math.round(s.usable()))
+                    .put("own", Math.round(s.own()))
+                    .put("others", Math.round(s.others()))
+                    .put("weight", s.weight())
+                    .put("reportMillisAgo", s.ageMillis())
+                    .put("refused", state.quotas().countsOf(customer).refused().sum()));
+  }
+
   private void addQuarantine(ArrayNode parts) {
     for (Verdict verdict : state.quarantine().verdicts()) {
       parts.addObject().put("part", verdict.part()).put("crashes", verdict.crashes());
--- a/entry/src/main/java/org/gentianslip/entry/gateway/GatewayServer.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/GatewayServer.java
@@ -64,6 +64,7 @@
         gateway::inFlight,
         gateway::version,
         () -> state.confirmationAgeNanos(System.nanoTime()) / NANOS_PER_SECOND);
+    metrics.registerQuotas(state.quotas()::counts);
     this.onPause = onPause;
     this.callerServer =
         new CallerServer(
--- a/entry/src/main/java/org/gentianslip/entry/gateway/GatewayState.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/GatewayState.java
@@ -51,6 +51,7 @@
   private final PromptLocator prompts;
   private final ForwardTargets forwardTargets;
   private final PromptQuarantine quarantine;
+  private final CustomerQuotas quotas;
   private volatile Optional<ShutdownPlan> shutdownPlan = Optional.empty();
   private volatile boolean refusing;
   private volatile long confirmedNanos = System.nanoTime();
@@ -67,6 +68,7 @@
     this.prompts = new PromptLocator(this::config);
     this.forwardTargets = new ForwardTargets(fleet, config.region());
     this.quarantine = new PromptQuarantine(config.id(), System.nanoTime());
+    this.quotas = new CustomerQuotas(fleet, config.bounds().quotas(), System.nanoTime());
   }
 
   /** Returns the configuration of this instance. */
@@ -229,6 +231,11 @@
     return forwardTargets;
   }
 
+  /** Returns the quotas of customers. */
+  public CustomerQuotas quotas() {
+    return quotas;
+  }
+
   /** Returns the parts of prompts that are kept away from engines. */
   public PromptQuarantine quarantine() {
     return quarantine;
--- a/entry/src/main/java/org/gentianslip/entry/gateway/RequestAdmission.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/RequestAdmission.java
@@ -3,6 +3,10 @@
 import java.util.Locale;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import org.gentianslip.core.customer.Quota;
+import org.gentianslip.core.id.CustomerId;
+import org.gentianslip.core.quota.QuotaDecision;
+import org.gentianslip.core.quota.QuotaGrant;
 import org.gentianslip.core.route.Route;
 import org.gentianslip.core.route.RouteTable;
 
@@ -24,6 +28,7 @@
 
   private static final int BAD_REQUEST = 400;
   private static final int NOT_FOUND = 404;
+  private static final int TOO_MANY_REQUESTS = 429;
   private static final int UNAVAILABLE = 503;
 
   private final GatewayState state;
@@ -59,7 +64,7 @@
     if (forwarded && !route.get().allows(state.config().region())) {
       return refused("region-not-allowed");
     }
-    return new AdmissionResult.Admitted(route.get());
+    return new AdmissionResult.Admitted(route.get(), Optional.empty());
   }
 
   private AdmissionResult unknownRoute(boolean forwarded) {
@@ -69,6 +74,25 @@
         : new AdmissionResult.Rejected(NOT_FOUND, "unknown-path");
   }
 
+  /**
+   * Counts an identified request in its customer's quota.
+   *
+   * <p>Must be the last step, as a request that a later step refuses would stay counted. A
+   * forwarded request was counted by the instance that received it from the caller.
+   */
+  AdmissionResult withinQuota(
+      BufferedHttpRequest request, Route route, CustomerId customer, Quota quota) {
+    String id = request.headers().get(edgeHeaders.requestId(), "");
+    double tokens = quota.costOf(edgeHeaders.statedTokens(request.headers()));
+    QuotaDecision decision = state.quotas().admit(System.nanoTime(), id, customer, quota, tokens);
+    if (decision instanceof QuotaDecision.Refused refused) {
+      return new AdmissionResult.Refused(
+          TOO_MANY_REQUESTS, refused.reason(), refused.retryAfterMillis());
+    }
+    QuotaGrant grant = ((QuotaDecision.Admitted) decision).grant();
+    return new AdmissionResult.Admitted(route, Optional.of(grant));
+  }
+
   private static AdmissionResult refused(String reason) {
     return new AdmissionResult.Refused(UNAVAILABLE, reason, NOT_READY_RETRY_MILLIS);
   }
--- a/entry/src/main/java/org/gentianslip/entry/gateway/RequestExecution.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/RequestExecution.java
@@ -14,6 +14,7 @@
 import org.gentianslip.core.load.RequestSize;
 import org.gentianslip.core.load.RetryDelay;
 import org.gentianslip.core.quarantine.RequestTraits;
+import org.gentianslip.core.quota.QuotaGrant;
 import org.gentianslip.core.route.Route;
 
 /**
@@ -41,6 +42,7 @@
   private final BufferedHttpRequest request;
   private final ResponseWriter writer;
   private final Route route;
+  private final Optional<QuotaGrant> grant;
   private final AttemptPlanner planner;
   private final CallerResponse response;
   private final String id;
@@ -58,12 +60,14 @@
       ResponseWriter writer,
       Route route,
       boolean forwarded,
-      long remainingMillis) {
+      long remainingMillis,
+      Optional<QuotaGrant> grant) {
     this.gateway = gateway;
     this.request = request;
     this.writer = writer;
     this.response = new CallerResponse(writer);
     this.route = route;
+    this.grant = grant;
     this.id = request.headers().get(gateway.edgeHeaders().requestId(), "");
     this.requestLog = new RequestLog(id, request, route, forwarded, gateway.openTrace(id));
     RequestSize size = gateway.edgeHeaders().sizeOf(request.headers(), request.body().length);
@@ -341,6 +345,7 @@
       return;
     }
     if (finish("refused reason=" + reason)) {
+      returnTokens();
       gateway.metrics().countRefusal(rank(), reason);
       response.writeResponse(503, refusalHeaders(reason, excessMillis), new byte[0]);
     }
@@ -379,6 +384,7 @@
       return;
     }
     if (notAttempted) {
+      returnTokens();
       long retryAfterMillis = AttemptPlanner.DEFAULT_RETRY_MILLIS;
       response.writeResponse(503, gateway.notRunHeaders(id, retryAfterMillis), new byte[0]);
     } else {
@@ -442,11 +448,20 @@
   @Override
   public void onDisconnect() {
     if (!ended) {
+      boolean written = current != null && current.mayHaveBeenWritten();
       cancelCurrent();
       finish("caller-left");
+      if (!written && !mayHaveRun && !response.streamBegun()) {
+        returnTokens();
+      }
     }
   }
 
+  /** Gives back the tokens of the request to its customer, as it was not run. */
+  private void returnTokens() {
+    grant.ifPresent(gateway.state().quotas()::cancel);
+  }
+
   @Override
   public void onWritabilityChanged(boolean writable) {
     if (!ended && current != null) {
--- a/entry/src/test/java/org/gentianslip/entry/fleet/StatedWaitTest.java
+++ b/entry/src/test/java/org/gentianslip/entry/fleet/StatedWaitTest.java
@@ -33,7 +33,11 @@
   void isReadAsItWasWritten() throws Exception {
     var summary =
         new DataCentreSummary(
-            DataCentreId.of("z"), RegionId.of("south"), 3, Map.of(DESK, new ServiceWait(17, 168)));
+            DataCentreId.of("z"),
+            RegionId.of("south"),
+            3,
+            Map.of(DESK, new ServiceWait(17, 168)),
+            Map.of());
     byte[] bytes = Json.bytes(FleetMessage.Summary.of(summary));
     assertThat(Json.parse(bytes, FleetMessage.Summary.class).toSummary(), is(summary));
   }
--- a/entry/src/test/java/org/gentianslip/entry/gateway/BackendRegistryTest.java
+++ b/entry/src/test/java/org/gentianslip/entry/gateway/BackendRegistryTest.java
@@ -20,6 +20,7 @@
 import org.gentianslip.core.published.Backend;
 import org.gentianslip.core.published.PublishedState;
 import org.gentianslip.core.published.Revision;
+import org.gentianslip.core.quota.QuotaBounds;
 import org.gentianslip.core.route.CallerLimits;
 import org.gentianslip.core.route.EngineProfile;
 import org.gentianslip.core.route.RouteTable;
@@ -51,7 +52,7 @@
           3,
           List.of(),
           100,
-          new GatewayBounds(0.2, 56, 10_000, 1.5, 3, 8_000));
+          new GatewayBounds(0.2, 56, 10_000, 1.5, 3, 8_000, QuotaBounds.DEFAULT));
   private final BackendRegistry registry =
       new BackendRegistry(() -> config, new GatewayState(config, 1).fleet(), -COLD_NANOS);
 
--- a/entry/src/test/java/org/gentianslip/entry/gateway/GatewayMetricsTest.java
+++ b/entry/src/test/java/org/gentianslip/entry/gateway/GatewayMetricsTest.java
@@ -29,6 +29,7 @@
   private static List<String> lines() {
     var metrics = new GatewayMetrics();
     metrics.registerGauges(() -> 0, () -> 0, () -> 0);
+    metrics.registerQuotas(() -> Map.of("maple", new CustomerQuotas.Counts()));
     metrics.countRequest("0", "answered");
     metrics.countRefusal("0", "too-late");
     metrics.countAttempt("0", "backend", false);
