--- a/core/src/main/java/org/gentianslip/core/customer/Quota.java
+++ b/core/src/main/java/org/gentianslip/core/customer/Quota.java
@@ -3,43 +3,39 @@
 import java.util.OptionalLong;
 
 /**
- * The work that a customer may request from all instances together. Immutable and thread-safe.
+ * The quota of a customer across all instances. Immutable and thread-safe.
  *
- * @param tokensPerSecond the tokens per second; 0 if there is no limit
- * @param burstTokens the tokens allowed in addition in any window
- * @param plainTokens the tokens of a request that states none
- * @param countsTokens whether requests count as their tokens; otherwise each counts as 1
+ * @param tokensPerSecond the sustained rate, in tokens per second, greater than 0
+ * @param burstTokens the tokens allowed in addition to the rate, at least 0
+ * @param plainTokens the tokens that a request without a stated number counts as, at least 0
+ * @param byTokens whether requests count as their stated number of tokens; otherwise each request
+ *     counts as one token
  */
 public record Quota(
-    double tokensPerSecond, double burstTokens, long plainTokens, boolean countsTokens) {
-
-  /** The quota of a customer without a limit. */
-  public static final Quota UNLIMITED = new Quota(0, 0, 0, true);
+    double tokensPerSecond, double burstTokens, double plainTokens, boolean byTokens) {
 
   /**
    * Validates the components.
    *
-   * @throws IllegalArgumentException if a number is negative or not finite
+   * @throws IllegalArgumentException if a number is out of its range or not finite
    */
   public Quota {
-    requireAmount("Tokens per second", tokensPerSecond);
-    requireAmount("Burst", burstTokens);
-    requireAmount("Plain tokens", plainTokens);
-  }
-
-  private static void requireAmount(String name, double value) {
-    if (!(value >= 0 && value < Double.POSITIVE_INFINITY)) {
-      throw new IllegalArgumentException(name + " must be finite and at least 0: " + value);
+    if (!(tokensPerSecond > 0) || !Double.isFinite(tokensPerSecond)) {
+      throw new IllegalArgumentException("Rate must be positive: " + tokensPerSecond);
+    }
+    if (!(burstTokens >= 0) || !Double.isFinite(burstTokens)) {
+      throw new IllegalArgumentException("Burst must be at least 0: " + burstTokens);
+    }
+    if (!(plainTokens >= 0) || !Double.isFinite(plainTokens)) {
+      throw new IllegalArgumentException("Plain tokens must be at least 0: " + plainTokens);
     }
-  }
-
-  /** Returns whether there is a limit. */
-  public boolean limited() {
-    return tokensPerSecond > 0;
   }
 
   /** Returns what a request counts as, by the tokens that it states. */
   public double costOf(OptionalLong statedTokens) {
-    return countsTokens ? statedTokens.orElse(plainTokens) : 1;
+    if (!byTokens) {
+      return 1;
+    }
+    return statedTokens.isPresent() ? statedTokens.getAsLong() : plainTokens;
   }
 }
--- a/core/src/main/java/org/gentianslip/core/customer/package-info.java
+++ b/core/src/main/java/org/gentianslip/core/customer/package-info.java
@@ -1,2 +1,2 @@
-/** The customers on whose behalf callers send requests. */
+/** Customers: which key belongs to whom, and what a customer may use. */
 package org.gentianslip.core.customer;
--- a/core/src/main/java/org/gentianslip/core/quota/QuotaLedger.java
+++ b/core/src/main/java/org/gentianslip/core/quota/QuotaLedger.java
@@ -56,9 +56,6 @@
    */
   public QuotaDecision admit(
       long nowNanos, CustomerId customer, Quota quota, double tokens, FleetUsage fleet) {
-    if (!quota.limited()) {
-      return new QuotaDecision.Admitted(new QuotaGrant(customer, 0, nowNanos));
-    }
     var decision = new AtomicReference<QuotaDecision>();
     windows.compute(
         customer,
--- a/entry/src/main/java/org/gentianslip/entry/gateway/AdmissionResult.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/AdmissionResult.java
@@ -1,6 +1,7 @@
 package org.gentianslip.entry.gateway;
 
 import java.util.Optional;
+import org.gentianslip.core.customer.Customer;
 import org.gentianslip.core.quota.QuotaGrant;
 import org.gentianslip.core.route.Route;
 
@@ -10,10 +11,33 @@
   /**
    * The request is executed.
    *
-   * @param route the route on which it is executed
+   * @param route the route on which it is executed, with the customer's rank and regions
+   * @param customer the customer, if the request has one
+   * @param dropsKey whether the header with the key is not passed on
    * @param grant what was counted for it in its customer's quota, if it has one
    */
-  record Admitted(Route route, Optional<QuotaGrant> grant) implements AdmissionResult {}
+  record Admitted(
+      Route route, Optional<Customer> customer, boolean dropsKey, Optional<QuotaGrant> grant)
+      implements AdmissionResult {
+
+    /** Creates a result for a request that has not been counted in a quota. */
+    Admitted(Route route, Optional<Customer> customer, boolean dropsKey) {
+      this(route, customer, dropsKey, Optional.empty());
+    }
+
+    Admitted withGrant(QuotaGrant counted) {
+      return new Admitted(route, customer, dropsKey, Optional.of(counted));
+    }
+
+    static Admitted without(Route route, boolean dropsKey) {
+      return new Admitted(route, Optional.empty(), dropsKey);
+    }
+
+    /** Returns the id of the customer, or {@code none}, for logs. */
+    String customerName() {
+      return customer.map(c -> c.id().value()).orElse("none");
+    }
+  }
 
   /**
    * The request is not run and may be sent again.
--- a/entry/src/main/java/org/gentianslip/entry/gateway/CustomerQuotas.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/CustomerQuotas.java
@@ -60,9 +60,6 @@
       long nowNanos, String request, CustomerId customer, Quota quota, double tokens) {
     QuotaDecision decision =
         ledger.admit(nowNanos, customer, quota, tokens, fleet.usageOf(nowNanos, customer));
-    if (!quota.limited()) {
-      return decision;
-    }
     Counts counted = countsOf(customer);
     if (decision instanceof QuotaDecision.Refused refused) {
       counted.refused().increment();
--- a/entry/src/main/java/org/gentianslip/entry/gateway/Gateway.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/Gateway.java
@@ -83,6 +83,10 @@
     return edgeHeaders;
   }
 
+  RequestAdmission admission() {
+    return admission;
+  }
+
   /** Returns the client of an event loop, creating it if necessary. */
   BackendClient client(EventLoop loop) {
     return clients.computeIfAbsent(loop, BackendClient::new);
@@ -167,11 +171,8 @@
       ResponseWriter writer,
       boolean forwarded,
       AdmissionResult.Admitted admitted) {
-    Route route = admitted.route();
-    long limitMillis = timeLimitMillis(request, route, forwarded);
-    var execution =
-        new RequestExecution(
-            this, request, writer, route, forwarded, limitMillis, admitted.grant());
+    long limitMillis = timeLimitMillis(request, admitted.route(), forwarded);
+    var execution = new RequestExecution(this, request, writer, admitted, forwarded, limitMillis);
     inFlight.add(execution);
     execution.start();
   }
@@ -185,6 +186,9 @@
         "gateway: event=request id=%s version=%s outcome=refused reason=%s",
         id, version(), refused.reason());
     HttpHeaders headers = notRunHeaders(id, refused.retryAfterMillis());
+    if (refused.reason().equals(CustomerAdmission.CUSTOMER_UNKNOWN)) {
+      headers.set(REASON, refused.reason());
+    }
     writer.writeResponse(refused.status(), headers, new byte[0]);
   }
 
--- a/entry/src/main/java/org/gentianslip/entry/gateway/GatewayBounds.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/GatewayBounds.java
@@ -1,5 +1,6 @@
 package org.gentianslip.entry.gateway;
 
+import org.gentianslip.core.published.RevocationRule;
 import org.gentianslip.core.quota.QuotaBounds;
 
 /**
@@ -13,6 +14,7 @@
  * @param coldExtra the additional requests per second to a cold backend server, allowed to all
  *     instances together
  * @param graceMillis the time from the shutdown request to the end of the process, in milliseconds
+ * @param revocation how old the configuration may be when keys of customers are accepted
  * @param quotas the tolerance within which the quotas of customers hold
  */
 public record GatewayBounds(
@@ -22,8 +24,28 @@
     double coldShare,
     double coldExtra,
     long graceMillis,
+    RevocationRule revocation,
     QuotaBounds quotas) {
 
+  /** Creates bounds under which keys are accepted whatever the age of the configuration. */
+  public GatewayBounds(
+      double repeatShare,
+      double repeatExtra,
+      long repeatWindowMillis,
+      double coldShare,
+      double coldExtra,
+      long graceMillis) {
+    this(
+        repeatShare,
+        repeatExtra,
+        repeatWindowMillis,
+        coldShare,
+        coldExtra,
+        graceMillis,
+        RevocationRule.NONE,
+        QuotaBounds.DEFAULT);
+  }
+
   /** The factor for bounds shared by all instances, as their known number may be outdated. */
   static final double SAFETY_FACTOR = 0.85;
 }
--- a/entry/src/main/java/org/gentianslip/entry/gateway/RequestAdmission.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/RequestAdmission.java
@@ -3,10 +3,10 @@
 import java.util.Locale;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import org.gentianslip.core.customer.Customer;
 import org.gentianslip.core.customer.Quota;
-import org.gentianslip.core.id.CustomerId;
+import org.gentianslip.core.published.Confirmation;
 import org.gentianslip.core.quota.QuotaDecision;
-import org.gentianslip.core.quota.QuotaGrant;
 import org.gentianslip.core.route.Route;
 import org.gentianslip.core.route.RouteTable;
 
@@ -21,9 +21,7 @@
   /** The retry delay sent while this instance cannot serve a request yet, in milliseconds. */
   private static final long NOT_READY_RETRY_MILLIS = 300;
 
-  /**
-   * The age of the published state from which an unknown path is refused, not answered with 404.
-   */
+  /** The age of the published state from which an unknown path or key is refused, not rejected. */
   private static final long STALE_ROUTES_NANOS = TimeUnit.SECONDS.toNanos(8);
 
   private static final int BAD_REQUEST = 400;
@@ -33,10 +31,12 @@
 
   private final GatewayState state;
   private final EdgeHeaders edgeHeaders;
+  private final CustomerAdmission customers;
 
   RequestAdmission(GatewayState state, EdgeHeaders edgeHeaders) {
     this.state = state;
     this.edgeHeaders = edgeHeaders;
+    this.customers = new CustomerAdmission(state, edgeHeaders);
   }
 
   /**
@@ -45,6 +45,8 @@
    * @param forwarded whether another instance forwards the request
    */
   AdmissionResult admit(BufferedHttpRequest request, boolean forwarded) {
+    // Read before the table, which is then at least as recent as was confirmed.
+    final Optional<Confirmation> confirmation = state.knowledge().confirmation();
     Optional<RouteTable> table = state.published().routes();
     if (table.isEmpty()) {
       return refused("no-configuration");
@@ -61,10 +63,24 @@
     if (request.headers().get(edgeHeaders.requestId(), "").isEmpty()) {
       return new AdmissionResult.Rejected(BAD_REQUEST, "no-id");
     }
-    if (forwarded && !route.get().allows(state.config().region())) {
+    AdmissionResult result =
+        customers.admit(
+            request, route.get(), table.get(), confirmation, STALE_ROUTES_NANOS, forwarded);
+    if (forwarded
+        && result instanceof AdmissionResult.Admitted admitted
+        && !admitted.route().allows(state.config().region())) {
       return refused("region-not-allowed");
     }
-    return new AdmissionResult.Admitted(route.get(), Optional.empty());
+    if (!forwarded && result instanceof AdmissionResult.Admitted admitted) {
+      return withinQuota(request, admitted);
+    }
+    return result;
+  }
+
+  /** Returns whether an admitted request may be sent once more under the present configuration. */
+  boolean maySendAgain(
+      BufferedHttpRequest request, AdmissionResult.Admitted admitted, boolean forwarded) {
+    return customers.maySendAgain(request, admitted, forwarded);
   }
 
   private AdmissionResult unknownRoute(boolean forwarded) {
@@ -75,22 +91,31 @@
   }
 
   /**
-   * Counts an identified request in its customer's quota.
+   * Counts an admitted request in its customer's quota.
    *
    * <p>Must be the last step, as a request that a later step refuses would stay counted. A
    * forwarded request was counted by the instance that received it from the caller.
    */
-  AdmissionResult withinQuota(
-      BufferedHttpRequest request, Route route, CustomerId customer, Quota quota) {
-    String id = request.headers().get(edgeHeaders.requestId(), "");
-    double tokens = quota.costOf(edgeHeaders.statedTokens(request.headers()));
-    QuotaDecision decision = state.quotas().admit(System.nanoTime(), id, customer, quota, tokens);
+  private AdmissionResult withinQuota(
+      BufferedHttpRequest request, AdmissionResult.Admitted admitted) {
+    Optional<Quota> quota = admitted.customer().flatMap(Customer::quota);
+    if (quota.isEmpty()) {
+      return admitted;
+    }
+    QuotaDecision decision =
+        state
+            .quotas()
+            .admit(
+                System.nanoTime(),
+                request.headers().get(edgeHeaders.requestId(), ""),
+                admitted.customer().get().id(),
+                quota.get(),
+                quota.get().costOf(edgeHeaders.statedTokens(request.headers())));
     if (decision instanceof QuotaDecision.Refused refused) {
       return new AdmissionResult.Refused(
           TOO_MANY_REQUESTS, refused.reason(), refused.retryAfterMillis());
     }
-    QuotaGrant grant = ((QuotaDecision.Admitted) decision).grant();
-    return new AdmissionResult.Admitted(route, Optional.of(grant));
+    return admitted.withGrant(((QuotaDecision.Admitted) decision).grant());
   }
 
   private static AdmissionResult refused(String reason) {
