--- a/core/src/main/java/org/gentianslip/core/customer/Quota.java
+++ b/core/src/main/java/org/gentianslip/core/customer/Quota.java
@@ -1,5 +1,7 @@
 package org.gentianslip.core.customer;
 
+import java.util.OptionalLong;
+
 /**
  * The quota of a customer across all instances. Immutable and thread-safe.
  *
@@ -28,4 +30,12 @@
       throw new IllegalArgumentException("Plain tokens must be at least 0: " + plainTokens);
     }
   }
+
+  /** Returns what a request counts as, by the tokens that it states. */
+  public double costOf(OptionalLong statedTokens) {
+    if (!byTokens) {
+      return 1;
+    }
+    return statedTokens.isPresent() ? statedTokens.getAsLong() : plainTokens;
+  }
 }
--- a/entry/src/main/java/org/gentianslip/entry/fleet/FleetMessage.java
+++ b/entry/src/main/java/org/gentianslip/entry/fleet/FleetMessage.java
@@ -55,6 +55,8 @@
  * @param evidenceAck what the sender has received of the receiver's evidence
  * @param limits what backend servers of the region have said about the requests that they take, by
  *     id
+ * @param usage the tokens that customers used and requested, of the sender or of the others in its
+ *     data centre; null in messages of earlier versions, and if the scope asks for none
  * @param confirmedAge the time since {@code version} was known to be the newest one, in
  *     milliseconds; null if it is unknown, and in messages of earlier processes
  */
@@ -77,6 +79,7 @@
     long evidenceNumber,
     Ack evidenceAck,
     Map<String, Limit> limits,
+    Map<String, JsonNode> usage,
     JsonNode confirmedAge) {
 
   private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
@@ -210,6 +213,7 @@
    * @param waits the waits by service, in milliseconds
    * @param failures the costs of failures by service, in milliseconds; null in messages of earlier
    *     versions
+   * @param usage the use of quotas by customer; null in messages of earlier versions
    */
   @JsonFormat(shape = JsonFormat.Shape.ARRAY)
   record Summary(
@@ -217,7 +221,8 @@
       String region,
       long beat,
       Map<String, JsonNode> waits,
-      Map<String, JsonNode> failures) {
+      Map<String, JsonNode> failures,
+      Map<String, JsonNode> usage) {
 
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
 
@@ -241,7 +246,12 @@
                 failures.put(service.value(), rounded(wait.failureMillis()));
               });
       return new Summary(
-          summary.dataCentre().value(), summary.region().value(), summary.beat(), waits, failures);
+          summary.dataCentre().value(),
+          summary.region().value(),
+          summary.beat(),
+          waits,
+          failures,
+          UsageFields.of(summary.usage()));
     }
 
     DataCentreSummary toSummary() {
@@ -255,7 +265,11 @@
                       believed(service, wait),
                       costs.containsKey(service) ? believed(service, costs.get(service)) : 0)));
       return new DataCentreSummary(
-          DataCentreId.of(dataCentre), RegionId.of(region), beat, byService);
+          DataCentreId.of(dataCentre),
+          RegionId.of(region),
+          beat,
+          byService,
+          usage == null ? Map.of() : UsageFields.read(usage));
     }
 
     private static JsonNode rounded(double millis) {
--- a/entry/src/main/java/org/gentianslip/entry/gateway/AdmissionResult.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/AdmissionResult.java
@@ -2,6 +2,7 @@
 
 import java.util.Optional;
 import org.gentianslip.core.customer.Customer;
+import org.gentianslip.core.quota.QuotaGrant;
 import org.gentianslip.core.route.Route;
 
 /** Whether a request is executed, or how it is answered instead. Immutable and thread-safe. */
@@ -13,10 +14,21 @@
    * @param route the route on which it is executed, with the customer's rank and regions
    * @param customer the customer, if the request has one
    * @param dropsKey whether the header with the key is not passed on
+   * @param grant what was counted for it in its customer's quota, if it has one
    */
-  record Admitted(Route route, Optional<Customer> customer, boolean dropsKey)
+  record Admitted(
+      Route route, Optional<Customer> customer, boolean dropsKey, Optional<QuotaGrant> grant)
       implements AdmissionResult {
 
+    /** Creates a result for a request that has not been counted in a quota. */
+    Admitted(Route route, Optional<Customer> customer, boolean dropsKey) {
+      this(route, customer, dropsKey, Optional.empty());
+    }
+
+    Admitted withGrant(QuotaGrant counted) {
+      return new Admitted(route, customer, dropsKey, Optional.of(counted));
+    }
+
     static Admitted without(Route route, boolean dropsKey) {
       return new Admitted(route, Optional.empty(), dropsKey);
     }
--- a/entry/src/main/java/org/gentianslip/entry/gateway/GatewayBounds.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/GatewayBounds.java
@@ -1,6 +1,7 @@
 package org.gentianslip.entry.gateway;
 
 import org.gentianslip.core.published.RevocationRule;
+import org.gentianslip.core.quota.QuotaBounds;
 
 /**
  * The limits that operators set for all instances. Immutable and safe for use by several threads.
@@ -14,6 +15,7 @@
  *     instances together
  * @param graceMillis the time from the shutdown request to the end of the process, in milliseconds
  * @param revocation how old the configuration may be when keys of customers are accepted
+ * @param quotas the tolerance within which the quotas of customers hold
  */
 public record GatewayBounds(
     double repeatShare,
@@ -22,7 +24,8 @@
     double coldShare,
     double coldExtra,
     long graceMillis,
-    RevocationRule revocation) {
+    RevocationRule revocation,
+    QuotaBounds quotas) {
 
   /** Creates bounds under which keys are accepted whatever the age of the configuration. */
   public GatewayBounds(
@@ -39,7 +42,8 @@
         coldShare,
         coldExtra,
         graceMillis,
-        RevocationRule.NONE);
+        RevocationRule.NONE,
+        QuotaBounds.DEFAULT);
   }
 
   /** The factor for bounds shared by all instances, as their known number may be outdated. */
--- a/entry/src/main/java/org/gentianslip/entry/gateway/GatewayServer.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/GatewayServer.java
@@ -71,6 +71,7 @@
     metrics.registerProcessorGauges(
         () -> state.processor().delayNanos(System.nanoTime()) / NANOS_PER_SECOND,
         () -> state.presentCapacity() / HUNDREDTHS_PER_CORE);
+    metrics.registerQuotas(state.quotas()::counts);
     metrics.registerConfigurationAge(() -> state.knowledge().ageSeconds(Clocks.read()));
     this.onPause = onPause;
     this.callerServer =
--- a/entry/src/main/java/org/gentianslip/entry/gateway/GatewayState.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/GatewayState.java
@@ -55,6 +55,7 @@
   private final CustomerWork customerWork = new CustomerWork();
   private final PromptQuarantine quarantine;
   private final ProcessorGuard processor;
+  private final CustomerQuotas quotas;
   private volatile Optional<ShutdownPlan> shutdownPlan = Optional.empty();
   private volatile boolean refusing;
   private volatile long confirmedNanos = System.nanoTime();
@@ -73,6 +74,7 @@
     this.prompts = new PromptLocator(this::config);
     this.forwardTargets = new ForwardTargets(fleet, config.region());
     this.quarantine = new PromptQuarantine(config.id(), System.nanoTime());
+    this.quotas = new CustomerQuotas(fleet, config.bounds().quotas(), System.nanoTime());
   }
 
   /** Returns the configuration of this instance. */
@@ -261,6 +263,11 @@
     return customerWork;
   }
 
+  /** Returns the quotas of customers. */
+  public CustomerQuotas quotas() {
+    return quotas;
+  }
+
   /** Returns the parts of prompts that are kept away from engines. */
   public PromptQuarantine quarantine() {
     return quarantine;
--- a/entry/src/main/java/org/gentianslip/entry/gateway/RequestAdmission.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/RequestAdmission.java
@@ -3,7 +3,10 @@
 import java.util.Locale;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import org.gentianslip.core.customer.Customer;
+import org.gentianslip.core.customer.Quota;
 import org.gentianslip.core.published.Confirmation;
+import org.gentianslip.core.quota.QuotaDecision;
 import org.gentianslip.core.route.Route;
 import org.gentianslip.core.route.RouteTable;
 
@@ -23,6 +26,7 @@
 
   private static final int BAD_REQUEST = 400;
   private static final int NOT_FOUND = 404;
+  private static final int TOO_MANY_REQUESTS = 429;
   private static final int UNAVAILABLE = 503;
 
   private final GatewayState state;
@@ -67,6 +71,9 @@
         && !admitted.route().allows(state.config().region())) {
       return refused("region-not-allowed");
     }
+    if (!forwarded && result instanceof AdmissionResult.Admitted admitted) {
+      return withinQuota(request, admitted);
+    }
     return result;
   }
 
@@ -83,6 +90,34 @@
         : new AdmissionResult.Rejected(NOT_FOUND, "unknown-path");
   }
 
+  /**
+   * Counts an admitted request in its customer's quota.
+   *
+   * <p>Must be the last step, as a request that a later step refuses would stay counted. A
+   * forwarded request was counted by the instance that received it from the caller.
+   */
+  private AdmissionResult withinQuota(
+      BufferedHttpRequest request, AdmissionResult.Admitted admitted) {
+    Optional<Quota> quota = admitted.customer().flatMap(Customer::quota);
+    if (quota.isEmpty()) {
+      return admitted;
+    }
+    QuotaDecision decision =
+        state
+            .quotas()
+            .admit(
+                System.nanoTime(),
+                request.headers().get(edgeHeaders.requestId(), ""),
+                admitted.customer().get().id(),
+                quota.get(),
+                quota.get().costOf(edgeHeaders.statedTokens(request.headers())));
+    if (decision instanceof QuotaDecision.Refused refused) {
+      return new AdmissionResult.Refused(
+          TOO_MANY_REQUESTS, refused.reason(), refused.retryAfterMillis());
+    }
+    return admitted.withGrant(((QuotaDecision.Admitted) decision).grant());
+  }
+
   private static AdmissionResult refused(String reason) {
     return new AdmissionResult.Refused(UNAVAILABLE, reason, NOT_READY_RETRY_MILLIS);
   }
--- a/entry/src/main/java/org/gentianslip/entry/gateway/RequestExecution.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/RequestExecution.java
@@ -176,7 +176,7 @@
   }
 
   private void send(long nowNanos, BackendDecision.ToBackend decision) {
-    var backend = decision.option().backend();
+    final var backend = decision.option().backend();
     var attempt = new BackendAttempt(this, decision);
     current = attempt;
     planner.recordWork(nowNanos, decision.estimate());
@@ -463,6 +463,7 @@
       return;
     }
     if (finish("refused reason=" + reason)) {
+      returnTokens();
       gateway.metrics().countRefusal(rank(), reason);
       response.writeResponse(503, refusalHeaders(reason, excessMillis), new byte[0]);
     }
@@ -501,6 +502,7 @@
       return;
     }
     if (!mayHaveRun && !written) {
+      returnTokens();
       long retryAfterMillis = AttemptPlanner.DEFAULT_RETRY_MILLIS;
       response.writeResponse(503, gateway.notRunHeaders(id, retryAfterMillis), new byte[0]);
     } else {
@@ -564,11 +566,20 @@
   @Override
   public void onDisconnect() {
     if (!ended) {
+      boolean written = current != null && current.mayHaveBeenWritten();
       cancelCurrent();
       finish("caller-left");
+      if (!written && !mayHaveRun && !response.streamBegun()) {
+        returnTokens();
+      }
     }
   }
 
+  /** Gives back the tokens of the request to its customer, as it was not run. */
+  private void returnTokens() {
+    admitted.grant().ifPresent(gateway.state().quotas()::cancel);
+  }
+
   @Override
   public void onWritabilityChanged(boolean writable) {
     if (!ended && current != null) {
--- a/entry/src/test/java/org/gentianslip/entry/gateway/GatewayMetricsTest.java
+++ b/entry/src/test/java/org/gentianslip/entry/gateway/GatewayMetricsTest.java
@@ -30,6 +30,7 @@
     var metrics = new GatewayMetrics();
     metrics.registerGauges(() -> 0, () -> 0, () -> 0);
     metrics.registerProcessorGauges(() -> 0, () -> 0);
+    metrics.registerQuotas(() -> Map.of("maple", new CustomerQuotas.Counts()));
     metrics.registerConfigurationAge(() -> 0);
     metrics.countRequest("0", "answered");
     metrics.countRefusal("0", "too-late");
