Mend what the review of the new parts found

Cause: two reviewers read the merged parts. After a change of the relay a member's own usage came back to it as that of others, and its customers got 429 within their quota; the share of a customer scaled the limit of its own work, so that idle servers refused; quotas counted in requests weighed as tokens; an unreadable burst removed the quota; a fault while handling a request left its connection without an answer; one long pause shortened the deadlines of later requests; the return of an engine that others reached first began no pace; answered streams counted as overdue; the refusal of an overloaded instance did not know the customer's rank; a forwarded stream was given back though no further engine was allowed. Change: each of them at its place. Only the time for waiting is scaled by shares; plain services have no pace, as they have fewer slots than a region has instances.

--- a/core/src/main/java/org/gentianslip/core/load/Availability.java
+++ b/core/src/main/java/org/gentianslip/core/load/Availability.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 import java.util.function.IntSupplier;
 import org.gentianslip.core.limit.ColdRate;
@@ -104,13 +105,18 @@
     backoffUntilNanos = Math.max(backoffUntilNanos, nowNanos + FULL_BACKOFF_NANOS);
   }
 
-  /** Records that requests of other instances are running at the backend server. */
-  void recordReachedByOthers(long nowNanos) {
-    if (recovering && nowNanos - backoffUntilNanos >= 0) {
-      recovering = false;
-      consecutiveConnectFailures = 0;
-      markColdUntil(nowNanos + RETURN_COLD_NANOS);
+  /**
+   * Records that requests of other instances are running at the backend server; returns until when
+   * it counts as cold if it has returned by that.
+   */
+  OptionalLong recordReachedByOthers(long nowNanos) {
+    if (!recovering || nowNanos - backoffUntilNanos < 0) {
+      return OptionalLong.empty();
     }
+    recovering = false;
+    consecutiveConnectFailures = 0;
+    markColdUntil(nowNanos + RETURN_COLD_NANOS);
+    return OptionalLong.of(nowNanos + RETURN_COLD_NANOS);
   }
 
   /** Marks the backend server as cold, unless it is already marked for longer. */
--- a/core/src/main/java/org/gentianslip/core/load/BackendLoad.java
+++ b/core/src/main/java/org/gentianslip/core/load/BackendLoad.java
@@ -66,6 +66,10 @@
   private int runningAtReturn;
 
   private boolean pacing;
+
+  /** The requests of this instance of whose answers no part has arrived. */
+  private int unanswered;
+
   private double urgentPrefillMillis;
   private double otherPrefillMillis;
   private double failureShare;
@@ -112,8 +116,9 @@
     final double prefillMillis = estimate.prefillMillis();
     final boolean outdated = isOutdated(nowNanos);
     cache.record(size.prompt());
-    pace.recordSend(nowNanos, running, estimate.totalMillis());
+    pace.recordSend(nowNanos, unanswered, estimate.totalMillis());
     running++;
+    unanswered++;
     if (urgent) {
       urgentPrefillMillis += prefillMillis;
     } else {
@@ -147,11 +152,18 @@
 
   /** Records the time to the first part of an answer, which tells the pace of a server. */
   synchronized void recordFirstPart(long nowNanos, double expectedMillis, double actualMillis) {
+    unanswered--;
     pace.recordAnswer(nowNanos, slots, expectedMillis, actualMillis);
   }
 
+  /** Records that a request has ended without any part of an answer. */
+  synchronized void recordNoFirstPart() {
+    unanswered--;
+  }
+
   synchronized void requestEnded() {
     running--;
+    runningAtReturn = Math.min(runningAtReturn, running);
   }
 
   synchronized void recordSuccess(boolean sentOutdated, double millis) {
@@ -209,7 +221,14 @@
    */
   public synchronized void markColdUntil(long untilNanos) {
     availability.markColdUntil(untilNanos);
-    pace.begin(untilNanos);
+    beginPace(untilNanos);
+  }
+
+  /** Begins the pace of an engine; a plain service has no caches and too few slots to share. */
+  private void beginPace(long returnNanos) {
+    if (isEngine) {
+      pace.begin(returnNanos);
+    }
   }
 
   /**
@@ -305,7 +324,7 @@
     }
     pacing = limited;
     return !limited
-        || running < runningAtReturn + portion.applyAsInt(pace.total(nowNanos, slots, running));
+        || running < runningAtReturn + portion.applyAsInt(pace.total(nowNanos, slots, unanswered));
   }
 
   /** Returns what the backend server has said about the requests that it takes, if anything. */
@@ -324,7 +343,7 @@
   public synchronized void recordPeerLoad(LoadSource source, PeerLoad load) {
     peers.record(source, load);
     if (load.running() > 0) {
-      availability.recordReachedByOthers(load.receivedNanos());
+      availability.recordReachedByOthers(load.receivedNanos()).ifPresent(this::beginPace);
     }
   }
 
--- a/core/src/main/java/org/gentianslip/core/load/BackendSelector.java
+++ b/core/src/main/java/org/gentianslip/core/load/BackendSelector.java
@@ -93,9 +93,9 @@
   }
 
   /**
-   * Selects as the other method does, with a shorter limit for a customer beyond its share.
+   * Selects as the other method does, with a shorter wait for a customer beyond its share.
    *
-   * @param limitFactor the part of the objective's limit that applies, above 0 and at most 1
+   * @param limitFactor the part of the time left for waiting that may be used, from above 0 to 1
    */
   public static BackendDecision select(
       long nowNanos,
@@ -127,7 +127,7 @@
         bestCost = cost;
       }
     }
-    double limitMillis = limitMillis(route, remainingMillis, limitFactor);
+    double limitMillis = limitMillis(route, remainingMillis);
     RegionOption remote = null;
     boolean mayUseRegion = false;
     double pauseMillis = Double.MAX_VALUE;
@@ -139,7 +139,7 @@
       }
       mayUseRegion = true;
       double millis = remoteMillis(size, region);
-      boolean late = millis > limitMillis;
+      boolean late = isLate(millis, region.stated().waitMillis(), limitMillis, limitFactor);
       shortestMillis =
           Math.min(
               shortestMillis,
@@ -150,7 +150,10 @@
         remoteCost = cost;
       }
     }
-    boolean localInTime = best != null && bestEstimate.totalMillis() <= limitMillis;
+    boolean localInTime =
+        best != null
+            && !isLate(
+                bestEstimate.totalMillis(), bestEstimate.waitMillis(), limitMillis, limitFactor);
     if (localInTime && (remote == null || bestCost <= remoteCost + REMOTE_MARGIN_MILLIS)) {
       return new BackendDecision.ToBackend(best, bestEstimate);
     }
@@ -174,10 +177,16 @@
         noTarget ? "no-backend" : "too-late", Math.min(excessMillis, pauseMillis));
   }
 
-  private static double limitMillis(Route route, long remainingMillis, double limitFactor) {
+  /** Returns whether a request is too late, or waits longer than its customer's share allows. */
+  private static boolean isLate(
+      double totalMillis, double waitMillis, double limitMillis, double waitFactor) {
+    double roomMillis = limitMillis - (totalMillis - waitMillis);
+    return totalMillis > limitMillis || waitMillis > waitFactor * roomMillis;
+  }
+
+  private static double limitMillis(Route route, long remainingMillis) {
     double factor = route.rank() == 0 ? URGENT_OBJECTIVE_FACTOR : OTHER_OBJECTIVE_FACTOR;
-    return Math.min(
-        limitFactor * factor * route.objectiveMillis(), REMAINING_SHARE * remainingMillis);
+    return Math.min(factor * route.objectiveMillis(), REMAINING_SHARE * remainingMillis);
   }
 
   private static double cost(BackendEstimate estimate) {
--- a/core/src/main/java/org/gentianslip/core/load/Reservation.java
+++ b/core/src/main/java/org/gentianslip/core/load/Reservation.java
@@ -50,6 +50,7 @@
           load.recordSuccess(outdated, millis);
           if (!answered) {
             load.recordFirstPart(nowNanos, expectedMillis, millis);
+            answered = true;
           }
         });
   }
@@ -88,6 +89,9 @@
       load.prefillEnded(urgent, outstandingPrefillMillis);
       load.requestEnded();
       update.run();
+      if (!answered) {
+        load.recordNoFirstPart();
+      }
     }
   }
 }
--- a/core/src/main/java/org/gentianslip/core/overload/ProcessorLoad.java
+++ b/core/src/main/java/org/gentianslip/core/overload/ProcessorLoad.java
@@ -26,6 +26,9 @@
   /** How long all waits must have been long, in nanoseconds. */
   private static final long PERSISTENT_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
 
+  /** A request that was read this long after the last one was handled met an idle event loop. */
+  private static final long IDLE_NANOS = TimeUnit.MILLISECONDS.toNanos(50);
+
   private final AtomicReference<State> state = new AtomicReference<>();
 
   /**
@@ -53,7 +56,8 @@
 
     State next(long nowNanos, long waitNanos) {
       boolean nowDelayed = waitNanos >= DELAYED_NANOS;
-      long since = delayed && nowDelayed ? delayedSinceNanos : nowNanos;
+      boolean idleBetween = nowNanos - waitNanos - recordedNanos > IDLE_NANOS;
+      long since = delayed && nowDelayed && !idleBetween ? delayedSinceNanos : nowNanos;
       long sliceAge = nowNanos - sliceNanos;
       if (sliceAge < SLICE_NANOS) {
         long max = Math.max(maxNanos, waitNanos);
--- a/core/src/main/java/org/gentianslip/core/quota/QuotaUsage.java
+++ b/core/src/main/java/org/gentianslip/core/quota/QuotaUsage.java
@@ -41,6 +41,13 @@
     return new QuotaUsage(windowTokens * factor, requestedPerSecond * factor);
   }
 
+  /** Returns this usage less a part of it, at least 0. */
+  QuotaUsage minus(QuotaUsage part) {
+    return new QuotaUsage(
+        Math.max(0, windowTokens - part.windowTokens),
+        Math.max(0, requestedPerSecond - part.requestedPerSecond));
+  }
+
   /** Returns the greater of each number of this usage and another one. */
   QuotaUsage max(QuotaUsage other) {
     return new QuotaUsage(
--- a/core/src/main/java/org/gentianslip/core/quota/QuotaWindow.java
+++ b/core/src/main/java/org/gentianslip/core/quota/QuotaWindow.java
@@ -114,7 +114,7 @@
    * Returns the usage of the data centre without this instance and a given one.
    *
    * <p>A new relay doesn't have the reports of all members yet; therefore what the previous relay
-   * told counts until it expires.
+   * told counts until it expires, less the given instance's own part of it.
    */
   QuotaUsage centreWithout(long nowNanos, UsageSource excluded) {
     QuotaUsage sum = QuotaUsage.NONE;
@@ -125,7 +125,9 @@
         sum = sum.plus(e.getValue().at(nowNanos, bounds.windowNanos()));
       }
     }
-    return sum.max(told.at(nowNanos, bounds.windowNanos()));
+    QuotaUsage before = told.at(nowNanos, bounds.windowNanos());
+    HeardUsage part = excluded == null ? null : members.get(excluded);
+    return sum.max(part == null ? before : before.minus(part.usage()));
   }
 
   /** Returns what this instance reports of itself, and remembers it as reported. */
@@ -144,7 +146,7 @@
   synchronized boolean isIdle(long nowNanos) {
     return own(nowNanos).isNone()
         && members.values().stream().allMatch(m -> m.isExpired(nowNanos, bounds.windowNanos()))
-        && told.isExpired(nowNanos, bounds.windowNanos());
+        && (told.usage().isNone() || told.isExpired(nowNanos, bounds.windowNanos()));
   }
 
   /** Takes back the tokens of a request that was not run. */
--- a/core/src/main/java/org/gentianslip/core/stream/RunWatch.java
+++ b/core/src/main/java/org/gentianslip/core/stream/RunWatch.java
@@ -63,7 +63,10 @@
    * @param nowNanos the current time, in nanoseconds of the monotonic clock
    */
   public RunStep next(long nowNanos, RunEvidence evidence, RunFacts facts) {
-    unanswered = evidence.isSignOfLife() ? 0 : unanswered + 1;
+    // A released run was in a report before, so an answer that is no report shows no running
+    // engine.
+    boolean reports = state != State.RELEASED || evidence != RunEvidence.NO_REPORT;
+    unanswered = evidence.isSignOfLife() && reports ? 0 : unanswered + 1;
     return switch (state) {
       case CONNECTED -> connected(nowNanos, evidence, facts);
       case RELEASED -> released(evidence);
--- a/entry/src/main/java/org/gentianslip/entry/fleet/UsageFields.java
+++ b/entry/src/main/java/org/gentianslip/entry/fleet/UsageFields.java
@@ -21,6 +21,11 @@
   /** The longest part of a bad entry in a log line, in characters. */
   private static final int MAX_LOGGED_CHARS = 40;
 
+  /** The largest number that is accepted, so that sums stay finite. */
+  private static final double MAX_TOKENS = 1e15;
+
+  private static final double PARTS_PER_UNIT = 1_000;
+
   private UsageFields() {}
 
   static Map<String, JsonNode> of(Map<CustomerId, QuotaUsage> usage) {
@@ -28,7 +33,9 @@
     usage.forEach(
         (customer, u) -> {
           ArrayNode numbers = JsonNodeFactory.instance.arrayNode(2);
-          numbers.add(Math.round(u.windowTokens())).add(Math.round(u.requestedPerSecond()));
+          numbers.add(Math.round(u.windowTokens()));
+          // A rate below one a second must not disappear if many instances have one.
+          numbers.add(Math.round(u.requestedPerSecond() * PARTS_PER_UNIT) / PARTS_PER_UNIT);
           fields.put(customer.value(), numbers);
         });
     return fields;
@@ -54,7 +61,12 @@
     if (numbers == null || !numbers.path(0).isNumber() || !numbers.path(1).isNumber()) {
       throw new IllegalArgumentException("Usage must be two numbers: " + numbers);
     }
-    return new QuotaUsage(numbers.get(0).doubleValue(), numbers.get(1).doubleValue());
+    double tokens = numbers.get(0).doubleValue();
+    double perSecond = numbers.get(1).doubleValue();
+    if (tokens > MAX_TOKENS || perSecond > MAX_TOKENS) {
+      throw new IllegalArgumentException("Usage is too large: " + numbers);
+    }
+    return new QuotaUsage(tokens, perSecond);
   }
 
   private static String shortened(String text) {
--- a/entry/src/main/java/org/gentianslip/entry/gateway/CallerConnection.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/CallerConnection.java
@@ -229,7 +229,13 @@
           "gateway: event=abandoned host=%s path=%s", request.host(), request.path());
       return;
     }
-    handler.handle(request, requestWriter);
+    try {
+      handler.handle(request, requestWriter);
+    } catch (RuntimeException e) {
+      // Whether a part of the request was sent is not known, so no answer can be given.
+      LOGGER.atSevere().withCause(e).atMostEvery(1, TimeUnit.SECONDS).log("gateway: event=fault");
+      ctx.close();
+    }
   }
 
   private BufferedHttpRequest buildRequest() {
--- a/entry/src/main/java/org/gentianslip/entry/gateway/CustomerAdmission.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/CustomerAdmission.java
@@ -112,6 +112,23 @@
     return new AdmissionResult.Admitted(effective.get(), customer, true);
   }
 
+  /** Returns a route as the customer of a request may use it; unchanged without a known one. */
+  Route effectiveRoute(
+      BufferedHttpRequest request, Route route, RouteTable table, boolean forwarded) {
+    if (table.customers().isEmpty() || route.isPublic()) {
+      return route;
+    }
+    CustomerTable customers = table.customers().get();
+    Optional<Customer> customer =
+        forwarded
+            ? ForwardHeaders.customers(request.headers()).stream()
+                .findFirst()
+                .flatMap(ForwardHeaders::parseCustomer)
+                .flatMap(customers::find)
+            : findByKey(customers, request.headers());
+    return customer.flatMap(route::forCustomer).orElse(route);
+  }
+
   private static AdmissionResult restricted(Route route, Customer customer) {
     return route
         .forCustomer(customer)
--- a/entry/src/main/java/org/gentianslip/entry/gateway/CustomerQuotas.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/CustomerQuotas.java
@@ -64,7 +64,7 @@
     if (decision instanceof QuotaDecision.Refused refused) {
       counted.refused().increment();
       QuotaState state = refused.state();
-      LOGGER.atInfo().log(
+      LOGGER.atInfo().atMostEvery(1, TimeUnit.SECONDS).log(
           "quota: event=refused id=%s customer=%s reason=%s tokens=%s allowance=%s usable=%s"
               + " own=%s others=%s weight=%.4f instances=%s age-millis=%s retry-millis=%s",
           request,
--- a/entry/src/main/java/org/gentianslip/entry/gateway/CustomerWork.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/CustomerWork.java
@@ -4,6 +4,7 @@
 import java.util.OptionalDouble;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
+import org.gentianslip.core.customer.Customer;
 import org.gentianslip.core.customer.CustomerShares;
 import org.gentianslip.core.customer.CustomerTable;
 import org.gentianslip.core.customer.Quota;
@@ -40,7 +41,8 @@
             id ->
                 customers
                     .find(id)
-                    .flatMap(c -> c.quota())
+                    .flatMap(Customer::quota)
+                    .filter(Quota::byTokens)
                     .map(Quota::tokensPerSecond)
                     .map(OptionalDouble::of)
                     .orElse(OptionalDouble.empty()));
--- a/entry/src/main/java/org/gentianslip/entry/gateway/OverloadCheck.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/OverloadCheck.java
@@ -1,6 +1,5 @@
 package org.gentianslip.entry.gateway;
 
-import java.util.Locale;
 import java.util.Optional;
 import java.util.OptionalLong;
 import org.gentianslip.core.route.Route;
@@ -29,7 +28,7 @@
     if (!processor.recordWait(now, request)) {
       return false;
     }
-    Optional<Route> route = route(request);
+    Optional<Route> route = gateway.admission().effectiveRoute(request, forwarded);
     if (route.isEmpty()) {
       return false;
     }
@@ -46,12 +45,4 @@
     writer.writeResponse(503, gateway.notRunHeaders(id, retryMillis.getAsLong()), new byte[0]);
     return true;
   }
-
-  private Optional<Route> route(BufferedHttpRequest request) {
-    return gateway
-        .state()
-        .published()
-        .routes()
-        .flatMap(t -> t.find(request.host().toLowerCase(Locale.ROOT), request.path()));
-  }
 }
--- a/entry/src/main/java/org/gentianslip/entry/gateway/RequestAdmission.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/RequestAdmission.java
@@ -77,6 +77,18 @@
     return result;
   }
 
+  /** Returns the route of a request with the rank and regions of its customer, if it has one. */
+  Optional<Route> effectiveRoute(BufferedHttpRequest request, boolean forwarded) {
+    return state
+        .published()
+        .routes()
+        .flatMap(
+            table ->
+                table
+                    .find(request.host().toLowerCase(Locale.ROOT), request.path())
+                    .map(route -> customers.effectiveRoute(request, route, table, forwarded)));
+  }
+
   /** Returns whether an admitted request may be sent once more under the present configuration. */
   boolean maySendAgain(
       BufferedHttpRequest request, AdmissionResult.Admitted admitted, boolean forwarded) {
--- a/entry/src/main/java/org/gentianslip/entry/gateway/RequestExecution.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/RequestExecution.java
@@ -277,7 +277,9 @@
    */
   double millisElsewhere(long nowNanos, Attempt attempt) {
     if (planner.forwarded()) {
-      return route.maxBackends() > 1 ? route.objectiveMillis() : -1;
+      // Engines that the sender excludes may have run the request before.
+      boolean last = planner.excluded().size() + 1 >= route.maxBackends();
+      return last ? -1 : route.objectiveMillis();
     }
     BackendDecision decision = decisionElsewhere(nowNanos, attempt);
     return decision instanceof BackendDecision.Refuse ? -1 : planner.completeMillis(decision);
--- a/entry/src/main/java/org/gentianslip/entry/published/CustomerListReader.java
+++ b/entry/src/main/java/org/gentianslip/entry/published/CustomerListReader.java
@@ -117,8 +117,8 @@
       return Optional.of(
           new Quota(
               rate.asDouble(-1),
-              node.path(names.burst()).asDouble(0),
-              node.path(names.plainTokens()).asDouble(1),
+              amount(place, node, names.burst(), 0),
+              amount(place, node, names.plainTokens(), 1),
               node.path(names.unit()).asText().equals(names.tokenUnit())));
     } catch (IllegalArgumentException e) {
       logUnreadable(place + "/" + names.rate(), e.getMessage());
@@ -126,6 +126,19 @@
     }
   }
 
+  /** Returns an amount, or the default if it is absent or unreadable. */
+  private static double amount(String place, JsonNode node, String name, double defaultAmount) {
+    JsonNode amount = node.path(name);
+    if (isAbsent(amount)) {
+      return defaultAmount;
+    }
+    if (!amount.isNumber() || !(amount.doubleValue() >= 0)) {
+      logUnreadable(place + "/" + name, "must be a number of at least 0");
+      return defaultAmount;
+    }
+    return amount.doubleValue();
+  }
+
   private void addKeys(String place, JsonNode keys, CustomerId id, CustomerTable.Builder table) {
     for (int i = 0; i < keys.size(); i++) {
       // The text of a key must not be logged.
