--- a/entry/src/main/java/org/gentianslip/entry/gateway/ProcessorGuard.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/ProcessorGuard.java
@@ -50,15 +50,12 @@
   }
 
   /**
-   * Returns the time left when a request was read, in milliseconds. While the processor is
-   * overloaded, a request waits in the socket for about as long as others wait in the event loop.
+   * Returns the time left when a request was read, in milliseconds. Before it was read, it waited
+   * in the socket for about as long as others wait in the event loop.
    *
    * @param statedMillis the time that the request states, in milliseconds
    */
   long remainingMillis(long nowNanos, long statedMillis) {
-    if (!load.isOverloaded(nowNanos)) {
-      return statedMillis;
-    }
     long unreadMillis = TimeUnit.NANOSECONDS.toMillis(load.delayNanos(nowNanos));
     return Math.max(0, statedMillis - unreadMillis);
   }
--- a/entry/src/test/java/org/gentianslip/entry/gateway/ForwardTargetsTest.java
+++ b/entry/src/test/java/org/gentianslip/entry/gateway/ForwardTargetsTest.java
@@ -37,7 +37,7 @@
   }
 
   private void hear(String id, int capacity, long beat) {
-    var summary = new DataCentreSummary(CENTRE, SOUTH, beat, Map.of());
+    var summary = new DataCentreSummary(CENTRE, SOUTH, beat, Map.of(), Map.of());
     var message =
         new SyncMessage(
             record(id, SOUTH, capacity, beat), beat, SyncAck.NONE, List.of(), List.of(summary));
--- /dev/null
+++ b/entry/src/test/java/org/gentianslip/entry/gateway/NoReports.java
@@ -0,0 +1,18 @@
+package org.gentianslip.entry.gateway;
+
+import java.util.Optional;
+import java.util.Set;
+
+/** The call of engines that report nothing. */
+record NoReports() implements EngineReports {
+
+  @Override
+  public String target() {
+    return "/report";
+  }
+
+  @Override
+  public Optional<Set<String>> runs(int status, byte[] body) {
+    return Optional.empty();
+  }
+}
--- a/entry/src/test/java/org/gentianslip/entry/gateway/OverloadedGatewayTest.java
+++ b/entry/src/test/java/org/gentianslip/entry/gateway/OverloadedGatewayTest.java
@@ -58,7 +58,8 @@
   private final GatewayState state = new GatewayState(config, 1);
   private final GatewayMetrics metrics = new GatewayMetrics();
   private final Gateway gateway =
-      new Gateway(state, new PlainHeaders(() -> {}, () -> {}), metrics, new DecisionLog());
+      new Gateway(
+          state, new PlainHeaders(() -> {}, () -> {}), new NoReports(), metrics, new DecisionLog());
   private final Writer writer = new Writer();
 
   /** Keeps a response. */
--- a/entry/src/test/java/org/gentianslip/entry/gateway/PlainHeaders.java
+++ b/entry/src/test/java/org/gentianslip/entry/gateway/PlainHeaders.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.OptionalLong;
+import org.gentianslip.core.id.CustomerId;
 import org.gentianslip.core.load.RequestSize;
 import org.gentianslip.core.published.Backend;
 
@@ -30,6 +31,16 @@
     return "Last-Event";
   }
 
+  @Override
+  public String customerKey() {
+    return "Key";
+  }
+
+  @Override
+  public OptionalLong statedTokens(HttpHeaders headers) {
+    return OptionalLong.empty();
+  }
+
   @Override
   public boolean isReserved(String name) {
     return false;
@@ -48,7 +59,11 @@
 
   @Override
   public void addForBackend(
-      HttpHeaders headers, Backend backend, int rank, Optional<Backend> source) {
+      HttpHeaders headers,
+      Backend backend,
+      int rank,
+      Optional<CustomerId> customer,
+      Optional<Backend> source) {
     sending.run();
   }
 
--- a/entry/src/test/java/org/gentianslip/entry/gateway/ServerFixture.java
+++ b/entry/src/test/java/org/gentianslip/entry/gateway/ServerFixture.java
@@ -165,7 +165,7 @@
             new GatewayBounds(0.2, 56, 10_000, 1.5, 3, 8_000));
     var state = new GatewayState(config, 1);
     state.applyPublished(System.nanoTime(), published());
-    server = new GatewayServer(state, headers, () -> {});
+    server = new GatewayServer(state, headers, new NoReports(), () -> {});
     server.start();
   }
 
