Rely on confirmations of others only if they are later than the own ones

Change: a confirmation by another instance counts for the length of a watch only if it is later than those that the store gave to this instance.

--- a/core/src/main/java/org/gentianslip/core/published/ConfigurationKnowledge.java
+++ b/core/src/main/java/org/gentianslip/core/published/ConfigurationKnowledge.java
@@ -21,6 +21,8 @@
 
   private final AtomicReference<Optional<Confirmation>> confirmation =
       new AtomicReference<>(Optional.empty());
+  private final AtomicReference<Optional<Confirmation>> byPublisher =
+      new AtomicReference<>(Optional.empty());
   private final AtomicReference<Optional<Confirmation>> byOthers =
       new AtomicReference<>(Optional.empty());
   private volatile Stated highest = new Stated(Long.MIN_VALUE, 0);
@@ -33,7 +35,10 @@
     return confirmation.get();
   }
 
-  /** Returns the latest confirmation by another instance. */
+  /**
+   * Returns the latest confirmation by another instance that was later than those by the publisher.
+   * An earlier one may be what the other instance has heard from this one.
+   */
   public Optional<Confirmation> confirmationByOthers() {
     return byOthers.get();
   }
@@ -45,7 +50,12 @@
    */
   public void confirm(Confirmation next, ClockReading now) {
     record(confirmation, next, now);
-    if (next.byPeer()) {
+    if (!next.byPeer()) {
+      record(byPublisher, next, now);
+      return;
+    }
+    Optional<Confirmation> own = byPublisher.get();
+    if (own.isEmpty() || next.ageNanos(now) < own.get().ageNanos(now)) {
       record(byOthers, next, now);
     }
   }
--- a/core/src/test/java/org/gentianslip/core/published/RevocationPropertyTest.java
+++ b/core/src/test/java/org/gentianslip/core/published/RevocationPropertyTest.java
@@ -102,6 +102,19 @@
         is(4_000L));
   }
 
+  @Example
+  @Label("does not rely on another instance that only repeats its own confirmation")
+  void doesNotRelyOnItsOwnConfirmation() {
+    // Two instances, one without the store, let the age grow to 2,083 ms with a limit of 2,000.
+    var knowledge = new ConfigurationKnowledge();
+    knowledge.confirm(new Confirmation(1, at(1_500, 1_500), false), at(1_510, 1_510));
+    knowledge.applyResponse(1, 1, 101, at(1_600, 1_600), at(1_610, 1_610));
+    assertThat(
+        RevocationSimulation.RULE.watchMillis(
+            false, 4_000, knowledge.confirmationByOthers(), at(1_610, 1_610)),
+        is(833L));
+  }
+
   @Example
   @Label("watches in long calls only while others confirm the configuration")
   void reliesOnOthers() {
