--- a/review/rig-2/Engine.java
+++ b/review/rig-2/Engine.java
@@ -57,6 +57,8 @@
   private final Loss loss;
   private final ServerSocket listener;
   private final AtomicInteger count = new AtomicInteger();
+  private volatile boolean silent;
+  private volatile Engine successor;
   private final List<Run> runs = new ArrayList<>();
   private final Set<Run> running = new HashSet<>();
 
@@ -73,14 +75,41 @@
    */
   Engine(String id, String host, int events, long eventMillis, Record record, Loss loss)
       throws IOException {
+    this(
+        id,
+        new ServerSocket(0, 256, InetAddress.getByName(host)),
+        events,
+        eventMillis,
+        record,
+        loss);
+    daemon(this::accept);
+  }
+
+  private Engine(
+      String id, ServerSocket listener, int events, long eventMillis, Record record, Loss loss) {
     this.id = id;
     this.streams = events > 0;
     this.events = events;
     this.eventMillis = eventMillis;
     this.record = record;
     this.loss = loss;
-    this.listener = new ServerSocket(0, 256, InetAddress.getByName(host));
-    daemon(this::accept);
+    this.listener = listener;
+  }
+
+  /** Falls silent for good: nothing is answered any more, and nothing is closed. */
+  void fallSilent() {
+    record.line("engine %s falls silent", id);
+    silent = true;
+  }
+
+  /**
+   * Starts a plain service at the address of this engine, which has fallen silent before. What was
+   * connected to this engine stays silent.
+   */
+  Engine replaceByPlainService(String newId) {
+    record.line("engine %s of another service has the address of %s", newId, id);
+    successor = new Engine(newId, listener, 0, 0, record, loss);
+    return successor;
   }
 
   String id() {
@@ -120,7 +149,8 @@
     while (!listener.isClosed()) {
       try {
         Socket socket = listener.accept();
-        daemon(() -> serve(socket));
+        Engine owner = successor == null ? this : successor;
+        daemon(() -> owner.serve(socket));
       } catch (IOException e) {
         return;
       }
@@ -137,6 +167,9 @@
         }
         String length = head.header("Content-Length");
         Http.readExactly(socket.getInputStream(), length.isEmpty() ? 0 : Integer.parseInt(length));
+        while (silent) {
+          pause(1_000);
+        }
         if (!answer(socket, head)) {
           return;
         }
@@ -150,7 +183,7 @@
   private boolean answer(Socket socket, Http.Head head) throws IOException {
     String path = head.word(1);
     String requestId = head.header("Gentianslip-Request-Id");
-    if (path.equals("/gentianslip/report")) {
+    if (streams && path.equals("/gentianslip/report")) {
       return plain(socket, 200, requestId, "", report());
     }
     if (path.equals("/healthz")) {
@@ -241,6 +274,9 @@
     boolean lost = false;
     for (int event = after + 1; event <= events; event++) {
       pause(eventMillis);
+      while (silent) {
+        pause(1_000);
+      }
       if (!lost && resetAfter >= 0 && event - after > resetAfter) {
         lost = true;
         record.line("engine %s loses the answer of %s before event %d", id, run.id, event);
--- a/review/rig-2/Store.java
+++ b/review/rig-2/Store.java
@@ -61,6 +61,13 @@
     return revision;
   }
 
+  /** Removes an item. */
+  synchronized void remove(String key) {
+    items.remove(key);
+    history.add(new Item(key, null, ++revision));
+    notifyAll();
+  }
+
   private void range(HttpExchange exchange) throws IOException {
     List<String> found = new ArrayList<>();
     long at;
