--- a/review/rig-2/Client.java
+++ b/review/rig-2/Client.java
@@ -25,10 +25,7 @@
     Answer answer = exchange(to, request);
     record.line(
         "client gets %s: status %d%s, %d bytes",
-        id,
-        answer.status(),
-        answer.whole() ? "" : ", not whole",
-        answer.body().length());
+        id, answer.status(), answer.whole() ? "" : ", not whole", answer.body().length());
     return answer;
   }
 
@@ -54,8 +51,7 @@
         }
       } else {
         String length = head.header("Content-Length");
-        body.writeBytes(
-            Http.readExactly(in, length.isEmpty() ? 0 : Integer.parseInt(length)));
+        body.writeBytes(Http.readExactly(in, length.isEmpty() ? 0 : Integer.parseInt(length)));
       }
       return new Answer(status, headers, body.toString(StandardCharsets.UTF_8), true);
     } catch (IOException e) {
--- a/review/rig-2/Instance.java
+++ b/review/rig-2/Instance.java
@@ -187,7 +187,12 @@
             history_s = 20
             value_bytes = 1048576
             """,
-            host, front, ready, control, directory, storeAddress));
+            host,
+            front,
+            ready,
+            control,
+            directory,
+            storeAddress));
     return text.toString();
   }
 
--- a/review/rig-2/OldService.java
+++ b/review/rig-2/OldService.java
@@ -11,8 +11,8 @@
 
 /**
  * The operator moves routes to another service while a machine is cut off from the store. Clients
- * ask a machine in touch. Looks for requests that were handled there as only an older version of the
- * configuration allows, after an engine had seen the effect of the later version from there.
+ * ask a machine in touch. Looks for requests that were handled there as only an older version of
+ * the configuration allows, after an engine had seen the effect of the later version from there.
  */
 public final class OldService {
 
@@ -29,7 +29,7 @@
   /** The time from the end of a cut to the next one. */
   private static final long CALM_MILLIS = 2_000;
 
-  private static final int CUTS = 2;
+  private static final int CUTS = 3;
   private static final int CHANGES_IN_CUT = 3;
   private static final long CHANGE_GAP_MILLIS = 1_330;
   private static final long GAP_MILLIS = 100;
--- a/review/rig-2/ReusedAddress.java
+++ b/review/rig-2/ReusedAddress.java
@@ -8,8 +8,8 @@
 import java.util.Set;
 
 /**
- * An engine falls silent for good while streams run there, and an engine of another service gets its
- * address. Looks for requests that this one has run though no client sent them.
+ * An engine falls silent for good while streams run there, and an engine of another service gets
+ * its address. Looks for requests that this one has run though no client sent them.
  */
 public final class ReusedAddress {
 
--- a/review/rig-2/TwoRuns.java
+++ b/review/rig-2/TwoRuns.java
@@ -7,9 +7,9 @@
 import java.util.TreeMap;
 
 /**
- * An engine runs some streams and their answers are lost: it resets the connection and works on. The
- * streams may be resumed. Looks for one that goes on at another engine while the engine before still
- * works on it.
+ * An engine runs some streams and their answers are lost: it resets the connection and works on.
+ * The streams may be resumed. Looks for one that goes on at another engine while the engine before
+ * still works on it.
  *
  * <p>Clients ask the instance of the engines' region, or one of another region, which forwards.
  */
@@ -61,7 +61,7 @@
       store.put("op/config", config());
       store.put("servers/" + first.id(), first.entry("pool", "graz-a", 64));
       store.put("servers/" + second.id(), second.entry("pool", "graz-a", 64));
-      List<String> seeds = 
+      List<String> seeds =
           List.of(wien.controlAddress(), graz.controlAddress(), other.controlAddress());
       wien.start(folder, zones, seeds, store.address());
       graz.start(folder, zones, seeds, store.address());
