--- a/review/rig-2/Instance.java
+++ b/review/rig-2/Instance.java
@@ -24,6 +24,11 @@
   private static final int FIRST_RANGE = 16_000;
   private static final int RANGES = 500;
 
+  /** Ends a process, the second argument, once another one, the first argument, was killed. */
+  private static final String WATCH =
+      "while kill -0 $1 2>/dev/null && kill -0 $2 2>/dev/null; do sleep 0.2; done;"
+          + " kill -0 $1 2>/dev/null || kill -9 $2 2>/dev/null";
+
   private static final Pattern RUN = Pattern.compile("(?m)^run = \"(.*)\"$");
 
   private final String name;
@@ -36,6 +41,7 @@
   private final int directory;
   private final int firstOfRange;
   private Process process;
+  private Process watch;
 
   Instance(String name, String host, String zone, String region) throws IOException {
     this.name = name;
@@ -108,10 +114,21 @@
     builder.redirectErrorStream(true);
     builder.redirectOutput(folder.resolve(name + ".log").toFile());
     process = builder.start();
+    watch =
+        new ProcessBuilder("sh", "-c", WATCH, "watch", pid(ProcessHandle.current()), pid(process))
+            .start();
     // Ends the process also if this one is ended by a signal.
     Runtime.getRuntime().addShutdownHook(new Thread(process::destroyForcibly));
   }
 
+  private static String pid(ProcessHandle handle) {
+    return Long.toString(handle.pid());
+  }
+
+  private static String pid(Process started) {
+    return pid(started.toHandle());
+  }
+
   private String settings(Map<String, String> zones, List<String> seeds, String storeAddress) {
     var text = new StringBuilder();
     text.append(
@@ -235,5 +252,8 @@
         Thread.currentThread().interrupt();
       }
     }
+    if (watch != null) {
+      watch.destroy();
+    }
   }
 }
