Log who held a rejected key last, and count rejections by reason

Cause: of a request rejected with 401 the log said that its key is unknown, not whether any configuration ever held it, so a removed key could not be told from one that an instance lost. Rejections were counted by status only.

A line of a rejected request names status, reason and the inputs. gentian_gateway_rejections_total counts by status and reason.

--- a/core/src/main/java/org/gentianslip/core/customer/CustomerTable.java
+++ b/core/src/main/java/org/gentianslip/core/customer/CustomerTable.java
@@ -115,6 +115,28 @@
     return Optional.empty();
   }
 
+  /** Returns the hash of a key, which tells nothing about it without the seed. */
+  long hashOf(byte[] key) {
+    return hash.hash(key);
+  }
+
+  /** Returns whether a key with a hash is held. */
+  boolean holds(long keyHash) {
+    return byHash.containsKey(keyHash);
+  }
+
+  /** Returns the customers of the keys that this table holds and another one does not, by hash. */
+  Map<Long, CustomerId> holdersMissingIn(CustomerTable other) {
+    Map<Long, CustomerId> missing = new HashMap<>();
+    byHash.forEach(
+        (keyHash, entries) -> {
+          if (!other.byHash.containsKey(keyHash)) {
+            missing.put(keyHash, entries.get(0).customer.id());
+          }
+        });
+    return missing;
+  }
+
   /** Returns the customer with an id, if it is known. */
   public Optional<Customer> find(CustomerId id) {
     return Optional.ofNullable(byId.get(id));
--- a/entry/src/main/java/org/gentianslip/entry/gateway/AdmissionResult.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/AdmissionResult.java
@@ -52,7 +52,8 @@
    * The request is not run, and would not be if it were sent again.
    *
    * @param status the status of the response
-   * @param outcome what is wrong with the request, for logs
+   * @param reason what is wrong with the request, for logs and metrics
+   * @param detail the inputs of the decision, for logs
    */
-  record Rejected(int status, String outcome) implements AdmissionResult {}
+  record Rejected(int status, String reason, String detail) implements AdmissionResult {}
 }
--- a/entry/src/main/java/org/gentianslip/entry/gateway/CustomerAdmission.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/CustomerAdmission.java
@@ -72,11 +72,11 @@
     }
     List<String> keys = request.headers().getAll(edgeHeaders.customerKey());
     if (keys.size() != 1) {
-      return unauthorized(keys.isEmpty() ? "no-key" : "several-keys");
+      return unauthorized(keys.isEmpty() ? "no-key" : "several-keys", "");
     }
     int length = keys.get(0).length();
     if (length == 0 || length > CustomerTable.MAX_KEY_BYTES) {
-      return unauthorized(length == 0 ? "empty-key" : "long-key");
+      return unauthorized(length == 0 ? "empty-key" : "long-key", "bytes=" + length);
     }
     ClockReading now = Clocks.read();
     RevocationRule rule = state.config().bounds().revocation();
@@ -89,7 +89,7 @@
     }
     Optional<Customer> customer = findByKey(table.customers().get(), request.headers());
     if (customer.isEmpty()) {
-      return unknownKey(now, confirmation, table.version(), maxAgeNanos);
+      return unknownKey(request, now, confirmation, table.version(), maxAgeNanos);
     }
     return restricted(route, customer.get());
   }
@@ -137,10 +137,15 @@
             () ->
                 new AdmissionResult.Rejected(
                     FORBIDDEN,
-                    "forbidden reason=no-region route="
+                    "no-region",
+                    "route="
                         + route.name()
+                        + " regions="
+                        + route.allowedRegions()
                         + " customer="
-                        + customer.id()));
+                        + customer.id()
+                        + " regions-of-customer="
+                        + customer.allowedRegions()));
   }
 
   /**
@@ -149,16 +154,25 @@
    * suspended.
    */
   private AdmissionResult unknownKey(
-      ClockReading now, Optional<Confirmation> confirmation, long version, long maxAgeNanos) {
+      BufferedHttpRequest request,
+      ClockReading now,
+      Optional<Confirmation> confirmation,
+      long version,
+      long maxAgeNanos) {
     long ageNanos = confirmation.map(c -> c.ageNanos(now)).orElse(Long.MAX_VALUE);
     boolean behind = state.knowledge().isBehind(version, now.steadyNanos());
     return behind || ageNanos > maxAgeNanos
         ? refused("key-not-known")
-        : unauthorized("unknown-key age-millis=" + TimeUnit.NANOSECONDS.toMillis(ageNanos));
+        : unauthorized(
+            "unknown-key",
+            "age-millis="
+                + TimeUnit.NANOSECONDS.toMillis(ageNanos)
+                + " last-holder="
+                + state.formerKeys().describe(keyOf(request.headers())));
   }
 
-  private static AdmissionResult unauthorized(String reason) {
-    return new AdmissionResult.Rejected(UNAUTHORIZED, "unauthorized reason=" + reason);
+  private static AdmissionResult unauthorized(String reason, String detail) {
+    return new AdmissionResult.Rejected(UNAUTHORIZED, reason, detail);
   }
 
   private static AdmissionResult refused(String reason) {
@@ -182,8 +196,11 @@
   }
 
   private Optional<Customer> findByKey(CustomerTable customers, HttpHeaders headers) {
-    // The characters of a header are the bytes that were received.
-    String key = headers.get(edgeHeaders.customerKey(), "");
-    return customers.findByKey(key.getBytes(StandardCharsets.ISO_8859_1));
+    return customers.findByKey(keyOf(headers));
+  }
+
+  /** Returns the bytes of the key as received, which are the characters of its header. */
+  private byte[] keyOf(HttpHeaders headers) {
+    return headers.get(edgeHeaders.customerKey(), "").getBytes(StandardCharsets.ISO_8859_1);
   }
 }
--- a/entry/src/main/java/org/gentianslip/entry/gateway/Gateway.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/Gateway.java
@@ -216,9 +216,17 @@
       BufferedHttpRequest request, ResponseWriter writer, AdmissionResult.Rejected rejected) {
     String id = idOf(request);
     metrics.countRequest("none", Integer.toString(rejected.status()));
+    metrics.countRejection(rejected.status(), rejected.reason());
     LOGGER.atInfo().log(
-        "gateway: event=request id=%s host=%s path=%s version=%s outcome=%s",
-        id, request.host(), request.path(), version(), rejected.outcome());
+        "gateway: event=request id=%s host=%s path=%s version=%s outcome=rejected status=%s"
+            + " reason=%s %s",
+        id,
+        request.host(),
+        request.path(),
+        version(),
+        rejected.status(),
+        rejected.reason(),
+        rejected.detail());
     writer.writeResponse(rejected.status(), failureHeaders(id), new byte[0]);
   }
 
--- a/entry/src/main/java/org/gentianslip/entry/gateway/GatewayMetrics.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/GatewayMetrics.java
@@ -41,6 +41,13 @@
           .labelNames("rank", "reason")
           .register(registry);
 
+  private final Counter rejections =
+      Counter.builder()
+          .name("gentian_gateway_rejections_total")
+          .help("Requests that were answered as wrong, by status and reason.")
+          .labelNames("status", "reason")
+          .register(registry);
+
   private final Counter attempts =
       Counter.builder()
           .name("gentian_gateway_attempts_total")
@@ -135,6 +142,11 @@
     refusals.labelValues(rank, reason).inc();
   }
 
+  /** Counts a request that was answered as wrong. */
+  void countRejection(int status, String reason) {
+    rejections.labelValues(Integer.toString(status), reason).inc();
+  }
+
   /** Counts an attempt. */
   void countAttempt(String rank, String target, boolean isFirst) {
     attempts.labelValues(rank, target).inc();
--- a/entry/src/main/java/org/gentianslip/entry/gateway/GatewayState.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/GatewayState.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Predicate;
+import org.gentianslip.core.customer.FormerKeys;
 import org.gentianslip.core.fleet.FleetView;
 import org.gentianslip.core.fleet.PeerRecord;
 import org.gentianslip.core.fleet.ServiceWait;
@@ -56,6 +57,7 @@
   private final PromptQuarantine quarantine;
   private final ProcessorGuard processor;
   private final CustomerQuotas quotas;
+  private final FormerKeys formerKeys = new FormerKeys();
   private volatile Optional<ShutdownPlan> shutdownPlan = Optional.empty();
   private volatile boolean refusing;
   private volatile long confirmedNanos = System.nanoTime();
@@ -153,6 +155,7 @@
     PublishedState before = published.get();
     PublishedState after = next.withRoutesNotOlderThan(before);
     published.set(after);
+    formerKeys.applyChange(before.routes(), after.routes());
     backends.applyPublished(nowNanos, before, after);
     prompts.applyPublished(before, after);
     PublishedStateLog.logChanges(before, after);
@@ -268,6 +271,11 @@
     return quotas;
   }
 
+  /** Returns the keys that earlier configurations held. */
+  FormerKeys formerKeys() {
+    return formerKeys;
+  }
+
   /** Returns the parts of prompts that are kept away from engines. */
   public PromptQuarantine quarantine() {
     return quarantine;
--- a/entry/src/main/java/org/gentianslip/entry/gateway/RequestAdmission.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/RequestAdmission.java
@@ -61,7 +61,7 @@
       return unknownRoute(forwarded);
     }
     if (request.headers().get(edgeHeaders.requestId(), "").isEmpty()) {
-      return new AdmissionResult.Rejected(BAD_REQUEST, "no-id");
+      return new AdmissionResult.Rejected(BAD_REQUEST, "no-id", "");
     }
     AdmissionResult result =
         customers.admit(
@@ -96,10 +96,11 @@
   }
 
   private AdmissionResult unknownRoute(boolean forwarded) {
-    boolean stale = state.confirmationAgeNanos(System.nanoTime()) > STALE_ROUTES_NANOS;
-    return forwarded || stale
+    long ageNanos = state.confirmationAgeNanos(System.nanoTime());
+    return forwarded || ageNanos > STALE_ROUTES_NANOS
         ? refused("route-not-known")
-        : new AdmissionResult.Rejected(NOT_FOUND, "unknown-path");
+        : new AdmissionResult.Rejected(
+            NOT_FOUND, "unknown-path", "age-millis=" + TimeUnit.NANOSECONDS.toMillis(ageNanos));
   }
 
   /**
--- a/entry/src/test/java/org/gentianslip/entry/gateway/GatewayMetricsTest.java
+++ b/entry/src/test/java/org/gentianslip/entry/gateway/GatewayMetricsTest.java
@@ -34,6 +34,7 @@
     metrics.registerConfigurationAge(() -> 0);
     metrics.countRequest("0", "answered");
     metrics.countRefusal("0", "too-late");
+    metrics.countRejection(401, "unknown-key");
     metrics.countAttempt("0", "backend", false);
     metrics.observeResponseTime("0", 1);
     return new String(metrics.text(), StandardCharsets.UTF_8).lines().toList();
