Refuse a customer on a route that shares no region with it, not reject it

Cause: the configuration may give a route and a customer regions that have none in common. The status said that the request is wrong, although nothing in it is and a later configuration may allow it. The class: a status of 4xx of our own for a reason outside the request.

Change: 503, which promises that the request was not run, and Retry-After 30 s, as an earlier return is in vain until the operator acts. The operator is told: a warning that names both when the configuration arrives, a gauge, and a table of gentianctl status.

RouteTableTest covers the list. GatewayMetricsTest accepts a further unit, pairs, and is otherwise the same.

--- a/core/src/main/java/org/gentianslip/core/customer/CustomerTable.java
+++ b/core/src/main/java/org/gentianslip/core/customer/CustomerTable.java
@@ -3,6 +3,8 @@
 import java.nio.charset.StandardCharsets;
 import java.security.MessageDigest;
 import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -142,6 +144,11 @@
     return Optional.ofNullable(byId.get(id));
   }
 
+  /** Returns all customers, in no order. */
+  public Collection<Customer> customers() {
+    return Collections.unmodifiableCollection(byId.values());
+  }
+
   /** Returns the number of customers. */
   public int size() {
     return byId.size();
--- a/core/src/main/java/org/gentianslip/core/route/RouteTable.java
+++ b/core/src/main/java/org/gentianslip/core/route/RouteTable.java
@@ -1,5 +1,6 @@
 package org.gentianslip.core.route;
 
+import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
@@ -25,6 +26,7 @@
   private final Map<ServiceId, ServiceProfile> services = new HashMap<>();
   private final CallerLimits limits;
   private final Optional<CustomerTable> customers;
+  private List<RegionConflict> conflicts = List.of();
 
   private RouteTable(long version, CallerLimits limits, Optional<CustomerTable> customers) {
     this.version = version;
@@ -60,6 +62,7 @@
           .putIfAbsent(route.prefix(), route);
     }
     services.forEach(s -> table.services.put(s.service(), s));
+    table.conflicts = table.findConflicts();
     return table;
   }
 
@@ -125,6 +128,31 @@
     return common;
   }
 
+  /**
+   * Returns the routes and customers that no region may serve together, sorted by the names of the
+   * routes. Public routes serve requests without a customer.
+   */
+  public List<RegionConflict> regionConflicts() {
+    return conflicts;
+  }
+
+  private List<RegionConflict> findConflicts() {
+    if (customers.isEmpty()) {
+      return List.of();
+    }
+    List<RegionConflict> found = new ArrayList<>();
+    for (Route route : routes()) {
+      if (route.isPublic() || route.allowedRegions().isEmpty()) {
+        continue;
+      }
+      customers.get().customers().stream()
+          .filter(c -> route.forCustomer(c).isEmpty())
+          .sorted(Comparator.comparing(c -> c.id().value()))
+          .forEach(c -> found.add(RegionConflict.of(route, c)));
+    }
+    return List.copyOf(found);
+  }
+
   /** Returns the profile of a service, if it is known. */
   public Optional<ServiceProfile> service(ServiceId service) {
     return Optional.ofNullable(services.get(service));
--- a/core/src/test/java/org/gentianslip/core/route/RouteTableTest.java
+++ b/core/src/test/java/org/gentianslip/core/route/RouteTableTest.java
@@ -7,7 +7,14 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.Set;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
+import org.gentianslip.core.customer.Customer;
+import org.gentianslip.core.customer.CustomerTable;
+import org.gentianslip.core.hash.SipHash;
+import org.gentianslip.core.id.CustomerId;
 import org.gentianslip.core.id.RegionId;
 import org.gentianslip.core.id.ServiceId;
 import org.junit.jupiter.api.DisplayName;
@@ -67,6 +74,62 @@
     }
   }
 
+  @Nested
+  @DisplayName("lists what no region may serve together")
+  class RegionConflicts {
+
+    private Route route(String name, boolean isPublic, String... regions) {
+      return new Route(
+          name,
+          "host",
+          "/" + name + "/",
+          Repeatability.ONCE,
+          false,
+          1_000,
+          300,
+          1,
+          0,
+          List.of(new WeightedService(ServiceId.of("s"), 1)),
+          regions(regions),
+          isPublic);
+    }
+
+    private Set<RegionId> regions(String... names) {
+      return Stream.of(names).map(RegionId::of).collect(Collectors.toSet());
+    }
+
+    private List<String> conflicts(Route... routes) {
+      CustomerTable.Builder customers = CustomerTable.builder(new SipHash(1, 2));
+      customers.add(customer("anywhere"));
+      customers.add(customer("north-only", "north"));
+      customers.add(customer("east-only", "east"));
+      return RouteTable.of(
+              3, List.of(routes), List.of(), CallerLimits.DEFAULT, Optional.of(customers.build()))
+          .regionConflicts()
+          .stream()
+          .map(c -> c.route() + " " + c.customer())
+          .toList();
+    }
+
+    private Customer customer(String id, String... regions) {
+      return new Customer(
+          CustomerId.of(id), OptionalInt.empty(), regions(regions), Optional.empty());
+    }
+
+    @Test
+    void byRouteAndCustomer() {
+      assertThat(
+          conflicts(route("b", false, "south"), route("a", false, "north", "south")),
+          is(List.of("a east-only", "b east-only", "b north-only")));
+    }
+
+    @Test
+    void notForRoutesWithoutRegionsOrCustomers() {
+      assertThat(conflicts(route("a", false), route("b", true, "south")), is(List.of()));
+      assertThat(table(route("a", false, "south")).regionConflicts(), is(List.of()));
+    }
+  }
+
   @Test
   void returnsTheRegionsThatMayReceiveAllRequestsToTheHost() {
     Route restricted =
--- a/ctl/src/main/java/org/gentianslip/ctl/StatusTables.java
+++ b/ctl/src/main/java/org/gentianslip/ctl/StatusTables.java
@@ -26,6 +26,7 @@
     addTable("Other listed instances", otherInstances(statuses), lines);
     addTable("Engines", engines(statuses), lines);
     addTable("Quotas (tokens of a window)", QuotaTable.of(statuses), lines);
+    addTable("Customers that no region may serve on a route", conflicts(statuses), lines);
     addRejections(statuses, lines);
     return lines;
   }
@@ -114,6 +115,26 @@
     return table;
   }
 
+  private static TextTable conflicts(List<JsonNode> statuses) {
+    var rows = new TreeMap<String, JsonNode>();
+    for (JsonNode status : statuses) {
+      for (JsonNode conflict : status.path("regionConflicts")) {
+        rows.put(
+            conflict.path("route").asText() + " " + conflict.path("customer").asText(), conflict);
+      }
+    }
+    TextTable table =
+        TextTable.of("ROUTE", "REGIONS OF THE ROUTE", "CUSTOMER", "REGIONS OF THE CUSTOMER");
+    for (JsonNode row : rows.values()) {
+      table.add(
+          row.path("route").asText(),
+          row.path("routeRegions").asText(),
+          row.path("customer").asText(),
+          row.path("customerRegions").asText());
+    }
+    return table;
+  }
+
   private static TextTable engines(List<JsonNode> statuses) {
     var engines = new TreeMap<String, EngineRow>();
     for (JsonNode status : statuses) {
--- a/entry/src/main/java/org/gentianslip/entry/gateway/CustomerAdmission.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/CustomerAdmission.java
@@ -34,13 +34,18 @@
   /** The reason for not continuing a request whose key was removed since it was admitted. */
   static final String KEY_REVOKED = "key-revoked";
 
+  /** The reason for refusing a customer on a route if no region may serve both. */
+  static final String NO_COMMON_REGION = "no-common-region";
+
   private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
 
   /** The retry delay, in milliseconds; others or the next confirmation can serve after it. */
   private static final long RETRY_MILLIS = 300;
 
+  /** The retry delay, in milliseconds, if only another configuration allows the request. */
+  private static final long CONFIGURATION_RETRY_MILLIS = 30_000;
+
   private static final int UNAUTHORIZED = 401;
-  private static final int FORBIDDEN = 403;
   private static final int UNAVAILABLE = 503;
 
   private final GatewayState state;
@@ -135,17 +140,8 @@
         .<AdmissionResult>map(r -> new AdmissionResult.Admitted(r, Optional.of(customer), true))
         .orElseGet(
             () ->
-                new AdmissionResult.Rejected(
-                    FORBIDDEN,
-                    "no-region",
-                    "route="
-                        + route.name()
-                        + " regions="
-                        + route.allowedRegions()
-                        + " customer="
-                        + customer.id()
-                        + " regions-of-customer="
-                        + customer.allowedRegions()));
+                new AdmissionResult.Refused(
+                    UNAVAILABLE, NO_COMMON_REGION, CONFIGURATION_RETRY_MILLIS));
   }
 
   /**
--- a/entry/src/main/java/org/gentianslip/entry/gateway/GatewayMetrics.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/GatewayMetrics.java
@@ -112,6 +112,14 @@
         .register(registry);
   }
 
+  /** Registers the gauge of the routes and customers that no region may serve together. */
+  void registerRegionConflicts(DoubleSupplier count) {
+    gauge(
+        "gentian_gateway_region_conflict_pairs",
+        "Pairs of a route and a customer that no region may serve together.",
+        count);
+  }
+
   /**
    * Registers the gauge of the age of the configuration.
    *
--- a/entry/src/main/java/org/gentianslip/entry/gateway/GatewayOperatorView.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/GatewayOperatorView.java
@@ -4,8 +4,11 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
 import org.gentianslip.core.fleet.PeerRecord;
+import org.gentianslip.core.id.RegionId;
 import org.gentianslip.core.id.RequestId;
 import org.gentianslip.core.limit.ColdRate;
 import org.gentianslip.core.limit.StatedLimit;
@@ -15,6 +18,7 @@
 import org.gentianslip.core.published.Backend;
 import org.gentianslip.core.published.PublishedState;
 import org.gentianslip.core.quarantine.Verdict;
+import org.gentianslip.core.route.RouteTable;
 import org.gentianslip.entry.explain.DecisionLog;
 import org.gentianslip.entry.http.Json;
 import org.gentianslip.entry.operator.OperatorView;
@@ -71,6 +75,7 @@
     addEngines(nowNanos, body.putArray("engines"));
     addQuarantine(body.putArray("quarantine"));
     addQuotas(nowNanos, body.putArray("quotas"));
+    addConflicts(body.putArray("regionConflicts"));
     return body;
   }
 
@@ -87,6 +92,26 @@
     }
   }
 
+  private void addConflicts(ArrayNode conflicts) {
+    state
+        .published()
+        .routes()
+        .map(RouteTable::regionConflicts)
+        .orElse(List.of())
+        .forEach(
+            c ->
+                conflicts
+                    .addObject()
+                    .put("route", c.route())
+                    .put("routeRegions", join(c.routeRegions()))
+                    .put("customer", c.customer().value())
+                    .put("customerRegions", join(c.customerRegions())));
+  }
+
+  private static String join(Set<RegionId> regions) {
+    return regions.stream().map(RegionId::value).sorted().collect(Collectors.joining(","));
+  }
+
   private void addQuotas(long nowNanos, ArrayNode quotas) {
     state
         .quotas()
--- a/entry/src/main/java/org/gentianslip/entry/gateway/GatewayServer.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/GatewayServer.java
@@ -72,6 +72,8 @@
         () -> state.processor().delayNanos(System.nanoTime()) / NANOS_PER_SECOND,
         () -> state.presentCapacity() / HUNDREDTHS_PER_CORE);
     metrics.registerQuotas(state.quotas()::counts);
+    metrics.registerRegionConflicts(
+        () -> state.published().routes().map(r -> r.regionConflicts().size()).orElse(0));
     metrics.registerConfigurationAge(() -> state.knowledge().ageSeconds(Clocks.read()));
     this.onPause = onPause;
     this.callerServer =
--- a/entry/src/main/java/org/gentianslip/entry/gateway/PublishedStateLog.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/PublishedStateLog.java
@@ -2,10 +2,12 @@
 
 import com.google.common.flogger.FluentLogger;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import org.gentianslip.core.id.EngineId;
 import org.gentianslip.core.published.Backend;
 import org.gentianslip.core.published.PublishedState;
+import org.gentianslip.core.route.RegionConflict;
 import org.gentianslip.core.route.RouteTable;
 
 /** Logs changes of the published state. Stateless. */
@@ -13,6 +15,9 @@
 
   private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
 
+  /** The conflicts of one configuration that are logged, at most. */
+  private static final int MAX_CONFLICTS = 16;
+
   private PublishedStateLog() {}
 
   static void logChanges(PublishedState before, PublishedState after) {
@@ -25,6 +30,7 @@
           versionBefore,
           after.revision(),
           after.routes().map(RouteTable::size).orElse(0));
+      after.routes().ifPresent(PublishedStateLog::logConflicts);
     }
     Map<EngineId, String> changes = new HashMap<>();
     after.backends().forEach((id, b) -> changes.put(id, stateOf(after, b)));
@@ -40,6 +46,21 @@
                 "gateway: event=backend id=%s state=%s revision=%s", id, state, after.revision()));
   }
 
+  private static void logConflicts(RouteTable table) {
+    List<RegionConflict> conflicts = table.regionConflicts();
+    for (RegionConflict c : conflicts.subList(0, Math.min(MAX_CONFLICTS, conflicts.size()))) {
+      LOGGER.atWarning().log(
+          "gateway: event=no-common-region version=%s route=%s regions=%s customer=%s"
+              + " regions-of-customer=%s conflicts=%s",
+          table.version(),
+          c.route(),
+          c.routeRegions(),
+          c.customer(),
+          c.customerRegions(),
+          conflicts.size());
+    }
+  }
+
   private static String stateOf(PublishedState state, Backend b) {
     if (state.evacuated().contains(b.dataCentre())) {
       return "evacuated";
--- a/entry/src/test/java/org/gentianslip/entry/gateway/GatewayMetricsTest.java
+++ b/entry/src/test/java/org/gentianslip/entry/gateway/GatewayMetricsTest.java
@@ -32,6 +32,7 @@
     metrics.registerProcessorGauges(() -> 0, () -> 0);
     metrics.registerQuotas(() -> Map.of("maple", new CustomerQuotas.Counts()));
     metrics.registerConfigurationAge(() -> 0);
+    metrics.registerRegionConflicts(() -> 0);
     metrics.countRequest("0", "answered");
     metrics.countRefusal("0", "too-late");
     metrics.countRejection(401, "unknown-key");
@@ -85,6 +86,7 @@
   void haveTheirUnitInTheName() {
     assertThat(
         parse(HELP).keySet(),
-        everyItem(matchesPattern("gentian_gateway_.*_(total|seconds|requests|revision|cores)")));
+        everyItem(
+            matchesPattern("gentian_gateway_.*_(total|seconds|requests|revision|cores|pairs)")));
   }
 }
