Refuse unknown keys and paths while a part of the configuration is unreadable

Callers of a customer, key or route that an instance can't read got 401 or 404, as if their requests were wrong.

Cause: the decoder leaves an unreadable entry out and keeps the rest; afterwards its keys and paths look like ones that never existed. CustomerInstanceTest asked for this 401.

Change: the tables know whether an entry was left out. If so, a key that nobody holds and a path without a route get 503, not run. With a complete table nothing changes.

--- a/core/src/main/java/org/gentianslip/core/customer/CustomerTable.java
+++ b/core/src/main/java/org/gentianslip/core/customer/CustomerTable.java
@@ -27,6 +27,7 @@
   private final SipHash hash;
   private final Map<Long, List<Entry>> byHash = new HashMap<>();
   private final Map<CustomerId, Customer> byId = new HashMap<>();
+  private boolean complete = true;
 
   /** A key and its owner. Not a record, as the text of a record would show the key. */
   private static final class Entry {
@@ -89,6 +90,11 @@
       return true;
     }
 
+    /** Records that a customer or a key of the configuration was left out as unreadable. */
+    public void markIncomplete() {
+      table.complete = false;
+    }
+
     /** Returns the table; this builder must not be used afterwards. */
     public CustomerTable build() {
       return table;
@@ -149,6 +155,11 @@
     return Collections.unmodifiableCollection(byId.values());
   }
 
+  /** Returns whether each key of the configuration is held, so that any other one is unknown. */
+  public boolean isComplete() {
+    return complete;
+  }
+
   /** Returns the number of customers. */
   public int size() {
     return byId.size();
--- a/core/src/main/java/org/gentianslip/core/route/RouteTable.java
+++ b/core/src/main/java/org/gentianslip/core/route/RouteTable.java
@@ -26,6 +26,7 @@
   private final Map<ServiceId, ServiceProfile> services = new HashMap<>();
   private final CallerLimits limits;
   private final Optional<CustomerTable> customers;
+  private boolean complete = true;
   private List<RegionConflict> conflicts = List.of();
 
   private RouteTable(long version, CallerLimits limits, Optional<CustomerTable> customers) {
@@ -81,6 +82,17 @@
     return customers;
   }
 
+  /** Records that a route of the configuration was left out as unreadable, and returns this. */
+  public RouteTable markIncomplete() {
+    complete = false;
+    return this;
+  }
+
+  /** Returns whether each route of the configuration is held, so that any other path has none. */
+  public boolean isComplete() {
+    return complete;
+  }
+
   /** Returns the number of routes. */
   public int size() {
     return routes.values().stream().mapToInt(Map::size).sum();
--- a/entry/src/main/java/org/gentianslip/entry/gateway/CustomerAdmission.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/CustomerAdmission.java
@@ -80,8 +80,8 @@
       return unauthorized(keys.isEmpty() ? "no-key" : "several-keys", "");
     }
     int length = keys.get(0).length();
-    if (length == 0 || length > CustomerTable.MAX_KEY_BYTES) {
-      return unauthorized(length == 0 ? "empty-key" : "long-key", "bytes=" + length);
+    if (length == 0) {
+      return unauthorized("empty-key", "");
     }
     ClockReading now = Clocks.read();
     RevocationRule rule = state.config().bounds().revocation();
@@ -94,7 +94,7 @@
     }
     Optional<Customer> customer = findByKey(table.customers().get(), request.headers());
     if (customer.isEmpty()) {
-      return unknownKey(request, now, confirmation, table.version(), maxAgeNanos);
+      return unknownKey(request, now, confirmation, table, maxAgeNanos);
     }
     return restricted(route, customer.get());
   }
@@ -145,20 +145,25 @@
   }
 
   /**
-   * An unknown key may be one of a later configuration, if that in force may be out of date. The
-   * age is that of the confirmation, which also counts the time during which the machine was
-   * suspended.
+   * An unknown key may be one of a later configuration, if that in force may be out of date, or one
+   * that was left out as unreadable. The age is that of the confirmation, which also counts the
+   * time during which the machine was suspended.
    */
   private AdmissionResult unknownKey(
       BufferedHttpRequest request,
       ClockReading now,
       Optional<Confirmation> confirmation,
-      long version,
+      RouteTable table,
       long maxAgeNanos) {
     long ageNanos = confirmation.map(c -> c.ageNanos(now)).orElse(Long.MAX_VALUE);
-    boolean behind = state.knowledge().isBehind(version, now.steadyNanos());
-    return behind || ageNanos > maxAgeNanos
-        ? refused("key-not-known")
+    boolean behind = state.knowledge().isBehind(table.version(), now.steadyNanos());
+    boolean complete = table.customers().map(CustomerTable::isComplete).orElse(true);
+    if (behind || !complete || ageNanos > maxAgeNanos) {
+      return refused("key-not-known");
+    }
+    boolean overlong = keyOf(request.headers()).length > CustomerTable.MAX_KEY_BYTES;
+    return overlong
+        ? unauthorized("long-key", "")
         : unauthorized(
             "unknown-key",
             "age-millis="
--- a/entry/src/main/java/org/gentianslip/entry/gateway/RequestAdmission.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/RequestAdmission.java
@@ -58,7 +58,7 @@
     Optional<Route> route =
         table.get().find(request.host().toLowerCase(Locale.ROOT), request.path());
     if (route.isEmpty()) {
-      return unknownRoute(forwarded);
+      return unknownRoute(table.get(), forwarded);
     }
     if (request.headers().get(edgeHeaders.requestId(), "").isEmpty()) {
       return new AdmissionResult.Rejected(BAD_REQUEST, "no-id", "");
@@ -95,9 +95,9 @@
     return customers.maySendAgain(request, admitted, forwarded);
   }
 
-  private AdmissionResult unknownRoute(boolean forwarded) {
+  private AdmissionResult unknownRoute(RouteTable table, boolean forwarded) {
     long ageNanos = state.confirmationAgeNanos(System.nanoTime());
-    return forwarded || ageNanos > STALE_ROUTES_NANOS
+    return forwarded || !table.isComplete() || ageNanos > STALE_ROUTES_NANOS
         ? refused("route-not-known")
         : new AdmissionResult.Rejected(
             NOT_FOUND, "unknown-path", "age-millis=" + TimeUnit.NANOSECONDS.toMillis(ageNanos));
--- a/entry/src/main/java/org/gentianslip/entry/published/CustomerListReader.java
+++ b/entry/src/main/java/org/gentianslip/entry/published/CustomerListReader.java
@@ -67,6 +67,7 @@
         }
         addKeys(place, list.get(i).path(names.keys()), customer.id(), table);
       } catch (IllegalArgumentException e) {
+        table.markIncomplete();
         logUnreadable(place, e.getMessage());
       }
     }
@@ -143,6 +144,7 @@
     for (int i = 0; i < keys.size(); i++) {
       // The text of a key must not be logged.
       if (!keys.path(i).isTextual() || !table.addKey(id, keys.path(i).textValue())) {
+        table.markIncomplete();
         logUnreadable(
             place + "/" + names.keys() + "/" + i,
             "must be a text of 1 to " + CustomerTable.MAX_KEY_BYTES + " bytes of its own");
