Refuse an unknown path while the configuration may be out of date

Callers of a route that was just added got 404 from an instance that had lost the store up to 8 s before, or while another instance already had the later version.

Cause: 8 s stood for the age from which the published state may be stale, though a route applies within 3 to 5 s; and only keys, not paths, regarded what other instances state. Class: 4xx for a reason that lies in the instance's state.

Change: the bound, which stands for paths and keys, is 5 s, more than the 4.25 s between two confirmations of an idle watch; paths follow the same rule as keys.

--- a/entry/src/main/java/org/gentianslip/entry/gateway/RequestAdmission.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/RequestAdmission.java
@@ -21,8 +21,11 @@
   /** The retry delay sent while this instance cannot serve a request yet, in milliseconds. */
   private static final long NOT_READY_RETRY_MILLIS = 300;
 
-  /** The age of the published state from which an unknown path or key is refused, not rejected. */
-  private static final long STALE_ROUTES_NANOS = TimeUnit.SECONDS.toNanos(8);
+  /**
+   * The age of the published state from which an unknown path or key is refused, not rejected: more
+   * than passes between two confirmations while the publisher is reached.
+   */
+  private static final long STALE_ROUTES_NANOS = TimeUnit.SECONDS.toNanos(5);
 
   private static final int BAD_REQUEST = 400;
   private static final int NOT_FOUND = 404;
@@ -96,8 +99,10 @@
   }
 
   private AdmissionResult unknownRoute(RouteTable table, boolean forwarded) {
-    long ageNanos = state.confirmationAgeNanos(System.nanoTime());
-    return forwarded || !table.isComplete() || ageNanos > STALE_ROUTES_NANOS
+    long now = System.nanoTime();
+    long ageNanos = state.confirmationAgeNanos(now);
+    boolean behind = state.knowledge().isBehind(table.version(), now);
+    return forwarded || behind || !table.isComplete() || ageNanos > STALE_ROUTES_NANOS
         ? refused("route-not-known")
         : new AdmissionResult.Rejected(
             NOT_FOUND, "unknown-path", "age-millis=" + TimeUnit.NANOSECONDS.toMillis(ageNanos));
