--- a/ctl/src/test/java/org/gentianslip/ctl/OperatorCommandTest.java
+++ b/ctl/src/test/java/org/gentianslip/ctl/OperatorCommandTest.java
@@ -97,6 +97,20 @@
           matchesPattern("pk-south-2 +pk-south +leaving +- +nobody"));
     }
 
+    @Test
+    void showsCustomersThatNoRegionMayServe() {
+      enqueueResponse(
+          200,
+          """
+          {"instance": "pk-north-1", "regionConflicts": [
+            {"route": "charge", "routeRegions": "north,south", "customer": "shops",
+             "customerRegions": "east"}]}
+          """);
+      CommandRun run = CommandRun.of("status", "--operator", address());
+      assertThat(
+          line(run, "charge").orElse(""), matchesPattern("charge +north,south +shops +east"));
+    }
+
     @Test
     void aggregatesEnginesOverInstances() {
       enqueueResponse(200, NORTH_STATUS);
