Keep the software version of backend servers

An entry's version was not kept, so no choice of a server for a stream that has begun could regard it. Backend has it now, StreamOrigins holds the versions at which recent streams began, and VersionHistory those that a service has had. Nothing uses them yet.

--- a/core/src/main/java/org/gentianslip/core/published/Backend.java
+++ b/core/src/main/java/org/gentianslip/core/published/Backend.java
@@ -1,8 +1,10 @@
 package org.gentianslip.core.published;
 
+import java.util.Optional;
 import org.gentianslip.core.id.DataCentreId;
 import org.gentianslip.core.id.EngineId;
 import org.gentianslip.core.id.ServiceId;
+import org.gentianslip.core.id.SoftwareVersion;
 
 /**
  * A backend server as the platform publishes it. Immutable and thread-safe.
@@ -15,6 +17,7 @@
  * @param leaving whether it is shutting down, so that it must not be sent new work
  * @param coldMillis how long it stays cold after the time of publication, in milliseconds
  * @param startedMillis when it started, in Unix milliseconds, or 0 if unknown
+ * @param version the version of its software, if it names a valid one
  */
 public record Backend(
     EngineId id,
@@ -24,4 +27,28 @@
     int slots,
     boolean leaving,
     long coldMillis,
-    long startedMillis) {}
+    long startedMillis,
+    Optional<SoftwareVersion> version) {
+
+  /** Creates a backend server whose version is not known. */
+  public Backend(
+      EngineId id,
+      ServiceId service,
+      String address,
+      DataCentreId dataCentre,
+      int slots,
+      boolean leaving,
+      long coldMillis,
+      long startedMillis) {
+    this(
+        id,
+        service,
+        address,
+        dataCentre,
+        slots,
+        leaving,
+        coldMillis,
+        startedMillis,
+        Optional.empty());
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/gentianslip/core/stream/VersionHistory.java
@@ -0,0 +1,92 @@
+package org.gentianslip.core.stream;
+
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.gentianslip.core.id.ServiceId;
+import org.gentianslip.core.id.SoftwareVersion;
+import org.gentianslip.core.published.Backend;
+
+/**
+ * Which versions of their software the published backend servers of each service had, and since
+ * when that is known without a gap.
+ *
+ * <p>A stream of a service that has had one version for longer than a stream lasts began at that
+ * version. Thread-safe.
+ */
+public final class VersionHistory {
+
+  private final Map<ServiceId, Map<Optional<SoftwareVersion>, Long>> lastSeen = new HashMap<>();
+  private Set<Key> present = Set.of();
+  private boolean known;
+  private long knownSinceNanos;
+
+  private record Key(ServiceId service, Optional<SoftwareVersion> version) {}
+
+  /** Records the published backend servers; those published before were present until now. */
+  public synchronized void apply(long nowNanos, Collection<Backend> published) {
+    if (!known) {
+      known = true;
+      knownSinceNanos = nowNanos;
+    }
+    Set<Key> next = new HashSet<>();
+    published.forEach(b -> next.add(new Key(b.service(), b.version())));
+    present.forEach(key -> see(key, nowNanos));
+    next.forEach(key -> see(key, nowNanos));
+    present = next;
+  }
+
+  private void see(Key key, long nanos) {
+    lastSeen
+        .computeIfAbsent(key.service(), s -> new HashMap<>())
+        .merge(key.version(), nanos, (a, b) -> a - b > 0 ? a : b);
+  }
+
+  /**
+   * Adds what was published before this instance knew of it.
+   *
+   * @param sinceNanos since when the added versions are all that there were
+   * @param seen the versions, each with the time when it was last published
+   */
+  public synchronized void extend(
+      long sinceNanos, Map<ServiceId, Map<Optional<SoftwareVersion>, Long>> seen) {
+    seen.forEach(
+        (service, versions) ->
+            versions.forEach((version, nanos) -> see(new Key(service, version), nanos)));
+    if (known && sinceNanos - knownSinceNanos < 0) {
+      knownSinceNanos = sinceNanos;
+    }
+  }
+
+  /**
+   * Returns the only version that the backend servers of a service have had for some time, if there
+   * was only one and all that time is known.
+   */
+  public synchronized Optional<SoftwareVersion> soleVersion(
+      ServiceId service, long nowNanos, long windowNanos) {
+    if (!known || nowNanos - knownSinceNanos < windowNanos) {
+      return Optional.empty();
+    }
+    Set<Optional<SoftwareVersion>> versions = new HashSet<>();
+    lastSeen
+        .getOrDefault(service, Map.of())
+        .forEach(
+            (version, nanos) -> {
+              if (nowNanos - nanos <= windowNanos) {
+                versions.add(version);
+              }
+            });
+    present.stream()
+        .filter(key -> key.service().equals(service))
+        .forEach(key -> versions.add(key.version()));
+    return versions.size() == 1 ? versions.iterator().next() : Optional.empty();
+  }
+
+  /** Returns since when the versions are known without a gap, if anything is known. */
+  public synchronized Optional<Long> knownSinceNanos() {
+    return known ? Optional.of(knownSinceNanos) : Optional.empty();
+  }
+}
--- a/entry/src/main/java/org/gentianslip/entry/gateway/GatewayState.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/GatewayState.java
@@ -32,6 +32,8 @@
 import org.gentianslip.core.route.Route;
 import org.gentianslip.core.route.RouteTable;
 import org.gentianslip.core.shutdown.ShutdownPlan;
+import org.gentianslip.core.stream.StreamOrigins;
+import org.gentianslip.core.stream.VersionHistory;
 
 /**
  * The state of an instance: the published state, the load of backend servers, and the other
@@ -58,6 +60,8 @@
   private final ProcessorGuard processor;
   private final CustomerQuotas quotas;
   private final FormerKeys formerKeys = new FormerKeys();
+  private final StreamOrigins streamOrigins = new StreamOrigins();
+  private final VersionHistory versionHistory = new VersionHistory();
   private volatile Optional<ShutdownPlan> shutdownPlan = Optional.empty();
   private volatile boolean refusing;
   private volatile long confirmedNanos = System.nanoTime();
@@ -156,6 +160,7 @@
     PublishedState after = next.withRoutesNotOlderThan(before);
     published.set(after);
     formerKeys.applyChange(before.routes(), after.routes());
+    versionHistory.apply(nowNanos, after.backends().values());
     backends.applyPublished(nowNanos, before, after);
     prompts.applyPublished(before, after);
     PublishedStateLog.logChanges(before, after);
@@ -276,6 +281,16 @@
     return formerKeys;
   }
 
+  /** Returns the versions of their software at which recent streams began. */
+  public StreamOrigins streamOrigins() {
+    return streamOrigins;
+  }
+
+  /** Returns the versions that the published backend servers have had. */
+  public VersionHistory versionHistory() {
+    return versionHistory;
+  }
+
   /** Returns the parts of prompts that are kept away from engines. */
   public PromptQuarantine quarantine() {
     return quarantine;
