--- a/core/src/main/java/org/gentianslip/core/published/ItemChange.java
+++ b/core/src/main/java/org/gentianslip/core/published/ItemChange.java
@@ -13,8 +13,15 @@
    * The item was written.
    *
    * @param item the item after the change
+   * @param created whether it is known that there was no such item before
    */
-  record Written(PublishedItem item) implements ItemChange {
+  record Written(PublishedItem item, boolean created) implements ItemChange {
+
+    /** Creates a change of which it is not known whether there was such an item before. */
+    public Written(PublishedItem item) {
+      this(item, false);
+    }
+
     @Override
     public String key() {
       return item.key();
--- a/core/src/main/java/org/gentianslip/core/published/PublishedItemStore.java
+++ b/core/src/main/java/org/gentianslip/core/published/PublishedItemStore.java
@@ -69,6 +69,12 @@
     return List.copyOf(items.values());
   }
 
+  /** Returns whether an item is present as it was written by a change. */
+  public boolean holds(PublishedItem item) {
+    PublishedItem held = items.get(item.key());
+    return held != null && held.revision().equals(item.revision());
+  }
+
   /**
    * Returns the items together with the delayed changes.
    *
--- a/core/src/main/java/org/gentianslip/core/stream/VersionHistory.java
+++ b/core/src/main/java/org/gentianslip/core/stream/VersionHistory.java
@@ -15,7 +15,7 @@
  * when that is known without a gap.
  *
  * <p>A stream of a service that has had one version for longer than a stream lasts began at that
- * version. Thread-safe.
+ * version. Where changes may have passed unseen, knowledge starts anew. Thread-safe.
  */
 public final class VersionHistory {
 
@@ -24,6 +24,9 @@
   private boolean known;
   private long knownSinceNanos;
 
+  /** Since when the versions were known before a gap that may still be closed. */
+  private Optional<Long> beforeGapNanos = Optional.empty();
+
   private record Key(ServiceId service, Optional<SoftwareVersion> version) {}
 
   /** Records the published backend servers; those published before were present until now. */
@@ -45,31 +48,82 @@
         .merge(key.version(), nanos, (a, b) -> a - b > 0 ? a : b);
   }
 
+  /** Records backend servers that were published, and may not be any more. */
+  public synchronized void recordSeen(long nowNanos, Collection<Backend> seen) {
+    seen.forEach(b -> see(new Key(b.service(), b.version()), nowNanos));
+  }
+
+  /** Discards since when the versions are known, as changes may have passed unseen until now. */
+  public synchronized void startAnew(long nowNanos) {
+    known = true;
+    knownSinceNanos = nowNanos;
+    beforeGapNanos = Optional.empty();
+  }
+
+  /** Records that changes may have passed that are not seen yet. */
+  public synchronized void markGap(long nowNanos) {
+    if (known && beforeGapNanos.isEmpty()) {
+      beforeGapNanos = Optional.of(knownSinceNanos);
+    }
+    known = true;
+    knownSinceNanos = nowNanos;
+  }
+
+  /** Records that all changes in the gaps since the last new start have been seen. */
+  public synchronized void closeGap() {
+    beforeGapNanos.ifPresent(nanos -> knownSinceNanos = nanos);
+    beforeGapNanos = Optional.empty();
+  }
+
   /**
-   * Adds what was published before this instance knew of it.
+   * Adds what was published before this instance knew of it, unless knowledge has started anew
+   * since.
    *
+   * @param untilNanos the new start before which it was published
    * @param sinceNanos since when the added versions are all that there were
    * @param seen the versions, each with the time when it was last published
    */
   public synchronized void extend(
-      long sinceNanos, Map<ServiceId, Map<Optional<SoftwareVersion>, Long>> seen) {
+      long untilNanos, long sinceNanos, Map<ServiceId, Map<Optional<SoftwareVersion>, Long>> seen) {
     seen.forEach(
         (service, versions) ->
             versions.forEach((version, nanos) -> see(new Key(service, version), nanos)));
-    if (known && sinceNanos - knownSinceNanos < 0) {
-      knownSinceNanos = sinceNanos;
+    if (beforeGapNanos.isPresent() && beforeGapNanos.get() == untilNanos) {
+      beforeGapNanos = Optional.of(earlier(sinceNanos, untilNanos));
+    } else if (known && knownSinceNanos == untilNanos) {
+      knownSinceNanos = earlier(sinceNanos, untilNanos);
     }
   }
 
+  private static long earlier(long someNanos, long otherNanos) {
+    return someNanos - otherNanos < 0 ? someNanos : otherNanos;
+  }
+
   /**
    * Returns the only version that the backend servers of a service have had for some time, if there
    * was only one and all that time is known.
    */
   public synchronized Optional<SoftwareVersion> soleVersion(
       ServiceId service, long nowNanos, long windowNanos) {
-    if (!known || nowNanos - knownSinceNanos < windowNanos) {
+    if (!isKnown(nowNanos, windowNanos)) {
       return Optional.empty();
     }
+    Set<Optional<SoftwareVersion>> versions = versions(service, nowNanos, windowNanos);
+    return versions.size() == 1 ? versions.iterator().next() : Optional.empty();
+  }
+
+  /** Returns whether it is known that no service has had two versions for some time. */
+  public synchronized boolean hasSoleVersions(long nowNanos, long windowNanos) {
+    return isKnown(nowNanos, windowNanos)
+        && lastSeen.keySet().stream().allMatch(s -> versions(s, nowNanos, windowNanos).size() <= 1);
+  }
+
+  private boolean isKnown(long nowNanos, long windowNanos) {
+    return known && nowNanos - knownSinceNanos >= windowNanos;
+  }
+
+  private Set<Optional<SoftwareVersion>> versions(
+      ServiceId service, long nowNanos, long windowNanos) {
     Set<Optional<SoftwareVersion>> versions = new HashSet<>();
     lastSeen
         .getOrDefault(service, Map.of())
@@ -82,7 +136,7 @@
     present.stream()
         .filter(key -> key.service().equals(service))
         .forEach(key -> versions.add(key.version()));
-    return versions.size() == 1 ? versions.iterator().next() : Optional.empty();
+    return versions;
   }
 
   /** Returns since when the versions are known without a gap, if anything is known. */
