Exchange the origins of streams among instances

A client that took a stream up at another instance, after the first one was killed, could not be told where its stream had begun.

Messages carry the origins that the receiver lacks, numbered and with ages, while this instance or one behind at most two others can't tell the version of a stream from the only one that its service has had. Unreadable origins are left out and logged.

--- a/entry/src/main/java/org/gentianslip/entry/fleet/FleetExchange.java
+++ b/entry/src/main/java/org/gentianslip/entry/fleet/FleetExchange.java
@@ -21,6 +21,7 @@
 import org.gentianslip.core.published.ItemSnapshot;
 import org.gentianslip.core.published.RevocationRule;
 import org.gentianslip.core.quota.QuotaLedger;
+import org.gentianslip.core.stream.StreamOrigins;
 import org.gentianslip.core.time.ClockReading;
 import org.gentianslip.entry.clock.Clocks;
 import org.gentianslip.entry.gateway.GatewayState;
@@ -104,6 +105,7 @@
       LOGGER.atInfo().log("fleet: event=relay active=%s", wasRelay);
     }
     state.prompts().dropExpired(nowNanos);
+    state.streamOrigins().dropBefore(nowNanos - StreamOrigins.RETENTION_NANOS);
     quotas.forgetIdle(nowNanos);
     seekConfirmation(nowNanos);
     updater.setRelay(planner.isRelay());
--- a/entry/src/main/java/org/gentianslip/entry/fleet/FleetMessage.java
+++ b/entry/src/main/java/org/gentianslip/entry/fleet/FleetMessage.java
@@ -1,6 +1,7 @@
 package org.gentianslip.entry.fleet;
 
 import com.fasterxml.jackson.annotation.JsonFormat;
+import com.fasterxml.jackson.annotation.JsonInclude;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.IntNode;
 import com.google.common.flogger.FluentLogger;
@@ -59,6 +60,8 @@
  *     data centre; null in messages of earlier versions, and if the scope asks for none
  * @param confirmedAge the time since {@code version} was known to be the newest one, in
  *     milliseconds; null if it is unknown, and in messages of earlier processes
+ * @param origins where streams began; null if there is nothing to tell, and in messages of earlier
+ *     versions
  */
 record FleetMessage(
     Instance self,
@@ -80,7 +83,8 @@
     Ack evidenceAck,
     Map<String, Limit> limits,
     Map<String, JsonNode> usage,
-    JsonNode confirmedAge) {
+    JsonNode confirmedAge,
+    @JsonInclude(JsonInclude.Include.NON_NULL) OriginReport origins) {
 
   private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
 
--- a/entry/src/main/java/org/gentianslip/entry/fleet/FleetMessages.java
+++ b/entry/src/main/java/org/gentianslip/entry/fleet/FleetMessages.java
@@ -27,6 +27,8 @@
 import org.gentianslip.core.quarantine.PromptQuarantine;
 import org.gentianslip.core.quota.QuotaUsage;
 import org.gentianslip.core.quota.UsageSource;
+import org.gentianslip.core.stream.OriginBatch;
+import org.gentianslip.core.stream.OriginDemand;
 import org.gentianslip.core.time.ClockReading;
 import org.gentianslip.entry.clock.Clocks;
 import org.gentianslip.entry.gateway.GatewayState;
@@ -57,6 +59,8 @@
   private final PublishedStateUpdater updater;
   private final SyncCursors promptCursors = new SyncCursors();
   private final SyncCursors evidenceCursors = new SyncCursors();
+  private final SyncCursors originCursors = new SyncCursors();
+  private final OriginDemand originDemand = new OriginDemand();
   private final Set<InstanceId> knownInstances = ConcurrentHashMap.newKeySet();
 
   FleetMessages(GatewayState state, PublishedStateUpdater updater) {
@@ -77,6 +81,7 @@
         new EvidenceBatch(List.of(), List.of(), 0),
         SyncAck.NONE,
         Map.of(),
+        null,
         null);
   }
 
@@ -131,7 +136,36 @@
         evidence,
         evidenceCursors.receivedFrom(receiver),
         limits(nowNanos, backends),
-        usage == null ? null : UsageFields.of(usage));
+        usage == null ? null : UsageFields.of(usage),
+        origins(nowNanos, receiver));
+  }
+
+  /** Returns the origins that a receiver lacks, if any instance needs them. */
+  private OriginReport origins(long nowNanos, InstanceId receiver) {
+    boolean own = !state.hasSoleVersions(nowNanos);
+    long after = originCursors.acknowledgedBy(receiver);
+    OriginBatch batch =
+        originDemand.isPresent(nowNanos, own)
+            ? state.streamOrigins().recordedAfter(after, receiver, OriginReport.MAX_STREAMS)
+            : new OriginBatch(List.of(), after);
+    return OriginReport.of(
+        nowNanos, batch, originCursors.receivedFrom(receiver), originDemand.steps(nowNanos, own));
+  }
+
+  private void applyOrigins(long nowNanos, PeerRecord peer, FleetMessage message) {
+    OriginReport report = message.origins();
+    if (report == null) {
+      report = new OriginReport(List.of(), 0, FleetMessage.Ack.of(SyncAck.NONE), 0);
+    }
+    report
+        .read(nowNanos, peer.id().value())
+        .forEach(o -> state.streamOrigins().record(peer.id(), o));
+    originDemand.record(nowNanos, peer.id(), report.boundedNeed());
+    originCursors.record(
+        peer.id(),
+        new SyncAck(peer.incarnation(), report.number()),
+        report.ack().toAck(),
+        state.fleet().peers().ownIncarnation());
   }
 
   private FleetMessage message(
@@ -145,7 +179,8 @@
       EvidenceBatch evidence,
       SyncAck evidenceAck,
       Map<String, FleetMessage.Limit> limits,
-      Map<String, JsonNode> usage) {
+      Map<String, JsonNode> usage,
+      OriginReport origins) {
     // Read before the version in force, which is then at least as recent as was confirmed.
     OptionalLong confirmedAge = state.knowledge().ageMillis(Clocks.read());
     Revision published = updater.revision();
@@ -169,7 +204,8 @@
         FleetMessage.Ack.of(evidenceAck),
         limits,
         usage,
-        confirmedAge.isPresent() ? LongNode.valueOf(confirmedAge.getAsLong()) : null);
+        confirmedAge.isPresent() ? LongNode.valueOf(confirmedAge.getAsLong()) : null,
+        origins);
   }
 
   /**
@@ -253,6 +289,7 @@
         message.promptAck().toAck(),
         state.fleet().peers().ownIncarnation());
     applyEvidence(nowNanos, peer, message);
+    applyOrigins(nowNanos, peer, message);
     message
         .limits()
         .forEach(
--- a/entry/src/main/java/org/gentianslip/entry/gateway/GatewayState.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/GatewayState.java
@@ -46,6 +46,9 @@
   /** The number of instances in all regions that is assumed until more of them are known. */
   private static final int MIN_ASSUMED_INSTANCES = 8;
 
+  /** How much longer than its route allows a stream may last, in milliseconds. */
+  private static final long STREAM_MARGIN_MILLIS = 5_000;
+
   private final AtomicReference<GatewayConfig> config;
   private final AtomicReference<PublishedState> published =
       new AtomicReference<>(PublishedState.NONE);
@@ -291,6 +294,20 @@
     return versionHistory;
   }
 
+  /**
+   * Returns whether each service is known to have had at most one version for longer than a stream
+   * lasts.
+   */
+  public boolean hasSoleVersions(long nowNanos) {
+    Optional<RouteTable> routes = published.get().routes();
+    if (routes.isEmpty()) {
+      return false;
+    }
+    long maxMillis = routes.get().routes().stream().mapToLong(Route::timeoutMillis).max().orElse(0);
+    return versionHistory.hasSoleVersions(
+        nowNanos, TimeUnit.MILLISECONDS.toNanos(maxMillis + STREAM_MARGIN_MILLIS));
+  }
+
   /** Returns the parts of prompts that are kept away from engines. */
   public PromptQuarantine quarantine() {
     return quarantine;
