Begin the history of versions anew where changes passed unseen, and read the store's past

The history took each applied state for the successor of the one before, also after a listing or a copy of another instance, and knew nothing of servers from before the start or of those that came and went within one response. A stream might then have gone on at a version that did not begin it.

The watch goes on from what it has seen itself, also after a copy, whose gap is closed once the watch has caught up. Versions of items that are not in the applied state are recorded.

--- a/entry/src/main/java/org/gentianslip/entry/published/ItemDecoder.java
+++ b/entry/src/main/java/org/gentianslip/entry/published/ItemDecoder.java
@@ -1,6 +1,8 @@
 package org.gentianslip.entry.published;
 
 import java.util.Collection;
+import java.util.Optional;
+import org.gentianslip.core.published.Backend;
 import org.gentianslip.core.published.ItemSchema;
 import org.gentianslip.core.published.PublishedItem;
 import org.gentianslip.core.published.PublishedState;
@@ -11,4 +13,7 @@
 
   /** Returns the state decoded from the items; an unreadable item is logged and left out. */
   PublishedState decode(Collection<PublishedItem> items, Revision revision);
+
+  /** Returns the backend server that an item describes, if it describes a readable one. */
+  Optional<Backend> decodeBackend(PublishedItem item);
 }
--- a/entry/src/main/java/org/gentianslip/entry/published/PublishedSource.java
+++ b/entry/src/main/java/org/gentianslip/entry/published/PublishedSource.java
@@ -43,4 +43,14 @@
    * @throws IOException if the publisher returns no usable response
    */
   Changes watch(Revision after, Duration wait) throws IOException;
+
+  /**
+   * Returns the changes between an older revision and now, without waiting for any.
+   *
+   * @param after the older revision; the changes since may not be available any more
+   * @throws IOException if the publisher returns no usable response
+   */
+  default Changes history(Revision after) throws IOException {
+    return watch(after, Duration.ofMillis(1));
+  }
 }
--- a/entry/src/main/java/org/gentianslip/entry/published/PublishedStateUpdater.java
+++ b/entry/src/main/java/org/gentianslip/entry/published/PublishedStateUpdater.java
@@ -3,11 +3,15 @@
 import com.google.common.flogger.FluentLogger;
 import java.io.IOException;
 import java.time.Duration;
+import java.util.List;
 import java.util.concurrent.TimeUnit;
+import org.gentianslip.core.published.ItemChange;
 import org.gentianslip.core.published.ItemSnapshot;
+import org.gentianslip.core.published.PublishedItem;
 import org.gentianslip.core.published.PublishedItemStore;
 import org.gentianslip.core.published.PublishedState;
 import org.gentianslip.core.published.Revision;
+import org.gentianslip.core.stream.VersionHistory;
 import org.gentianslip.core.time.ClockReading;
 import org.gentianslip.entry.clock.Clocks;
 
@@ -53,6 +57,8 @@
   private final Listener listener;
   private final WatchLimit watchLimit;
   private final PublishedItemStore items;
+  private final VersionHistory versions;
+  private final PastReader past;
   private final Thread thread = new Thread(this::run, "published");
   private volatile boolean closed;
   private volatile boolean failing;
@@ -61,6 +67,9 @@
   private boolean changePending;
   private boolean listingRead;
 
+  /** The revision up to which the watching thread has seen all changes since its last listing. */
+  private Revision watched = Revision.NONE;
+
   /** Receives updates of the published state. */
   public interface Listener {
 
@@ -92,16 +101,30 @@
 
   /** Creates an updater without any items, whose calls have no further limit. */
   public PublishedStateUpdater(PublishedSource source, ItemDecoder decoder, Listener listener) {
-    this(source, decoder, listener, (isRelay, maxMillis) -> maxMillis);
+    this(source, decoder, listener, (isRelay, maxMillis) -> maxMillis, new VersionHistory(), 0);
   }
 
-  /** Creates an updater without any items. */
+  /**
+   * Creates an updater without any items.
+   *
+   * @param versions is told where changes may have passed unseen, and of versions that are not in
+   *     the states that the listener receives
+   * @param heartbeatMillis the interval at which a backend server writes, in milliseconds; 0 if it
+   *     is not known
+   */
   public PublishedStateUpdater(
-      PublishedSource source, ItemDecoder decoder, Listener listener, WatchLimit watchLimit) {
+      PublishedSource source,
+      ItemDecoder decoder,
+      Listener listener,
+      WatchLimit watchLimit,
+      VersionHistory versions,
+      long heartbeatMillis) {
     this.watchLimit = watchLimit;
     this.source = source;
     this.decoder = decoder;
     this.listener = listener;
+    this.versions = versions;
+    this.past = new PastReader(source, decoder, heartbeatMillis);
     this.items = new PublishedItemStore(decoder, REMOVAL_HOLD_NANOS, CONFIRMATION_NANOS);
     this.recoveredNanos = System.nanoTime() - RECOVERY_NANOS;
     thread.setDaemon(true);
@@ -143,26 +166,55 @@
   private void poll() throws IOException {
     ClockReading begun = Clocks.read();
     if (!listingRead) {
-      replace(begun, source.list());
+      PublishedSource.Listing listing = source.list();
+      long listedNanos = replace(begun, listing);
       listingRead = true;
+      past.extend(versions, listing, listedNanos);
       return;
     }
     Duration limit = relay ? RELAY_WATCH_TIMEOUT : WATCH_TIMEOUT;
     PublishedSource.Changes changes =
-        source.watch(revision(), Duration.ofMillis(watchLimit.millis(relay, limit.toMillis())));
+        source.watch(watched, Duration.ofMillis(watchLimit.millis(relay, limit.toMillis())));
     long now = System.nanoTime();
+    if (changes.historyLost() && revision().isAfter(watched)) {
+      // A copy is newer than what was watched, so that changes can be watched from there.
+      watched = revision();
+      versions.startAnew(now);
+      LOGGER.atInfo().log("published: event=skipped revision=%s", watched);
+      return;
+    }
     if (changes.historyLost()) {
       LOGGER.atWarning().log("published: event=history-lost revision=%s", revision());
       listingRead = false;
       return;
     }
     synchronized (this) {
-      notifyConfirmed(
-          now, items.apply(now, changes.changes(), changes.revision(), isRecovering(now)));
+      boolean changed = items.apply(now, changes.changes(), changes.revision(), isRecovering(now));
+      recordUnheld(now, changes.changes());
+      notifyConfirmed(now, changed);
+      watched = changes.revision();
+      if (!items.revision().isAfter(watched)) {
+        versions.closeGap();
+      }
       listener.onNewest(begun);
     }
   }
 
+  /** Records the versions that are not in the state, as of a server that has left since. */
+  private void recordUnheld(long nowNanos, List<ItemChange> changes) {
+    for (ItemChange change : changes) {
+      if (change instanceof ItemChange.Written written && !items.holds(written.item())) {
+        recordUnheld(nowNanos, written.item());
+      }
+    }
+  }
+
+  private void recordUnheld(long nowNanos, PublishedItem item) {
+    if (decoder.isLeased(item.key())) {
+      decoder.decodeBackend(item).ifPresent(b -> versions.recordSeen(nowNanos, List.of(b)));
+    }
+  }
+
   private void markRecovered() {
     if (failing) {
       failing = false;
@@ -197,8 +249,12 @@
     return items.snapshot(nowNanos);
   }
 
-  /** Replaces all items by those of the publisher, unless they are older. */
-  private void replace(ClockReading begun, PublishedSource.Listing listing) {
+  /**
+   * Replaces all items by those of the publisher, unless they are older.
+   *
+   * @return when the versions were known anew
+   */
+  private long replace(ClockReading begun, PublishedSource.Listing listing) {
     long now = System.nanoTime();
     boolean changed;
     Revision before;
@@ -206,12 +262,20 @@
       before = items.revision();
       noteEra(now, listing.revision());
       changed = items.replace(now, listing.items(), listing.revision(), isRecovering(now));
+      versions.startAnew(now);
+      for (PublishedItem item : listing.items()) {
+        if (!items.holds(item)) {
+          recordUnheld(now, item);
+        }
+      }
+      watched = listing.revision();
       notifyConfirmed(now, changed);
       listener.onNewest(begun);
     }
     LOGGER.atInfo().log(
         "published: event=listing revision=%s before=%s after=%s changed=%s items=%s",
         listing.revision(), before, revision(), changed, listing.items().size());
+    return now;
   }
 
   /**
@@ -227,6 +291,9 @@
       before = items.revision();
       noteEra(now, copy.revision());
       changed = items.replace(now, copy, isRecovering(now));
+      if (items.revision().isAfter(before)) {
+        versions.markGap(now);
+      }
       notifyConfirmed(now, changed);
     }
     LOGGER.atInfo().log(
--- a/entry/src/test/java/org/gentianslip/entry/published/PublishedStateUpdaterTest.java
+++ b/entry/src/test/java/org/gentianslip/entry/published/PublishedStateUpdaterTest.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import org.gentianslip.core.published.Backend;
 import org.gentianslip.core.published.PublishedItem;
 import org.gentianslip.core.published.PublishedState;
 import org.gentianslip.core.published.Revision;
@@ -84,6 +85,11 @@
     public PublishedState decode(Collection<PublishedItem> items, Revision revision) {
       return PublishedState.NONE;
     }
+
+    @Override
+    public Optional<Backend> decodeBackend(PublishedItem item) {
+      return Optional.empty();
+    }
   }
 
   private static final class NoListener implements PublishedStateUpdater.Listener {
