Go on with streams only at the software version that began them

Engines of two versions may serve side by side in one service, and what they write doesn't fit together, but nothing regarded the version: callers got streams with events of both, within one answer after a break (local or through another region) and over their own take-ups.

Once the first event of a resumable stream is passed on, every further choice of a server (after silence, a broken connection, or by a move) is limited to its version; a stream without a known version goes on nowhere else. Forwarding instances state the version they require (X-Gentian-Begun-Version) and receive that of the server that answers (X-Gentian-Version); an answer that does not state the required one is given up. A request with Last-Event-Id or Resumes runs at the stated version, at the one recorded for the attempt it names, or at the only one that the service has had for the route's timeout and 5 s; otherwise, or if no usable server has that version, it is refused with 503 as not run. Each decision is logged (event=take-up) and counted.

--- a/entry/src/main/java/org/gentianslip/entry/gateway/Attempt.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/Attempt.java
@@ -4,7 +4,9 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import java.io.ByteArrayOutputStream;
 import java.util.Locale;
+import java.util.Optional;
 import org.gentianslip.core.id.EngineId;
+import org.gentianslip.core.id.SoftwareVersion;
 import org.gentianslip.core.limit.BufferShare;
 import org.gentianslip.core.stream.EventSplitter;
 
@@ -87,6 +89,9 @@
   /** Called with a complete response that is not a stream. */
   abstract void onResponse(int receivedStatus, HttpHeaders receivedHeaders, byte[] receivedBody);
 
+  /** Returns the version of the backend server that sends the response, if it is known. */
+  abstract Optional<SoftwareVersion> version();
+
   /** Called before the first event of a stream is passed on. */
   abstract void onFirstEvent();
 
@@ -230,6 +235,16 @@
     return false;
   }
 
+  /** Ends the attempt, whose response must not be passed on, without a fault of its target. */
+  void giveUp(String cause) {
+    if (ended) {
+      return;
+    }
+    exchange.cancel();
+    end();
+    execution.onAttemptFailed(this, true, cause);
+  }
+
   private void end() {
     ended = true;
     buffered.release();
--- a/entry/src/main/java/org/gentianslip/entry/gateway/AttemptPlanner.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/AttemptPlanner.java
@@ -11,6 +11,7 @@
 import org.gentianslip.core.id.EngineId;
 import org.gentianslip.core.id.RegionId;
 import org.gentianslip.core.id.ServiceId;
+import org.gentianslip.core.id.SoftwareVersion;
 import org.gentianslip.core.load.BackendDecision;
 import org.gentianslip.core.load.BackendEstimate;
 import org.gentianslip.core.load.BackendSelector;
@@ -38,6 +39,14 @@
   /** The reason for refusing a request that, or a part of whose prompt, crashes engines. */
   static final String QUARANTINED = "quarantined";
 
+  /**
+   * The reason for refusing a request as no usable server has the version that began its stream.
+   */
+  static final String NO_VERSION = "no-version";
+
+  /** The reason for refusing a request as the version that began its stream is not known. */
+  static final String UNKNOWN_VERSION = "unknown-version";
+
   /** The retry delay if none can be computed, in milliseconds. */
   static final long DEFAULT_RETRY_MILLIS = 300;
 
@@ -55,6 +64,7 @@
   private int attempts;
   private int forwards;
   private boolean answerBegun;
+  private VersionLimit versions = VersionLimit.NONE;
 
   /**
    * Creates a planner.
@@ -139,6 +149,9 @@
             localCandidates,
             regions,
             limitFactor(nowNanos));
+    if (decision instanceof BackendDecision.Refuse && versions.begun() && !hasVersion()) {
+      return new BackendDecision.Refuse(NO_VERSION, DEFAULT_RETRY_MILLIS);
+    }
     return maySend(nowNanos, decision, remainingMillis)
         ? decision
         : new BackendDecision.Refuse(Gateway.LEAVING, 0);
@@ -196,6 +209,44 @@
     return minMillis;
   }
 
+  /**
+   * Limits further attempts to backend servers with the version that began the stream.
+   *
+   * @param version the version; if it is not known, no backend server may go on
+   */
+  void requireVersion(Optional<SoftwareVersion> version) {
+    versions = VersionLimit.of(version);
+  }
+
+  /** Returns which backend servers may serve the request, by their version. */
+  VersionLimit versions() {
+    return versions;
+  }
+
+  /** Returns whether this instance may use a server with the version, here or by forwarding. */
+  private boolean hasVersion() {
+    return forwarded
+        ? state.hasBackend(state.config().region(), service, excluded, versions)
+        : isPublishedBesides(excluded);
+  }
+
+  /** Returns whether another server that some instance may use can go on with the stream. */
+  boolean hasVersionElsewhere(EngineId current) {
+    if (!versions.begun()) {
+      return true;
+    }
+    Set<EngineId> exceptions = new HashSet<>(excluded);
+    exceptions.add(current);
+    return isPublishedBesides(exceptions);
+  }
+
+  private boolean isPublishedBesides(Set<EngineId> exceptions) {
+    return state.config().regions().values().stream()
+        .distinct()
+        .filter(route::allows)
+        .anyMatch(r -> state.hasBackend(r, service, exceptions, versions));
+  }
+
   /** Records that a part of the answer was passed on to the caller. */
   void markAnswerBegun() {
     answerBegun = true;
@@ -221,13 +272,21 @@
   }
 
   private boolean mayUse(EngineId backend) {
-    return !excluded.contains(backend) && possibleRuns.size() < maxBackends();
+    return !excluded.contains(backend)
+        && possibleRuns.size() < maxBackends()
+        && hasAllowedVersion(backend);
   }
 
   private boolean mayUse(RegionId region) {
-    boolean untried = excluded.isEmpty() && excludedRegions.isEmpty();
+    boolean untried = excluded.isEmpty() && excludedRegions.isEmpty() && !versions.begun();
     return untried
-        || (!excludedRegions.contains(region) && state.hasBackend(region, service, excluded));
+        || (!excludedRegions.contains(region)
+            && state.hasBackend(region, service, excluded, versions));
+  }
+
+  private boolean hasAllowedVersion(EngineId backend) {
+    Backend published = state.published().backends().get(backend);
+    return !versions.begun() || (published != null && versions.allows(published));
   }
 
   /** Returns whether the request may run at a further backend server besides the current one. */
--- a/entry/src/main/java/org/gentianslip/entry/gateway/BackendAttempt.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/BackendAttempt.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import org.gentianslip.core.id.EngineId;
+import org.gentianslip.core.id.SoftwareVersion;
 import org.gentianslip.core.limit.StatedLimit;
 import org.gentianslip.core.load.BackendDecision;
 import org.gentianslip.core.load.BackendLoad;
@@ -206,6 +207,11 @@
     }
   }
 
+  @Override
+  Optional<SoftwareVersion> version() {
+    return backend.version();
+  }
+
   @Override
   void onFirstEvent() {
     long now = System.nanoTime();
--- a/entry/src/main/java/org/gentianslip/entry/gateway/EdgeHeaders.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/EdgeHeaders.java
@@ -1,6 +1,7 @@
 package org.gentianslip.entry.gateway;
 
 import io.netty.handler.codec.http.HttpHeaders;
+import java.util.List;
 import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.OptionalLong;
@@ -24,6 +25,12 @@
   /** Returns the name of the header with the id of the event after which a stream continues. */
   String lastEventId();
 
+  /**
+   * Returns the ids of the attempts whose stream a request takes up, as they were received; empty
+   * if it has no such header.
+   */
+  List<String> resumedAttempts(HttpHeaders headers);
+
   /** Returns the name of the header with a customer's key. */
   String customerKey();
 
--- a/entry/src/main/java/org/gentianslip/entry/gateway/ForwardAttempt.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/ForwardAttempt.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import org.gentianslip.core.fleet.PeerRecord;
 import org.gentianslip.core.id.EngineId;
+import org.gentianslip.core.id.SoftwareVersion;
 
 /**
  * An attempt at an instance of another region, which does not forward the request again. Confined
@@ -14,8 +15,11 @@
 
   private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
 
+  private static final int OK = 200;
+
   private final PeerRecord peer;
   private Optional<EngineId> backend = Optional.empty();
+  private Optional<SoftwareVersion> version = Optional.empty();
   private boolean answered;
 
   ForwardAttempt(RequestExecution execution, PeerRecord peer) {
@@ -28,6 +32,7 @@
     HttpHeaders headers = execution().requestHeaders();
     headers.set(Gateway.FORWARDED_BY, execution().gateway().state().config().id().value());
     execution().customer().ifPresent(c -> ForwardHeaders.setCustomer(headers, c));
+    execution().versions().version().ifPresent(v -> ForwardHeaders.setBegunVersion(headers, v));
     ForwardHeaders.setExcluded(headers, execution().excludedBackends());
     send(peer.forwardAddress(), headers, false, connectMillis);
   }
@@ -71,7 +76,11 @@
   @Override
   public void onHead(int status, HttpHeaders headers) {
     backend = ForwardHeaders.ranAt(headers);
+    version = ForwardHeaders.version(headers);
     super.onHead(status, headers);
+    if (status == OK && !execution().versions().allows(version)) {
+      giveUp("instance states version " + version.map(SoftwareVersion::value).orElse("none"));
+    }
   }
 
   /** The instance watches its engine, so the request stays there while it is heard. */
@@ -116,6 +125,11 @@
   @Override
   void onCancelled() {}
 
+  @Override
+  Optional<SoftwareVersion> version() {
+    return version;
+  }
+
   @Override
   void onFirstEvent() {
     recordAnswer();
@@ -131,7 +145,7 @@
 
   /** Other requests may go to backend servers that this one must not be sent to. */
   private void recordRefusalIfAnyBackendWasAllowed() {
-    if (execution().excludedBackends().isEmpty()) {
+    if (execution().excludedBackends().isEmpty() && !execution().versions().begun()) {
       execution()
           .gateway()
           .state()
--- a/entry/src/main/java/org/gentianslip/entry/gateway/ForwardHeaders.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/ForwardHeaders.java
@@ -11,10 +11,12 @@
 import java.util.function.Function;
 import org.gentianslip.core.id.CustomerId;
 import org.gentianslip.core.id.EngineId;
+import org.gentianslip.core.id.SoftwareVersion;
 
 /**
- * What instances tell each other about a request that they forward: its customer, and the backend
- * servers concerned, so that it runs at each of them at most once.
+ * What instances tell each other about a request that they forward: its customer, the backend
+ * servers concerned, so that it runs at each of them at most once, and the version of their
+ * software, so that a stream goes on at the one that began it.
  *
  * <p>Values that are no ids are left out. Stateless and safe for use by several threads.
  */
@@ -29,6 +31,12 @@
   /** The header with the id of the customer of a forwarded request. */
   private static final String CUSTOMER = "X-Gentian-Customer";
 
+  /** The header with the version that began the stream of a forwarded request. */
+  private static final String BEGUN_VERSION = "X-Gentian-Begun-Version";
+
+  /** The header with the version of the backend server that sends a stream. */
+  private static final String VERSION = "X-Gentian-Version";
+
   private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
 
   private ForwardHeaders() {}
@@ -64,8 +72,36 @@
     return Optional.ofNullable(headers.get(RAN_AT)).flatMap(t -> parse(t, EngineId::of));
   }
 
-  static void removeRanAt(HttpHeaders headers) {
+  static void setBegunVersion(HttpHeaders headers, SoftwareVersion version) {
+    headers.set(BEGUN_VERSION, version.value());
+  }
+
+  /** Returns whether the sender limits a request to a version, even to an unreadable one. */
+  static boolean statesBegunVersion(HttpHeaders headers) {
+    return headers.contains(BEGUN_VERSION);
+  }
+
+  static Optional<SoftwareVersion> begunVersion(HttpHeaders headers) {
+    return onlyVersion(headers, BEGUN_VERSION);
+  }
+
+  static void setVersion(HttpHeaders headers, SoftwareVersion version) {
+    headers.set(VERSION, version.value());
+  }
+
+  static Optional<SoftwareVersion> version(HttpHeaders headers) {
+    return onlyVersion(headers, VERSION);
+  }
+
+  private static Optional<SoftwareVersion> onlyVersion(HttpHeaders headers, String name) {
+    List<String> values = headers.getAll(name);
+    return values.size() == 1 ? parse(values.get(0), SoftwareVersion::of) : Optional.empty();
+  }
+
+  /** Removes what is meant for instances from the headers of a response. */
+  static void removeFromResponse(HttpHeaders headers) {
     headers.remove(RAN_AT);
+    headers.remove(VERSION);
   }
 
   private static <T> Optional<T> parse(String text, Function<String, T> parser) {
--- a/entry/src/main/java/org/gentianslip/entry/gateway/Gateway.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/Gateway.java
@@ -56,11 +56,15 @@
   /** The retry delay sent during shutdown, in milliseconds; short, as other instances can serve. */
   static final long LEAVING_RETRY_MILLIS = 20;
 
+  /** How long it is known where a stream began. */
+  private static final long ORIGIN_NANOS = TimeUnit.SECONDS.toNanos(60);
+
   private static final double MILLIS_PER_SECOND = 1_000.0;
 
   private final GatewayState state;
   private final EdgeHeaders edgeHeaders;
   private final RequestAdmission admission;
+  private final StreamTakeUp takeUp;
   private final EngineReports engineReports;
   private final EngineContacts engineContacts = new EngineContacts();
   private final GatewayMetrics metrics;
@@ -79,6 +83,7 @@
     this.state = state;
     this.edgeHeaders = edgeHeaders;
     this.admission = new RequestAdmission(state, edgeHeaders);
+    this.takeUp = new StreamTakeUp(state, edgeHeaders, metrics);
     this.engineReports = engineReports;
     this.metrics = metrics;
     this.decisions = decisions;
@@ -96,6 +101,10 @@
     return admission;
   }
 
+  StreamTakeUp takeUp() {
+    return takeUp;
+  }
+
   EngineReports engineReports() {
     return engineReports;
   }
@@ -114,8 +123,9 @@
     return buffers;
   }
 
-  /** Closes the connections to backend servers and instances that have been idle for too long. */
+  /** Closes the connections that have been idle for too long, and forgets old streams. */
   void closeExpired() {
+    state.streamOrigins().dropBefore(System.nanoTime() - ORIGIN_NANOS);
     clients.forEach((loop, client) -> loop.execute(() -> client.closeExpired(System.nanoTime())));
   }
 
--- a/entry/src/main/java/org/gentianslip/entry/gateway/GatewayMetrics.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/GatewayMetrics.java
@@ -62,6 +62,13 @@
           .labelNames("rank")
           .register(registry);
 
+  private final Counter takeUps =
+      Counter.builder()
+          .name("gentian_gateway_take_ups_total")
+          .help("Requests that go on with a stream, by how the version that began it is known.")
+          .labelNames("result")
+          .register(registry);
+
   private final Histogram responseTime =
       Histogram.builder()
           .name("gentian_gateway_answer_seconds")
@@ -163,6 +170,11 @@
     }
   }
 
+  /** Counts a request that goes on with a stream. */
+  void countTakeUp(String result) {
+    takeUps.labelValues(result).inc();
+  }
+
   /** Records the time to a response or to the first event of a stream. */
   void observeResponseTime(String rank, long millis) {
     responseTime.labelValues(rank).observe(millis / MILLIS_PER_SECOND);
--- a/entry/src/main/java/org/gentianslip/entry/gateway/GatewayState.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/GatewayState.java
@@ -17,6 +17,7 @@
 import org.gentianslip.core.id.InstanceId;
 import org.gentianslip.core.id.RegionId;
 import org.gentianslip.core.id.ServiceId;
+import org.gentianslip.core.id.SoftwareVersion;
 import org.gentianslip.core.limit.RepeatWindow;
 import org.gentianslip.core.load.BackendLoad;
 import org.gentianslip.core.load.Candidates;
@@ -32,6 +33,7 @@
 import org.gentianslip.core.route.Route;
 import org.gentianslip.core.route.RouteTable;
 import org.gentianslip.core.shutdown.ShutdownPlan;
+import org.gentianslip.core.stream.StreamOrigin;
 import org.gentianslip.core.stream.StreamOrigins;
 import org.gentianslip.core.stream.VersionHistory;
 
@@ -46,6 +48,9 @@
   /** The number of instances in all regions that is assumed until more of them are known. */
   private static final int MIN_ASSUMED_INSTANCES = 8;
 
+  /** The length of the ids of requests for which it is kept where their stream began. */
+  private static final int MAX_ORIGIN_LETTERS = 128;
+
   private final AtomicReference<GatewayConfig> config;
   private final AtomicReference<PublishedState> published =
       new AtomicReference<>(PublishedState.NONE);
@@ -250,13 +255,15 @@
   }
 
   /** Returns whether a service has a backend server in a region besides excluded ones. */
-  boolean hasBackend(RegionId region, ServiceId service, Set<EngineId> excluded) {
+  boolean hasBackend(
+      RegionId region, ServiceId service, Set<EngineId> excluded, VersionLimit versions) {
     PublishedState state = published.get();
     return state.backends().values().stream()
         .anyMatch(
             b ->
                 b.service().equals(service)
                     && !excluded.contains(b.id())
+                    && versions.allows(b)
                     && region.equals(config().regions().get(b.dataCentre()))
                     && state.acceptsWork(b));
   }
@@ -286,6 +293,13 @@
     return streamOrigins;
   }
 
+  /** Records where a stream began, unless the id of the request is too long to be kept. */
+  void recordStreamOrigin(long nowNanos, String request, SoftwareVersion version) {
+    if (request.length() <= MAX_ORIGIN_LETTERS) {
+      streamOrigins.record(new StreamOrigin(request, version, nowNanos));
+    }
+  }
+
   /** Returns the versions that the published backend servers have had. */
   public VersionHistory versionHistory() {
     return versionHistory;
--- a/entry/src/main/java/org/gentianslip/entry/gateway/HeaderFilter.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/HeaderFilter.java
@@ -18,7 +18,7 @@
     copy.add(headers);
     HopByHopHeaders.removeFrom(copy);
     copy.remove(Gateway.OUTCOME);
-    ForwardHeaders.removeRanAt(copy);
+    ForwardHeaders.removeFromResponse(copy);
     if (!copy.contains(edgeHeaders.requestId())) {
       copy.set(edgeHeaders.requestId(), requestId);
     }
--- a/entry/src/main/java/org/gentianslip/entry/gateway/RequestExecution.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/RequestExecution.java
@@ -11,6 +11,7 @@
 import org.gentianslip.core.id.CustomerId;
 import org.gentianslip.core.id.EngineId;
 import org.gentianslip.core.id.ServiceId;
+import org.gentianslip.core.id.SoftwareVersion;
 import org.gentianslip.core.load.BackendDecision;
 import org.gentianslip.core.load.BackendSelector;
 import org.gentianslip.core.load.RequestSize;
@@ -19,6 +20,7 @@
 import org.gentianslip.core.quarantine.RequestTraits;
 import org.gentianslip.core.route.Route;
 import org.gentianslip.core.route.RouteTable;
+import org.gentianslip.core.stream.TakeUp;
 
 /**
  * The execution of one request, from its arrival to its final response.
@@ -94,6 +96,15 @@
     long leftNanos = deadlineNanos - System.nanoTime();
     deadlineTimer = writer.eventLoop().schedule(this::onTimeout, leftNanos, TimeUnit.NANOSECONDS);
     planner.countRequest(System.nanoTime());
+    TakeUp takeUp =
+        gateway.takeUp().decide(System.nanoTime(), request, route, service(), planner.forwarded());
+    if (takeUp instanceof TakeUp.Unknown) {
+      refuseOrAbort(AttemptPlanner.UNKNOWN_VERSION, AttemptPlanner.DEFAULT_RETRY_MILLIS);
+      return;
+    }
+    if (takeUp instanceof TakeUp.AtVersion known) {
+      planner.requireVersion(Optional.of(known.version()));
+    }
     startNextAttempt();
   }
 
@@ -139,6 +150,11 @@
     return planner.excluded();
   }
 
+  /** Returns which backend servers may serve the request, by their version. */
+  VersionLimit versions() {
+    return planner.versions();
+  }
+
   long remainingMillis(long nowNanos) {
     return TimeUnit.NANOSECONDS.toMillis(deadlineNanos - nowNanos);
   }
@@ -279,7 +295,7 @@
     if (planner.forwarded()) {
       // Engines that the sender excludes may have run the request before.
       boolean last = planner.excluded().size() + 1 >= route.maxBackends();
-      return last ? -1 : route.objectiveMillis();
+      return last || !planner.hasVersionElsewhere(attempt.target()) ? -1 : route.objectiveMillis();
     }
     BackendDecision decision = decisionElsewhere(nowNanos, attempt);
     return decision instanceof BackendDecision.Refuse ? -1 : planner.completeMillis(decision);
@@ -442,11 +458,22 @@
       long millis = request.elapsedMillis(now);
       requestLog.recordEvent(now, "first-event=" + millis);
       gateway.metrics().observeResponseTime(rank(), millis);
+      recordVersion(now);
       planner.markAnswerBegun();
     }
     response.writeEvents(headers, events, lastId);
   }
 
+  /** Limits a stream that may go on elsewhere to the version that begins it. */
+  private void recordVersion(long nowNanos) {
+    if (!StreamTakeUp.concerns(route)) {
+      return;
+    }
+    Optional<SoftwareVersion> version = current.version();
+    planner.requireVersion(version);
+    version.ifPresent(v -> gateway.state().recordStreamOrigin(nowNanos, id, v));
+  }
+
   /** Ends the request with a complete stream. */
   void completeStream(HttpHeaders headers) {
     if (finish("streamed")) {
@@ -477,6 +504,9 @@
       headers.set(Gateway.REASON, reason);
       return headers;
     }
+    if (reason.equals(AttemptPlanner.NO_VERSION) || reason.equals(AttemptPlanner.UNKNOWN_VERSION)) {
+      return gateway.notRunHeaders(id, (long) excessMillis);
+    }
     if (reason.equals(Gateway.LEAVING)) {
       return gateway.notRunHeaders(id, Gateway.LEAVING_RETRY_MILLIS);
     }
@@ -591,7 +621,12 @@
 
   /** Returns the headers of a received response to pass on to the caller. */
   HttpHeaders responseHeaders(HttpHeaders headers) {
-    return withRunningBackend(HeaderFilter.forCaller(gateway.edgeHeaders(), id, headers));
+    HttpHeaders passed =
+        withRunningBackend(HeaderFilter.forCaller(gateway.edgeHeaders(), id, headers));
+    if (planner.forwarded() && route.streaming() && current != null) {
+      current.version().ifPresent(v -> ForwardHeaders.setVersion(passed, v));
+    }
+    return passed;
   }
 
   /** Returns the request headers to pass on to a backend server or another instance. */
--- a/entry/src/test/java/org/gentianslip/entry/gateway/GatewayMetricsTest.java
+++ b/entry/src/test/java/org/gentianslip/entry/gateway/GatewayMetricsTest.java
@@ -37,6 +37,7 @@
     metrics.countRefusal("0", "too-late");
     metrics.countRejection(401, "unknown-key");
     metrics.countAttempt("0", "backend", false);
+    metrics.countTakeUp("recorded");
     metrics.observeResponseTime("0", 1);
     return new String(metrics.text(), StandardCharsets.UTF_8).lines().toList();
   }
--- a/entry/src/test/java/org/gentianslip/entry/gateway/PlainHeaders.java
+++ b/entry/src/test/java/org/gentianslip/entry/gateway/PlainHeaders.java
@@ -1,6 +1,7 @@
 package org.gentianslip.entry.gateway;
 
 import io.netty.handler.codec.http.HttpHeaders;
+import java.util.List;
 import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.OptionalLong;
@@ -31,6 +32,11 @@
     return "Last-Event";
   }
 
+  @Override
+  public List<String> resumedAttempts(HttpHeaders headers) {
+    return headers.getAll("Resumed");
+  }
+
   @Override
   public String customerKey() {
     return "Key";
