--- a/entry/src/main/java/org/gentianslip/entry/gateway/Gateway.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/Gateway.java
@@ -61,6 +61,7 @@
   private final GatewayState state;
   private final EdgeHeaders edgeHeaders;
   private final RequestAdmission admission;
+  private final StreamTakeUp takeUp;
   private final EngineReports engineReports;
   private final EngineContacts engineContacts = new EngineContacts();
   private final GatewayMetrics metrics;
@@ -79,6 +80,7 @@
     this.state = state;
     this.edgeHeaders = edgeHeaders;
     this.admission = new RequestAdmission(state, edgeHeaders);
+    this.takeUp = new StreamTakeUp(state, edgeHeaders, metrics);
     this.engineReports = engineReports;
     this.metrics = metrics;
     this.decisions = decisions;
@@ -96,6 +98,10 @@
     return admission;
   }
 
+  StreamTakeUp takeUp() {
+    return takeUp;
+  }
+
   EngineReports engineReports() {
     return engineReports;
   }
