Take a stream of a split route up at the service that began it

A take-up has another id than the attempt that began the stream, and the service of a split route is drawn by the id. So the text could go on at another service, and the version was compared in the wrong one.

Change: the service is drawn by the id that Resumes names, if it is one.

--- a/entry/src/main/java/org/gentianslip/entry/gateway/StreamTakeUp.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/StreamTakeUp.java
@@ -40,6 +40,15 @@
     return route.streaming() && route.repeatability() == Repeatability.RESUMABLE;
   }
 
+  /**
+   * Returns the id of the attempt that began the stream which a request takes up, or the id of the
+   * request. A route that is split serves both by the same service.
+   */
+  String streamId(BufferedHttpRequest request, String id) {
+    List<String> resumed = edgeHeaders.resumedAttempts(request.headers());
+    return resumed.size() == 1 ? resumed.get(0) : id;
+  }
+
   /**
    * Decides at which version a request may run.
    *
