Reject a path or a key by one rule, which regards what may be newer

A reviewer of the incident found more requests answered 401 or 404 for reasons in the instance: a missing or malformed key while another instance has a later version, which may need none; any key and path of a configuration that is unreadable as a whole, as the previous one counted as confirmed; a path at a new instance with an unconfirmed copy, whose age began with the process.

Cause: keys and paths had rules of their own, with different ages; an unreadable configuration left no trace in the table in force.

Change: RejectionRule decides for both: the table is complete, no instance states a later version, and a confirmation is 5 s old at most. An unreadable configuration makes the table in force incomplete, as a copy, so that tables stay immutable.

OverloadedGatewayTest confirms its configuration now, as its case needs; its checks are unchanged.

--- a/core/src/main/java/org/gentianslip/core/route/RouteTable.java
+++ b/core/src/main/java/org/gentianslip/core/route/RouteTable.java
@@ -89,15 +89,23 @@
     return customers;
   }
 
-  /** Records that a route of the configuration was left out as unreadable, and returns this. */
-  public RouteTable markIncomplete() {
-    complete = false;
-    return this;
+  /** Returns a copy that may lack routes and customers of the newest configuration. */
+  public RouteTable asIncomplete() {
+    var copy = new RouteTable(version, limits, customers);
+    copy.routes.putAll(routes);
+    copy.services.putAll(services);
+    copy.conflicts = conflicts;
+    copy.conflictCount = conflictCount;
+    copy.complete = false;
+    return copy;
   }
 
-  /** Returns whether each route of the configuration is held, so that any other path has none. */
+  /**
+   * Returns whether each route and key of the newest configuration is held, so that any other path
+   * or key is wrong.
+   */
   public boolean isComplete() {
-    return complete;
+    return complete && customers.map(CustomerTable::isComplete).orElse(true);
   }
 
   /** Returns the number of routes. */
--- a/entry/src/main/java/org/gentianslip/entry/gateway/CustomerAdmission.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/CustomerAdmission.java
@@ -31,6 +31,9 @@
   /** The reason for refusing keys because the configuration may be out of date. */
   static final String KEYS_UNCONFIRMED = "keys-unconfirmed";
 
+  /** The reason for refusing a request without a known key, which may be valid elsewhere. */
+  private static final String KEY_NOT_KNOWN = "key-not-known";
+
   /** The reason for not continuing a request whose key was removed since it was admitted. */
   static final String KEY_REVOKED = "key-revoked";
 
@@ -50,24 +53,24 @@
 
   private final GatewayState state;
   private final EdgeHeaders edgeHeaders;
+  private final RejectionRule rejection;
 
-  CustomerAdmission(GatewayState state, EdgeHeaders edgeHeaders) {
+  CustomerAdmission(GatewayState state, EdgeHeaders edgeHeaders, RejectionRule rejection) {
     this.state = state;
     this.edgeHeaders = edgeHeaders;
+    this.rejection = rejection;
   }
 
   /**
    * Decides about a request on a route.
    *
    * @param confirmation what is known of the table, read before it
-   * @param maxAgeNanos the age of the confirmation from which an unknown key is not rejected
    */
   AdmissionResult admit(
       BufferedHttpRequest request,
       Route route,
       RouteTable table,
       Optional<Confirmation> confirmation,
-      long maxAgeNanos,
       boolean forwarded) {
     if (forwarded) {
       return admitForwarded(request, route, table);
@@ -75,15 +78,11 @@
     if (table.customers().isEmpty() || route.isPublic()) {
       return AdmissionResult.Admitted.without(route, table.customers().isPresent());
     }
-    List<String> keys = request.headers().getAll(edgeHeaders.customerKey());
-    if (keys.size() != 1) {
-      return unauthorized(keys.isEmpty() ? "no-key" : "several-keys", "");
-    }
-    int length = keys.get(0).length();
-    if (length == 0) {
-      return unauthorized("empty-key", "");
-    }
     ClockReading now = Clocks.read();
+    Optional<String> fault = keyFault(request.headers());
+    if (fault.isPresent()) {
+      return withoutCustomer(fault.get(), "", now, confirmation, table);
+    }
     RevocationRule rule = state.config().bounds().revocation();
     if (!rule.mayAccept(confirmation, now)) {
       long ageMillis = confirmation.map(c -> c.ageNanos(now) / 1_000_000).orElse(-1L);
@@ -94,7 +93,7 @@
     }
     Optional<Customer> customer = findByKey(table.customers().get(), request.headers());
     if (customer.isEmpty()) {
-      return unknownKey(request, now, confirmation, table, maxAgeNanos);
+      return unknownKey(request.headers(), now, confirmation, table);
     }
     return restricted(route, customer.get());
   }
@@ -144,36 +143,48 @@
                     UNAVAILABLE, NO_COMMON_REGION, CONFIGURATION_RETRY_MILLIS));
   }
 
-  /**
-   * An unknown key may be one of a later configuration, if that in force may be out of date, or one
-   * that was left out as unreadable. The age is that of the confirmation, which also counts the
-   * time during which the machine was suspended.
-   */
+  /** Returns what the headers lack to name one key, if anything. */
+  private Optional<String> keyFault(HttpHeaders headers) {
+    List<String> keys = headers.getAll(edgeHeaders.customerKey());
+    if (keys.size() != 1) {
+      return Optional.of(keys.isEmpty() ? "no-key" : "several-keys");
+    }
+    return keys.get(0).isEmpty() ? Optional.of("empty-key") : Optional.empty();
+  }
+
   private AdmissionResult unknownKey(
-      BufferedHttpRequest request,
+      HttpHeaders headers,
       ClockReading now,
       Optional<Confirmation> confirmation,
-      RouteTable table,
-      long maxAgeNanos) {
-    long ageNanos = confirmation.map(c -> c.ageNanos(now)).orElse(Long.MAX_VALUE);
-    boolean behind = state.knowledge().isBehind(table.version(), now.steadyNanos());
-    boolean complete = table.customers().map(CustomerTable::isComplete).orElse(true);
-    if (behind || !complete || ageNanos > maxAgeNanos) {
-      return refused("key-not-known");
-    }
-    boolean overlong = keyOf(request.headers()).length > CustomerTable.MAX_KEY_BYTES;
-    return overlong
-        ? unauthorized("long-key", "")
-        : unauthorized(
+      RouteTable table) {
+    byte[] key = keyOf(headers);
+    return key.length > CustomerTable.MAX_KEY_BYTES
+        ? withoutCustomer("long-key", "", now, confirmation, table)
+        : withoutCustomer(
             "unknown-key",
-            "age-millis="
-                + TimeUnit.NANOSECONDS.toMillis(ageNanos)
-                + " last-holder="
-                + state.formerKeys().describe(keyOf(request.headers())));
+            "last-holder=" + state.formerKeys().describe(key),
+            now,
+            confirmation,
+            table);
   }
 
-  private static AdmissionResult unauthorized(String reason, String detail) {
-    return new AdmissionResult.Rejected(UNAUTHORIZED, reason, detail);
+  /**
+   * Answers a request that has no customer. Another configuration may hold its key or need none.
+   * The age of the confirmation also counts the time during which the machine was suspended.
+   */
+  private AdmissionResult withoutCustomer(
+      String reason,
+      String detail,
+      ClockReading now,
+      Optional<Confirmation> confirmation,
+      RouteTable table) {
+    if (!rejection.mayReject(table, confirmation, now)) {
+      return refused(KEY_NOT_KNOWN);
+    }
+    long ageMillis =
+        confirmation.map(c -> TimeUnit.NANOSECONDS.toMillis(c.ageNanos(now))).orElse(-1L);
+    return new AdmissionResult.Rejected(
+        UNAUTHORIZED, reason, "age-millis=" + ageMillis + " " + detail);
   }
 
   private static AdmissionResult refused(String reason) {
--- a/entry/src/main/java/org/gentianslip/entry/gateway/RequestAdmission.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/RequestAdmission.java
@@ -2,13 +2,14 @@
 
 import java.util.Locale;
 import java.util.Optional;
-import java.util.concurrent.TimeUnit;
 import org.gentianslip.core.customer.Customer;
 import org.gentianslip.core.customer.Quota;
 import org.gentianslip.core.published.Confirmation;
 import org.gentianslip.core.quota.QuotaDecision;
 import org.gentianslip.core.route.Route;
 import org.gentianslip.core.route.RouteTable;
+import org.gentianslip.core.time.ClockReading;
+import org.gentianslip.entry.clock.Clocks;
 
 /**
  * Decides whether a request is executed, by a sequence of checks of which the first that fails
@@ -21,12 +22,7 @@
   /** The retry delay sent while this instance cannot serve a request yet, in milliseconds. */
   private static final long NOT_READY_RETRY_MILLIS = 300;
 
-  /**
-   * The age of the published state from which an unknown path or key is refused, not rejected: more
-   * than passes between two confirmations while the publisher is reached.
-   */
-  private static final long STALE_ROUTES_NANOS = TimeUnit.SECONDS.toNanos(5);
-
+  private static final long NANOS_PER_MILLI = 1_000_000;
   private static final int BAD_REQUEST = 400;
   private static final int NOT_FOUND = 404;
   private static final int TOO_MANY_REQUESTS = 429;
@@ -34,12 +30,14 @@
 
   private final GatewayState state;
   private final EdgeHeaders edgeHeaders;
+  private final RejectionRule rejection;
   private final CustomerAdmission customers;
 
   RequestAdmission(GatewayState state, EdgeHeaders edgeHeaders) {
     this.state = state;
     this.edgeHeaders = edgeHeaders;
-    this.customers = new CustomerAdmission(state, edgeHeaders);
+    this.rejection = new RejectionRule(state.knowledge());
+    this.customers = new CustomerAdmission(state, edgeHeaders, rejection);
   }
 
   /**
@@ -61,14 +59,13 @@
     Optional<Route> route =
         table.get().find(request.host().toLowerCase(Locale.ROOT), request.path());
     if (route.isEmpty()) {
-      return unknownRoute(table.get(), forwarded);
+      return unknownRoute(table.get(), confirmation, forwarded);
     }
     if (request.headers().get(edgeHeaders.requestId(), "").isEmpty()) {
       return new AdmissionResult.Rejected(BAD_REQUEST, "no-id", "");
     }
     AdmissionResult result =
-        customers.admit(
-            request, route.get(), table.get(), confirmation, STALE_ROUTES_NANOS, forwarded);
+        customers.admit(request, route.get(), table.get(), confirmation, forwarded);
     if (forwarded
         && result instanceof AdmissionResult.Admitted admitted
         && !admitted.route().allows(state.config().region())) {
@@ -98,14 +95,14 @@
     return customers.maySendAgain(request, admitted, forwarded);
   }
 
-  private AdmissionResult unknownRoute(RouteTable table, boolean forwarded) {
-    long now = System.nanoTime();
-    long ageNanos = state.confirmationAgeNanos(now);
-    boolean behind = state.knowledge().isBehind(table.version(), now);
-    return forwarded || behind || !table.isComplete() || ageNanos > STALE_ROUTES_NANOS
-        ? refused("route-not-known")
-        : new AdmissionResult.Rejected(
-            NOT_FOUND, "unknown-path", "age-millis=" + TimeUnit.NANOSECONDS.toMillis(ageNanos));
+  private AdmissionResult unknownRoute(
+      RouteTable table, Optional<Confirmation> confirmation, boolean forwarded) {
+    ClockReading now = Clocks.read();
+    if (forwarded || !rejection.mayReject(table, confirmation, now)) {
+      return refused("route-not-known");
+    }
+    long ageMillis = confirmation.map(c -> c.ageNanos(now) / NANOS_PER_MILLI).orElse(-1L);
+    return new AdmissionResult.Rejected(NOT_FOUND, "unknown-path", "age-millis=" + ageMillis);
   }
 
   /**
--- a/entry/src/test/java/org/gentianslip/entry/gateway/OverloadedGatewayTest.java
+++ b/entry/src/test/java/org/gentianslip/entry/gateway/OverloadedGatewayTest.java
@@ -20,6 +20,7 @@
 import org.gentianslip.core.id.InstanceId;
 import org.gentianslip.core.id.RegionId;
 import org.gentianslip.core.id.ServiceId;
+import org.gentianslip.core.published.Confirmation;
 import org.gentianslip.core.published.PublishedState;
 import org.gentianslip.core.published.Revision;
 import org.gentianslip.core.route.CallerLimits;
@@ -27,6 +28,8 @@
 import org.gentianslip.core.route.Route;
 import org.gentianslip.core.route.RouteTable;
 import org.gentianslip.core.route.WeightedService;
+import org.gentianslip.core.time.ClockReading;
+import org.gentianslip.entry.clock.Clocks;
 import org.gentianslip.entry.explain.DecisionLog;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -124,6 +127,8 @@
     var routes = RouteTable.of(1, List.of(route), List.of(), CallerLimits.DEFAULT);
     var published = new PublishedState(Revision.of(1, 1), Optional.of(routes), Map.of(), Set.of());
     state.applyPublished(System.nanoTime(), published);
+    ClockReading now = Clocks.read();
+    state.knowledge().confirm(new Confirmation(1, now, false), now);
   }
 
   @AfterEach
--- a/entry/src/test/java/org/gentianslip/entry/gateway/UnknownPathTest.java
+++ b/entry/src/test/java/org/gentianslip/entry/gateway/UnknownPathTest.java
@@ -10,14 +10,16 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.concurrent.TimeUnit;
 import org.gentianslip.core.id.DataCentreId;
 import org.gentianslip.core.id.InstanceId;
 import org.gentianslip.core.id.RegionId;
+import org.gentianslip.core.published.Confirmation;
 import org.gentianslip.core.published.PublishedState;
 import org.gentianslip.core.published.Revision;
 import org.gentianslip.core.route.CallerLimits;
 import org.gentianslip.core.route.RouteTable;
+import org.gentianslip.core.time.ClockReading;
+import org.gentianslip.entry.clock.Clocks;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.DisplayName;
 import org.junit.jupiter.api.Test;
@@ -57,7 +59,8 @@
   }
 
   private void confirmBefore(long millis) {
-    state.markConfirmed(System.nanoTime() - TimeUnit.MILLISECONDS.toNanos(millis));
+    ClockReading now = Clocks.read();
+    state.knowledge().confirm(new Confirmation(4, now.minusMillis(millis), false), now);
   }
 
   @BeforeEach
