Count an unsigned answer of 3xx or 4xx as a failure of its backend server

Callers got a status of 4xx that no backend server vouches for: an answer without a signature was passed on if it was no success, and one that was is a failure since long.

Test: RejectionCauseTest.byUnsignedAnswer, which failed before (404).

--- a/entry/src/main/java/org/gentianslip/entry/gateway/BackendAttempt.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/BackendAttempt.java
@@ -32,6 +32,8 @@
    */
   private static final long MAX_PAUSE_MILLIS = 60_000;
 
+  private static final int FIRST_SERVER_ERROR = 500;
+
   /** The maximum number of parts of a prompt in one log line. */
   private static final int LOGGED_PARTS = 8;
 
@@ -276,6 +278,11 @@
       execution().retryOrRespond(this, status, execution().responseHeaders(headers), body);
       return;
     }
+    if (!success && status < FIRST_SERVER_ERROR && !edgeHeaders.isSigned(headers)) {
+      // Passed on, it would say that the request is wrong, and nobody vouches for that.
+      execution().onAttemptFailed(this, true, "unsigned answer, status=" + status);
+      return;
+    }
     if (Gateway.guaranteesNotRun(status)) {
       execution().onAttemptFailed(this, true, "status=" + status + " without a proof");
       return;
