Record the origin of a forwarded stream only where the caller is connected

The receiver of a forward recorded an origin at its first event, also if that event never reached the sender, which then began elsewhere at another version: a take-up at the receiver would have joined the two, and after the exchange the id stood for neither.

--- a/entry/src/main/java/org/gentianslip/entry/gateway/RequestExecution.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/RequestExecution.java
@@ -471,7 +471,10 @@
     }
     Optional<SoftwareVersion> version = current.version();
     planner.requireVersion(version);
-    version.ifPresent(v -> gateway.state().recordStreamOrigin(nowNanos, id, v));
+    if (!planner.forwarded()) {
+      // Of a forwarded stream, only the sender knows which event reached the caller first.
+      version.ifPresent(v -> gateway.state().recordStreamOrigin(nowNanos, id, v));
+    }
   }
 
   /** Ends the request with a complete stream. */
