Look as far back for versions as the longest route lets a stream last

A take-up regarded the versions within the timeout that its route has now; a stream that began under a longer one could have begun before.

--- a/entry/src/main/java/org/gentianslip/entry/gateway/GatewayState.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/GatewayState.java
@@ -313,13 +313,24 @@
    * lasts.
    */
   public boolean hasSoleVersions(long nowNanos) {
-    Optional<RouteTable> routes = published.get().routes();
-    if (routes.isEmpty()) {
-      return false;
-    }
-    long maxMillis = routes.get().routes().stream().mapToLong(Route::timeoutMillis).max().orElse(0);
-    return versionHistory.hasSoleVersions(
-        nowNanos, TimeUnit.MILLISECONDS.toNanos(maxMillis + STREAM_MARGIN_MILLIS));
+    return published.get().routes().isPresent()
+        && versionHistory.hasSoleVersions(
+            nowNanos,
+            longestStreamNanos() + TimeUnit.MILLISECONDS.toNanos(STREAM_MARGIN_MILLIS));
+  }
+
+  /**
+   * Returns how long a stream may last, in nanoseconds: the longest timeout of all routes, as that
+   * of its own route may have been longer when it began.
+   */
+  long longestStreamNanos() {
+    long millis =
+        published.get().routes().stream()
+            .flatMap(table -> table.routes().stream())
+            .mapToLong(Route::timeoutMillis)
+            .max()
+            .orElse(0);
+    return TimeUnit.MILLISECONDS.toNanos(millis);
   }
 
   /** Returns the parts of prompts that are kept away from engines. */
--- a/entry/src/main/java/org/gentianslip/entry/gateway/StreamTakeUp.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/StreamTakeUp.java
@@ -84,7 +84,7 @@
         ForwardHeaders.begunVersion(request.headers()),
         resumed,
         service,
-        TimeUnit.MILLISECONDS.toNanos(route.timeoutMillis()));
+        state.longestStreamNanos());
   }
 
   private static String describe(TakeUp result) {
