Know no version of a backend server that started again under its id

A server may start again with its id and another version between its choice and its first event; the version of its former entry was taken for the stream's. If the entry has another start time by then, the version counts as unknown, and no other server goes on.

--- a/entry/src/main/java/org/gentianslip/entry/gateway/BackendAttempt.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/BackendAttempt.java
@@ -211,7 +211,10 @@
 
   @Override
   Optional<SoftwareVersion> version() {
-    return backend.version();
+    Backend published = execution().gateway().state().published().backends().get(backend.id());
+    boolean startedAgain =
+        published != null && published.startedMillis() != backend.startedMillis();
+    return startedAgain ? Optional.empty() : backend.version();
   }
 
   @Override
