--- a/entry/src/main/java/org/gentianslip/entry/gateway/RequestExecution.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/RequestExecution.java
@@ -79,7 +79,7 @@
         new AttemptPlanner(
             gateway.state(),
             route,
-            route.serviceFor(gateway.splitFraction(gateway.takeUp().streamId(request, id))),
+            route.serviceFor(gateway.splitFraction(gateway.takeUp().streamId(request, route, id))),
             size,
             RequestTraits.of(size, request::fingerprint),
             admitted.customer().map(Customer::id),
--- a/entry/src/main/java/org/gentianslip/entry/gateway/StreamTakeUp.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/StreamTakeUp.java
@@ -44,9 +44,9 @@
    * Returns the id of the attempt that began the stream which a request takes up, or the id of the
    * request. A route that is split serves both by the same service.
    */
-  String streamId(BufferedHttpRequest request, String id) {
+  String streamId(BufferedHttpRequest request, Route route, String id) {
     List<String> resumed = edgeHeaders.resumedAttempts(request.headers());
-    return resumed.size() == 1 ? resumed.get(0) : id;
+    return concerns(route) && resumed.size() == 1 ? resumed.get(0) : id;
   }
 
   /**
