Bound what is kept of versions, and the time for dropping old origins

Versions of services were kept for ever, and each round walked all origins under the lock on which event loops wait. Versions are dropped after 5 minutes; the walk over origins, which are ordered by change, ends at the first recent one.

--- a/core/src/main/java/org/gentianslip/core/stream/StreamOrigins.java
+++ b/core/src/main/java/org/gentianslip/core/stream/StreamOrigins.java
@@ -124,9 +124,16 @@
     return new OriginBatch(origins, changes.last());
   }
 
-  /** Drops the streams that began before a time. */
+  /** Drops the streams that began before a time, up to the first that changed later. */
   public synchronized void dropBefore(long nanos) {
-    byChange.values().removeIf(e -> e.lastBegunNanos() - nanos < 0);
-    byRequest.values().removeIf(e -> e.lastBegunNanos() - nanos < 0);
+    var inOrderOfChange = byChange.values().iterator();
+    while (inOrderOfChange.hasNext()) {
+      Entry oldest = inOrderOfChange.next();
+      if (oldest.lastBegunNanos() - nanos >= 0) {
+        return;
+      }
+      inOrderOfChange.remove();
+      byRequest.remove(oldest.origin().request());
+    }
   }
 }
--- a/core/src/main/java/org/gentianslip/core/stream/VersionHistory.java
+++ b/core/src/main/java/org/gentianslip/core/stream/VersionHistory.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import org.gentianslip.core.id.ServiceId;
 import org.gentianslip.core.id.SoftwareVersion;
 import org.gentianslip.core.published.Backend;
@@ -19,6 +20,9 @@
  */
 public final class VersionHistory {
 
+  /** How long a version is remembered, which is longer than any stream lasts. */
+  private static final long RETENTION_NANOS = TimeUnit.MINUTES.toNanos(5);
+
   private final Map<ServiceId, Map<Optional<SoftwareVersion>, Long>> lastSeen = new HashMap<>();
   private Set<Key> present = Set.of();
   private boolean known;
@@ -40,6 +44,8 @@
     present.forEach(key -> see(key, nowNanos));
     next.forEach(key -> see(key, nowNanos));
     present = next;
+    lastSeen.values().forEach(v -> v.values().removeIf(n -> nowNanos - n > RETENTION_NANOS));
+    lastSeen.values().removeIf(Map::isEmpty);
   }
 
   private void see(Key key, long nanos) {
