--- a/entry/src/main/java/org/gentianslip/entry/published/PastReader.java
+++ b/entry/src/main/java/org/gentianslip/entry/published/PastReader.java
@@ -21,7 +21,7 @@
   private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
 
   /** How far back the calls reach at most, one after another, in milliseconds. */
-  private static final long[] PAST_MILLIS = {45_000, 24_000, 19_000, 12_000};
+  private static final long[] PAST_MILLIS = {24_000, 19_000, 12_000};
 
   private final PublishedSource source;
   private final ItemDecoder decoder;
