--- a/entry/src/main/java/org/gentianslip/entry/gateway/GatewayState.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/GatewayState.java
@@ -315,8 +315,7 @@
   public boolean hasSoleVersions(long nowNanos) {
     return published.get().routes().isPresent()
         && versionHistory.hasSoleVersions(
-            nowNanos,
-            longestStreamNanos() + TimeUnit.MILLISECONDS.toNanos(STREAM_MARGIN_MILLIS));
+            nowNanos, longestStreamNanos() + TimeUnit.MILLISECONDS.toNanos(STREAM_MARGIN_MILLIS));
   }
 
   /**
