Keep the longest timeout with the table of routes

Cause: each request for a resumable stream, and each message between instances, sorted all routes to find the longest timeout, on the path of requests.

Change: the table computes it once; a request that names no stream is told apart by its headers before anything else is built. Behaviour stays as it is, but that a route left out for an equal host and prefix counts with its timeout too.

--- a/core/src/main/java/org/gentianslip/core/route/RouteTable.java
+++ b/core/src/main/java/org/gentianslip/core/route/RouteTable.java
@@ -35,6 +35,7 @@
   private boolean complete = true;
   private List<RegionConflict> conflicts = List.of();
   private long conflictCount;
+  private long longestTimeoutMillis;
 
   private RouteTable(long version, CallerLimits limits, Optional<CustomerTable> customers) {
     this.version = version;
@@ -68,6 +69,7 @@
           .routes
           .computeIfAbsent(route.host(), h -> new HashMap<>())
           .putIfAbsent(route.prefix(), route);
+      table.longestTimeoutMillis = Math.max(table.longestTimeoutMillis, route.timeoutMillis());
     }
     services.forEach(s -> table.services.put(s.service(), s));
     table.findConflicts();
@@ -96,6 +98,7 @@
     copy.services.putAll(services);
     copy.conflicts = conflicts;
     copy.conflictCount = conflictCount;
+    copy.longestTimeoutMillis = longestTimeoutMillis;
     copy.complete = false;
     return copy;
   }
@@ -108,6 +111,11 @@
     return complete && customers.map(CustomerTable::isComplete).orElse(true);
   }
 
+  /** Returns the longest timeout of all routes, in milliseconds, or 0 if there are none. */
+  public long longestTimeoutMillis() {
+    return longestTimeoutMillis;
+  }
+
   /** Returns the number of routes. */
   public int size() {
     return routes.values().stream().mapToInt(Map::size).sum();
--- a/entry/src/main/java/org/gentianslip/entry/gateway/GatewayState.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/GatewayState.java
@@ -323,12 +323,7 @@
    * of its own route may have been longer when it began.
    */
   long longestStreamNanos() {
-    long millis =
-        published.get().routes().stream()
-            .flatMap(table -> table.routes().stream())
-            .mapToLong(Route::timeoutMillis)
-            .max()
-            .orElse(0);
+    long millis = published.get().routes().map(RouteTable::longestTimeoutMillis).orElse(0L);
     return TimeUnit.MILLISECONDS.toNanos(millis);
   }
 
--- a/entry/src/main/java/org/gentianslip/entry/gateway/StreamTakeUp.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/StreamTakeUp.java
@@ -60,7 +60,7 @@
       Route route,
       ServiceId service,
       boolean forwarded) {
-    if (!concerns(route)) {
+    if (!concerns(route) || !namesStream(request, forwarded)) {
       return new TakeUp.Fresh();
     }
     TakeUpClaim claim = claim(request, route, service, forwarded);
@@ -75,6 +75,12 @@
     return result;
   }
 
+  private boolean namesStream(BufferedHttpRequest request, boolean forwarded) {
+    return request.headers().contains(edgeHeaders.lastEventId())
+        || !edgeHeaders.resumedAttempts(request.headers()).isEmpty()
+        || (forwarded && ForwardHeaders.statesBegunVersion(request.headers()));
+  }
+
   private TakeUpClaim claim(
       BufferedHttpRequest request, Route route, ServiceId service, boolean forwarded) {
     List<String> resumed = edgeHeaders.resumedAttempts(request.headers());
