Retain no stopped HTTP server

Cause: the server library adds a shutdown hook at each start and never takes it out, so each stopped server stayed reachable with its event loops. A process that restarts a listener keeps each old one, the tests of platform ran out of 512 MB on x86-64, and at the end of a process the hook stopped servers beside the owner's order. Ruled out: a larger heap or more forks, which would keep the servers. Change: HttpServer starts a server that adds no hook; its owner stops it.

--- a/entry/src/main/java/org/gentianslip/entry/http/HttpServer.java
+++ b/entry/src/main/java/org/gentianslip/entry/http/HttpServer.java
@@ -71,7 +71,7 @@
     app.setStartupSummary(List.of());
     app.error((ctx, cause, status) -> sendError(ctx, cause, status));
     routes.accept(app);
-    var netty = new NettyServer();
+    var netty = new OwnedServer();
     netty.setOptions(options);
     return new HttpServer(netty.start(app), port);
   }
@@ -132,4 +132,18 @@
     server.stop();
     GuardInstaller.unregister(port);
   }
+
+  /**
+   * A server that only its owner stops.
+   *
+   * <p>The library adds a shutdown hook at each start and keeps it after the stop, so that the hook
+   * retains the server with its event loops and stops it beside the owner's own order.
+   */
+  private static final class OwnedServer extends NettyServer {
+
+    @Override
+    protected void addShutdownHook() {
+      // The owner closes the server.
+    }
+  }
 }
