Log to which start of a backend server a request went

Change: the trail of event=request has started= and believed= for each attempt at a backend server, event=cold has started=. Result: no decision changes; BackendLoadTest and BackendRegistryTest pass.

--- a/core/src/main/java/org/gentianslip/core/load/Availability.java
+++ b/core/src/main/java/org/gentianslip/core/load/Availability.java
@@ -48,7 +48,7 @@
 
   /** Counts a request that is about to be sent. */
   void recordSend(long nowNanos) {
-    if (isRestricted(nowNanos)) {
+    if (warmth(nowNanos) != Warmth.WARM) {
       coldSends.addLast(nowNanos);
     }
     if (isResuming(nowNanos)) {
@@ -131,9 +131,13 @@
     return recovered;
   }
 
-  private boolean isRestricted(long nowNanos) {
+  /** Returns how warm the backend server is believed to be. */
+  Warmth warmth(long nowNanos) {
+    if (recovering) {
+      return Warmth.UNCONFIRMED;
+    }
     boolean cold = coldUntilNanos != Long.MIN_VALUE && nowNanos - coldUntilNanos < 0;
-    return cold || recovering;
+    return cold ? Warmth.COLD : Warmth.WARM;
   }
 
   /**
@@ -150,7 +154,7 @@
     if (backoffUntilNanos != Long.MIN_VALUE && nowNanos - backoffUntilNanos < 0) {
       return false;
     }
-    if (!isRestricted(nowNanos)) {
+    if (warmth(nowNanos) == Warmth.WARM) {
       return true;
     }
     int limit = coldPerSecond.getAsInt();
--- a/core/src/main/java/org/gentianslip/core/load/BackendLoad.java
+++ b/core/src/main/java/org/gentianslip/core/load/BackendLoad.java
@@ -231,6 +231,11 @@
     }
   }
 
+  /** Returns how warm the backend server is believed to be. */
+  public synchronized Warmth warmth(long nowNanos) {
+    return availability.warmth(nowNanos);
+  }
+
   /**
    * Records that the backend server wants no work until the given time. It gets work again in
    * steps.
--- a/entry/src/main/java/org/gentianslip/entry/gateway/BackendRegistry.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/BackendRegistry.java
@@ -112,7 +112,9 @@
       coldMillis = coldChanged ? Math.max(coldMillis, b.coldMillis()) : coldMillis;
       if (coldMillis > 0) {
         loadOf(after, b).markColdUntil(nowNanos + TimeUnit.MILLISECONDS.toNanos(coldMillis));
-        LOGGER.atInfo().log("gateway: event=cold backend=%s millis=%s", b.id(), coldMillis);
+        LOGGER.atInfo().log(
+            "gateway: event=cold backend=%s started=%s millis=%s",
+            b.id(), b.startedMillis(), coldMillis);
       }
     }
   }
--- a/entry/src/main/java/org/gentianslip/entry/gateway/RequestExecution.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/RequestExecution.java
@@ -204,7 +204,11 @@
         "wait="
             + Math.round(decision.estimate().totalMillis())
             + " copy="
-            + decision.estimate().copiedTokens());
+            + decision.estimate().copiedTokens()
+            + " started="
+            + backend.startedMillis()
+            + " believed="
+            + decision.option().load().warmth(nowNanos));
     attempt.start(nowNanos, CONNECT_MILLIS);
     watchSilence(attempt, decision.estimate().totalMillis());
   }
