Keep what is known of a backend server by its start

What callers saw: a cold backend server was flooded and fell again (FAILBACK). Cause: a backend server may start again under its id. All that is remembered of it was kept by id: backoff, pause, stated limit, pace, failures, requests in flight, parts of prompts. A restart was noticed only if the entry's time to stay cold differed from that of the entry before, and requests were counted towards the rate of a cold server only once it was known to be cold. Change: a load belongs to one start (id and time of start). The next start begins anew, but for the requests of the last second, which may have reached it. Its parts of prompts are forgotten. Evidence: with a comparison by id alone four of the four new cases of BackendRegistryTest fail; they pass now.

--- a/core/src/main/java/org/gentianslip/core/load/Availability.java
+++ b/core/src/main/java/org/gentianslip/core/load/Availability.java
@@ -8,8 +8,8 @@
 import org.gentianslip.core.limit.ColdRate;
 
 /**
- * Whether one backend server may be sent work: not while it is backed off or pauses, and at a
- * limited rate just after a pause, and while it is cold or has not been reached again after a
+ * Whether one start of a backend server may be sent work: not while it is backed off or pauses, and
+ * at a limited rate just after a pause, and while it is cold or has not been reached again after a
  * failed connection. Not thread-safe.
  */
 final class Availability {
@@ -37,7 +37,7 @@
 
   private static final long RATE_NANOS = TimeUnit.SECONDS.toNanos(1);
 
-  private final Deque<Long> coldSends = new ArrayDeque<>();
+  private final Deque<Long> sends;
   private int consecutiveConnectFailures;
   private long backoffUntilNanos = Long.MIN_VALUE;
   private long coldUntilNanos = Long.MIN_VALUE;
@@ -46,11 +46,27 @@
   private boolean recovering;
   private long unreachableNanos;
 
+  /** Creates the availability of a backend server to which nothing was sent. */
+  Availability() {
+    this(new ArrayDeque<>());
+  }
+
+  private Availability(Deque<Long> sends) {
+    this.sends = sends;
+  }
+
+  /**
+   * Returns the availability of the next start of the backend server, of which only the requests
+   * that were sent last are known, as they may have reached it.
+   */
+  Availability ofNextStart() {
+    return new Availability(new ArrayDeque<>(sends));
+  }
+
   /** Counts a request that is about to be sent. */
   void recordSend(long nowNanos) {
-    if (warmth(nowNanos) != Warmth.WARM) {
-      coldSends.addLast(nowNanos);
-    }
+    dropOldSends(nowNanos);
+    sends.addLast(nowNanos);
     if (isResuming(nowNanos)) {
       sentAfterPause++;
     }
@@ -161,10 +177,14 @@
     if (limit == ColdRate.UNLIMITED) {
       return true;
     }
-    while (!coldSends.isEmpty() && nowNanos - coldSends.peekFirst() >= RATE_NANOS) {
-      coldSends.removeFirst();
-    }
+    dropOldSends(nowNanos);
     boolean leftByOthers = recovering && nowNanos - unreachableNanos >= RECOVERY_NANOS;
-    return coldSends.size() < (leftByOthers ? Math.max(1, limit) : limit);
+    return sends.size() < (leftByOthers ? Math.max(1, limit) : limit);
+  }
+
+  private void dropOldSends(long nowNanos) {
+    while (!sends.isEmpty() && nowNanos - sends.peekFirst() >= RATE_NANOS) {
+      sends.removeFirst();
+    }
   }
 }
--- a/core/src/main/java/org/gentianslip/core/load/BackendLoad.java
+++ b/core/src/main/java/org/gentianslip/core/load/BackendLoad.java
@@ -11,7 +11,9 @@
 import org.gentianslip.core.route.EngineProfile;
 
 /**
- * The load and the health of one backend server, as far as this instance knows them.
+ * The load and the health of one start of a backend server, as far as this instance knows them.
+ *
+ * <p>What is learnt of one start says nothing about the next one, also if that has the same id.
  *
  * <p>Requests of this instance count as soon as they are sent. Requests of other instances count as
  * last reported, until the report is too old. Thread-safe: the object's lock guards all state.
@@ -110,6 +112,17 @@
     return new BackendLoad(slots, engineNow, availability, pace);
   }
 
+  /**
+   * Returns the load of the next start of the backend server, to which only the requests that this
+   * instance sent last may belong.
+   *
+   * @param newSlots the number of requests that it runs at once
+   * @param engineNow the properties of its model engine, or null for a plain service
+   */
+  public synchronized BackendLoad ofNextStart(int newSlots, EngineProfile engineNow) {
+    return new BackendLoad(newSlots, engineNow, availability.ofNextStart(), new ServerPace());
+  }
+
   /** Counts a request that is about to be sent, and returns the reservation that tracks it. */
   public synchronized Reservation reserve(
       long nowNanos, boolean urgent, RequestSize size, BackendEstimate estimate) {
--- a/core/src/main/java/org/gentianslip/core/published/Backend.java
+++ b/core/src/main/java/org/gentianslip/core/published/Backend.java
@@ -9,7 +9,10 @@
 /**
  * A backend server as the platform publishes it. Immutable and thread-safe.
  *
- * @param id the id of the backend server; a restarted server has a new id
+ * <p>A server may start again under its id. What is remembered of a server belongs to one start of
+ * it, which {@link #isSameStart} tells.
+ *
+ * @param id the id of the backend server
  * @param service its service
  * @param address the address on which it listens, as {@code IP:PORT}
  * @param dataCentre its data centre
@@ -51,4 +54,9 @@
         startedMillis,
         Optional.empty());
   }
+
+  /** Returns whether another publication is of the same start of the same backend server. */
+  public boolean isSameStart(Backend other) {
+    return id.equals(other.id) && startedMillis == other.startedMillis;
+  }
 }
--- a/entry/src/main/java/org/gentianslip/entry/gateway/BackendRegistry.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/BackendRegistry.java
@@ -52,12 +52,27 @@
 
   private final FleetView fleet;
   private final long createdNanos;
-  private final Map<EngineId, BackendLoad> loads = new ConcurrentHashMap<>();
+  private final Map<EngineId, Tracked> loads = new ConcurrentHashMap<>();
   private final LeavingIncarnations leaving = new LeavingIncarnations();
 
   /** The backend servers of this region that accept work, by service; replaced as a whole. */
   private volatile Map<ServiceId, BackendGroup> groups = Map.of();
 
+  /**
+   * The load of one start of a backend server.
+   *
+   * @param backend the backend server as it was published last
+   * @param load the load of that start
+   */
+  private record Tracked(Backend backend, BackendLoad load) {
+
+    Tracked with(Backend next, EngineProfile engine) {
+      return backend.isSameStart(next)
+          ? new Tracked(next, load.withProfile(engine))
+          : new Tracked(next, load.ofNextStart(next.slots(), engine));
+    }
+  }
+
   BackendRegistry(Supplier<GatewayConfig> config, FleetView fleet, long nowNanos) {
     this.config = config;
     this.fleet = fleet;
@@ -103,18 +118,19 @@
   private void markColdBackends(long nowNanos, PublishedState before, PublishedState after) {
     for (Backend b : after.backends().values()) {
       Backend previous = before.backends().get(b.id());
+      boolean started = previous == null || !previous.isSameStart(b);
       boolean evacuationEnded =
           before.evacuated().contains(b.dataCentre())
               && !after.evacuated().contains(b.dataCentre());
       long warmUpMillis = profile(after, b.service()).map(ServiceProfile::warmUpMillis).orElse(0L);
-      boolean coldChanged = previous == null || previous.coldMillis() != b.coldMillis();
+      boolean coldChanged = started || previous.coldMillis() != b.coldMillis();
       long coldMillis = evacuationEnded ? warmUpMillis : 0;
       coldMillis = coldChanged ? Math.max(coldMillis, b.coldMillis()) : coldMillis;
       if (coldMillis > 0) {
         loadOf(after, b).markColdUntil(nowNanos + TimeUnit.MILLISECONDS.toNanos(coldMillis));
         LOGGER.atInfo().log(
-            "gateway: event=cold backend=%s started=%s millis=%s",
-            b.id(), b.startedMillis(), coldMillis);
+            "gateway: event=cold backend=%s started=%s millis=%s new-start=%s",
+            b.id(), b.startedMillis(), coldMillis, started);
       }
     }
   }
@@ -126,20 +142,26 @@
   private BackendLoad loadOf(PublishedState state, Backend backend) {
     EngineProfile engine =
         profile(state, backend.service()).flatMap(ServiceProfile::engine).orElse(null);
-    return loads.compute(
-        backend.id(),
-        (id, known) ->
-            known == null ? new BackendLoad(backend.slots(), engine) : known.withProfile(engine));
+    Tracked tracked =
+        loads.compute(
+            backend.id(),
+            (id, known) ->
+                known == null
+                    ? new Tracked(backend, new BackendLoad(backend.slots(), engine))
+                    : known.with(backend, engine));
+    return tracked.load();
   }
 
   /** Returns the load of a backend server, or an empty value if it is unknown. */
   Optional<BackendLoad> load(EngineId id) {
-    return Optional.ofNullable(loads.get(id));
+    return Optional.ofNullable(loads.get(id)).map(Tracked::load);
   }
 
   /** Returns the loads of all known backend servers. */
   Map<EngineId, BackendLoad> loads() {
-    return Map.copyOf(loads);
+    Map<EngineId, BackendLoad> copy = new HashMap<>();
+    loads.forEach((id, tracked) -> copy.put(id, tracked.load()));
+    return copy;
   }
 
   /**
@@ -221,7 +243,7 @@
    */
   Map<ServiceId, ServiceWait> waits(long nowNanos, PublishedState state) {
     int instances = liveInRegion(nowNanos).size();
-    loads.values().forEach(l -> l.setInstances(instances));
+    loads.values().forEach(t -> t.load().setInstances(instances));
     Map<ServiceId, ServiceWait> waits = new HashMap<>();
     groups.forEach(
         (service, group) ->
--- a/entry/src/main/java/org/gentianslip/entry/gateway/PromptLocator.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/PromptLocator.java
@@ -42,11 +42,14 @@
     return directory;
   }
 
-  /** Removes the engines that are no longer published. */
+  /** Removes the engines that are no longer published or have started again. */
   void applyPublished(PublishedState before, PublishedState after) {
-    before.backends().keySet().stream()
-        .filter(id -> !after.backends().containsKey(id))
-        .forEach(directory::forget);
+    for (Backend b : before.backends().values()) {
+      Backend next = after.backends().get(b.id());
+      if (next == null || !next.isSameStart(b)) {
+        directory.forget(b.id());
+      }
+    }
   }
 
   /** Records that an engine has read a prompt. */
--- a/entry/src/test/java/org/gentianslip/entry/gateway/BackendRegistryTest.java
+++ b/entry/src/test/java/org/gentianslip/entry/gateway/BackendRegistryTest.java
@@ -13,10 +13,12 @@
 import org.gentianslip.core.id.InstanceId;
 import org.gentianslip.core.id.RegionId;
 import org.gentianslip.core.id.ServiceId;
+import org.gentianslip.core.limit.StatedLimit;
 import org.gentianslip.core.load.BackendLoad;
 import org.gentianslip.core.load.Candidates;
 import org.gentianslip.core.load.PromptPart;
 import org.gentianslip.core.load.RequestSize;
+import org.gentianslip.core.load.Warmth;
 import org.gentianslip.core.published.Backend;
 import org.gentianslip.core.published.PublishedState;
 import org.gentianslip.core.published.Revision;
@@ -24,6 +26,7 @@
 import org.gentianslip.core.route.EngineProfile;
 import org.gentianslip.core.route.RouteTable;
 import org.gentianslip.core.route.ServiceProfile;
+import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.DisplayName;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
@@ -56,14 +59,27 @@
       new BackendRegistry(() -> config, new GatewayState(config, 1).fleet(), -COLD_NANOS);
 
   private static PublishedState published(Optional<RouteTable> routes) {
-    var backend = new Backend(ENGINE, FARM, "127.0.0.1:80", CENTRE, 64, false, 0, 0);
+    return published(routes, 0, 0);
+  }
+
+  private static PublishedState published(
+      Optional<RouteTable> routes, long startedMillis, long coldMillis) {
+    var backend =
+        new Backend(ENGINE, FARM, "127.0.0.1:80", CENTRE, 64, false, coldMillis, startedMillis);
     return new PublishedState(Revision.of(1, 1), routes, Map.of(ENGINE, backend), Set.of());
   }
 
   private static PublishedState withService() {
+    return withStart(0, 0);
+  }
+
+  private static PublishedState withStart(long startedMillis, long coldMillis) {
     var engine = new EngineProfile(64, 350_000, 7, 327_680, 260_000);
     var farm = new ServiceProfile(FARM, 100, 3_000, 9, Optional.of(engine));
-    return published(Optional.of(RouteTable.of(1, List.of(), List.of(farm), CallerLimits.DEFAULT)));
+    return published(
+        Optional.of(RouteTable.of(1, List.of(), List.of(farm), CallerLimits.DEFAULT)),
+        startedMillis,
+        coldMillis);
   }
 
   private Candidates candidates(PublishedState state) {
@@ -101,4 +117,53 @@
     registry.applyPublished(0, withService(), withService());
     assertThat(candidates(withService()).options().get(0).load(), sameInstance(before));
   }
+
+  @Nested
+  @DisplayName("if a server starts again under its id")
+  class SameId {
+
+    private static final long NOW = 10_000_000_000L;
+    private static final long COLD_MILLIS = 2_990;
+
+    private final PublishedState first = withStart(1_000, COLD_MILLIS);
+    private final PublishedState second = withStart(2_000, COLD_MILLIS);
+
+    private BackendLoad loadOfSecondStart() {
+      registry.applyPublished(NOW, first, second);
+      return registry.load(ENGINE).orElseThrow();
+    }
+
+    private void send(long nowNanos, BackendLoad load) {
+      load.reserve(
+          nowNanos, false, PROMPT, load.estimate(nowNanos, false, PROMPT, Optional.empty()));
+    }
+
+    @BeforeEach
+    void publishFirstStart() {
+      registry.applyPublished(0, PublishedState.NONE, first);
+    }
+
+    @Test
+    void marksItColdAlsoIfItIsColdForAsLongAsBefore() {
+      assertThat(loadOfSecondStart().warmth(NOW), is(Warmth.COLD));
+    }
+
+    @Test
+    void countsWhatWasSentJustBefore() {
+      send(NOW - 1, registry.load(ENGINE).orElseThrow());
+      assertThat(loadOfSecondStart().acceptsWork(NOW, () -> 1), is(false));
+    }
+
+    @Test
+    void forgetsThePauseOfTheStartBefore() {
+      registry.load(ENGINE).orElseThrow().pauseUntil(NOW + COLD_NANOS);
+      assertThat(loadOfSecondStart().acceptsWork(NOW, () -> 1), is(true));
+    }
+
+    @Test
+    void forgetsTheLimitOfTheStartBefore() {
+      registry.load(ENGINE).orElseThrow().applyLimit(new StatedLimit(0, 1));
+      assertThat(loadOfSecondStart().limit(), is(Optional.empty()));
+    }
+  }
 }
