Send to a server that may have restarted unnoticed at its cold rate

Cause: between the return of a server and its new entry (up to a heartbeat and the store's delay) an instance learnt of the restart only by a failed connection of its own. Requests that hung in silence while the server was dark are reset at its return: new connections succeed, and nothing pointed to a restart. Ruled out: trusting any answer, as a cold server answers like a warm one; and limiting every server that wasn't heard for a moment, which would limit quiet servers too. Change: a broken or silent exchange makes a restart possible. From then on the server gets work at this instance's share of the cold rate. An answer on a connection that is older than the first sign refutes the restart, as that connection would have ended with the process; after any other answer the server counts as cold, as it did after a failed connection.

--- a/core/src/main/java/org/gentianslip/core/load/Availability.java
+++ b/core/src/main/java/org/gentianslip/core/load/Availability.java
@@ -9,8 +9,11 @@
 
 /**
  * Whether one start of a backend server may be sent work: not while it is backed off or pauses, and
- * at a limited rate just after a pause, and while it is cold or has not been reached again after a
- * failed connection. Not thread-safe.
+ * at a limited rate just after a pause, and while it is cold or may have started again unnoticed.
+ *
+ * <p>It may have started again since a connection failed, an exchange broke or all connections fell
+ * silent. An answer on a connection that is older than the first of these refutes that; after any
+ * other answer it counts as cold. Not thread-safe.
  */
 final class Availability {
 
@@ -44,6 +47,10 @@
   private long pausedUntilNanos = Long.MIN_VALUE;
   private int sentAfterPause;
   private boolean recovering;
+
+  /** When it may first have started again; defined while recovering. */
+  private long suspectedNanos;
+
   private long unreachableNanos;
 
   /** Creates the availability of a backend server to which nothing was sent. */
@@ -113,8 +120,34 @@
     long backoffNanos = INITIAL_BACKOFF_NANOS << Math.min(consecutiveConnectFailures, 3);
     consecutiveConnectFailures++;
     backoffUntilNanos = nowNanos + Math.min(backoffNanos, MAX_BACKOFF_NANOS);
+    suspectRestart(nowNanos);
+  }
+
+  /**
+   * Records that the backend server may have started again.
+   *
+   * @return whether nothing had pointed to that before
+   */
+  boolean suspectRestart(long nowNanos) {
+    boolean first = !recovering;
+    if (first) {
+      suspectedNanos = nowNanos;
+    }
     recovering = true;
     unreachableNanos = nowNanos;
+    return first;
+  }
+
+  /**
+   * Records a part of an answer.
+   *
+   * @param connectedNanos when its connection was established
+   * @return whether it shows that the backend server has not started again as suspected
+   */
+  boolean recordContact(long connectedNanos) {
+    boolean refuted = recovering && connectedNanos - suspectedNanos < 0;
+    recovering = recovering && !refuted;
+    return refuted;
   }
 
   void recordFullRefusal(long nowNanos) {
@@ -126,7 +159,8 @@
    * it counts as cold if it has returned by that.
    */
   OptionalLong recordReachedByOthers(long nowNanos) {
-    if (!recovering || nowNanos - backoffUntilNanos < 0) {
+    boolean wasUnreachable = backoffUntilNanos != Long.MIN_VALUE;
+    if (!recovering || !wasUnreachable || nowNanos - backoffUntilNanos < 0) {
       return OptionalLong.empty();
     }
     recovering = false;
@@ -140,7 +174,7 @@
     coldUntilNanos = Math.max(coldUntilNanos, untilNanos);
   }
 
-  /** Returns whether it was reached again after a failed connection, once for each such event. */
+  /** Returns whether it has answered since it may have started again, once for each such event. */
   boolean pollRecovered() {
     boolean recovered = recovering && consecutiveConnectFailures == 0;
     recovering = recovering && !recovered;
--- a/core/src/main/java/org/gentianslip/core/load/BackendLoad.java
+++ b/core/src/main/java/org/gentianslip/core/load/BackendLoad.java
@@ -224,6 +224,26 @@
     cache.clear();
   }
 
+  /**
+   * Records that an exchange broke or fell silent, so that the backend server may have started
+   * again. It gets work at the rate of a cold one until it has answered.
+   *
+   * @return whether nothing had pointed to a restart before
+   */
+  public synchronized boolean suspectRestart(long nowNanos) {
+    return availability.suspectRestart(nowNanos);
+  }
+
+  /**
+   * Records a part of an answer.
+   *
+   * @param connectedNanos when the connection on which it arrived was established
+   * @return whether it refutes that the backend server has started again, which was possible
+   */
+  public synchronized boolean recordContact(long connectedNanos) {
+    return availability.recordContact(connectedNanos);
+  }
+
   synchronized void recordFullRefusal(long nowNanos) {
     pace.recordSetback(nowNanos, slots);
     availability.recordFullRefusal(nowNanos);
--- a/entry/src/main/java/org/gentianslip/entry/gateway/Attempt.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/Attempt.java
@@ -157,6 +157,11 @@
     return lastReceivedNanos;
   }
 
+  /** Returns when the connection was established on which the response arrives. */
+  long connectedNanos() {
+    return exchange.connectedNanos();
+  }
+
   /** Returns whether any byte of the request may have been written. */
   boolean mayHaveBeenWritten() {
     return exchange != null && exchange.written();
--- a/entry/src/main/java/org/gentianslip/entry/gateway/BackendAttempt.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/BackendAttempt.java
@@ -86,6 +86,7 @@
   @Override
   void recordFailure(long nowNanos, String cause) {
     reservation.failed(nowNanos);
+    suspectRestart(nowNanos, "broken");
     if (receivedEvents() <= MAX_EVENTS_OF_CRASH) {
       reportCrashIfDown(nowNanos);
     }
@@ -118,6 +119,28 @@
   @Override
   void recordSilence(long nowNanos) {
     reservation.failed(nowNanos);
+    suspectRestart(nowNanos, "silent");
+  }
+
+  private void suspectRestart(long nowNanos, String cause) {
+    if (decision.option().load().suspectRestart(nowNanos)) {
+      LOGGER.atInfo().log(
+          "gateway: event=restart-suspected backend=%s started=%s cause=%s connection-age=%s",
+          backend.id(),
+          backend.startedMillis(),
+          cause,
+          TimeUnit.NANOSECONDS.toMillis(nowNanos - connectedNanos()));
+    }
+  }
+
+  private void recordContact() {
+    if (decision.option().load().recordContact(connectedNanos())) {
+      LOGGER.atInfo().log(
+          "gateway: event=restart-refuted backend=%s started=%s connection-age=%s",
+          backend.id(),
+          backend.startedMillis(),
+          TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - connectedNanos()));
+    }
   }
 
   @Override
@@ -172,6 +195,7 @@
     if (edgeHeaders.isOtherBackend(status, headers)) {
       return;
     }
+    recordContact();
     recordLimit(edgeHeaders.requestsPerSecond(headers), edgeHeaders.isSigned(headers));
     edgeHeaders.pauseMillis(status, headers).ifPresent(this::recordPause);
     if (edgeHeaders.isLeaving(headers)) {
@@ -184,6 +208,7 @@
     super.onBodyPart(bytes);
     writtenNanos = System.nanoTime();
     heardNanos.set(writtenNanos);
+    recordContact();
   }
 
   private void recordPause(long millis) {
--- a/entry/src/main/java/org/gentianslip/entry/gateway/BackendClient.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/BackendClient.java
@@ -189,7 +189,7 @@
       return;
     }
     connection.assign(exchange);
-    exchange.markWritten(connection.channel(), connection.use());
+    exchange.markWritten(connection.channel(), connection.use(), connection.connectedNanos());
     connection
         .channel()
         .writeAndFlush(
--- a/entry/src/main/java/org/gentianslip/entry/gateway/BackendConnection.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/BackendConnection.java
@@ -61,6 +61,7 @@
   private int skippedResponses;
   private boolean reusable = true;
   private long keepAliveNanos = Long.MAX_VALUE;
+  private long connectedNanos;
   private long idleSinceNanos;
   private long idleUntilNanos;
 
@@ -139,11 +140,22 @@
     return idleNanos < alwaysUsableNanos || idleNanos < keepAliveNanos - KEEP_ALIVE_MARGIN_NANOS;
   }
 
+  /** Returns when the connection was established. */
+  long connectedNanos() {
+    return connectedNanos;
+  }
+
   @Override
   public void handlerAdded(ChannelHandlerContext ctx) {
     channel = ctx.channel();
   }
 
+  @Override
+  public void channelActive(ChannelHandlerContext ctx) {
+    connectedNanos = System.nanoTime();
+    ctx.fireChannelActive();
+  }
+
   @Override
   public void channelRead(ChannelHandlerContext ctx, Object message) {
     try {
--- a/entry/src/main/java/org/gentianslip/entry/gateway/Exchange.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/Exchange.java
@@ -14,6 +14,7 @@
   private final ResponseListener listener;
   private Channel channel;
   private String connectionUse = "none";
+  private long connectedNanos;
   private boolean written;
   private boolean reading = true;
   private boolean ended;
@@ -45,10 +46,12 @@
    *
    * @param writtenTo the channel of the connection
    * @param use the connection and the number of the request on it, for logs
+   * @param connected when the connection was established
    */
-  void markWritten(Channel writtenTo, String use) {
+  void markWritten(Channel writtenTo, String use, long connected) {
     channel = writtenTo;
     connectionUse = use;
+    connectedNanos = connected;
     written = true;
     setReading(reading);
   }
@@ -58,6 +61,11 @@
     return connectionUse;
   }
 
+  /** Returns when the connection to which the request was written was established. */
+  long connectedNanos() {
+    return connectedNanos;
+  }
+
   /** Marks the exchange as ended; returns false if it had ended before. */
   boolean markEnded() {
     boolean first = !ended;
