Send to the servers of a new process's first list as they are listed again

Cause: after a restart of all instances the rate of a cold server is too little for all callers, and until an instance has heard of another one it is 0. Conclusion: age of the process alone is no reason; what new processes learn of the servers by failed connections and from one another has to do.

--- a/core/src/main/java/org/gentianslip/core/load/BackendLoad.java
+++ b/core/src/main/java/org/gentianslip/core/load/BackendLoad.java
@@ -244,11 +244,6 @@
     return availability.recordContact(connectedNanos);
   }
 
-  /** Limits work to the rate of a cold server until the given time, at no other pace. */
-  public synchronized void restrictUntil(long untilNanos) {
-    availability.markColdUntil(untilNanos);
-  }
-
   synchronized void recordFullRefusal(long nowNanos) {
     pace.recordSetback(nowNanos, slots);
     availability.recordFullRefusal(nowNanos);
--- a/entry/src/main/java/org/gentianslip/entry/gateway/BackendRegistry.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/BackendRegistry.java
@@ -119,10 +119,6 @@
     for (Backend b : after.backends().values()) {
       Backend previous = before.backends().get(b.id());
       boolean started = previous == null || !previous.isSameStart(b);
-      if (previous == null && nowNanos - createdNanos < INTRODUCTION_NANOS) {
-        // The list may still show an earlier start, of which this process remembers nothing.
-        loadOf(after, b).restrictUntil(createdNanos + INTRODUCTION_NANOS);
-      }
       boolean evacuationEnded =
           before.evacuated().contains(b.dataCentre())
               && !after.evacuated().contains(b.dataCentre());
