Know the age of a connection at its first answer

Cause: the time of connecting was set when the channel became active, which is after the first request was written, so that the first answer on a new connection counted as one on a connection from before any restart. Change: the time is set before the connection is handed out.

--- a/entry/src/main/java/org/gentianslip/entry/gateway/BackendClient.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/BackendClient.java
@@ -125,6 +125,7 @@
               (ChannelFutureListener)
                   f -> {
                     if (f.isSuccess()) {
+                      markConnected(f.channel());
                       connected.setSuccess(f.channel());
                     } else {
                       connected.setFailure(f.cause());
@@ -163,6 +164,13 @@
         .connect(target);
   }
 
+  private static void markConnected(Channel channel) {
+    BackendConnection connection = channel.pipeline().get(BackendConnection.class);
+    if (connection != null) {
+      connection.markConnected(System.nanoTime());
+    }
+  }
+
   private void onConnected(Exchange exchange, Future<Channel> connected) {
     if (!connected.isSuccess()) {
       exchange.fail("no connection: " + connected.cause());
--- a/entry/src/main/java/org/gentianslip/entry/gateway/BackendConnection.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/BackendConnection.java
@@ -140,6 +140,11 @@
     return idleNanos < alwaysUsableNanos || idleNanos < keepAliveNanos - KEEP_ALIVE_MARGIN_NANOS;
   }
 
+  /** Records when the connection was established, before it is used. */
+  void markConnected(long nowNanos) {
+    connectedNanos = nowNanos;
+  }
+
   /** Returns when the connection was established. */
   long connectedNanos() {
     return connectedNanos;
@@ -150,12 +155,6 @@
     channel = ctx.channel();
   }
 
-  @Override
-  public void channelActive(ChannelHandlerContext ctx) {
-    connectedNanos = System.nanoTime();
-    ctx.fireChannelActive();
-  }
-
   @Override
   public void channelRead(ChannelHandlerContext ctx, Object message) {
     try {
