Let a new process without other seeds send to cold servers at once

Cause: in its first 3 s a process that knows no other instance sent nothing to cold backend servers, also where its configuration names no other instance. Change: it waits only for instances that its seeds name. Result: BackendRegistryTest passes.

--- a/entry/src/main/java/org/gentianslip/entry/gateway/BackendRegistry.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/BackendRegistry.java
@@ -226,8 +226,7 @@
       return ColdRate.UNLIMITED;
     }
     List<InstanceId> instances = fleet.peers().knownInRegion();
-    boolean uninformed = fleet.peers().count() == 1 && nowNanos - createdNanos < INTRODUCTION_NANOS;
-    if (uninformed) {
+    if (isUninformed(nowNanos)) {
       return 0;
     }
     GatewayBounds bounds = config.get().bounds();
@@ -237,6 +236,14 @@
         config.get().id(), instances, MIN_ASSUMED_INSTANCES, backend, regionPerSecond);
   }
 
+  /** Returns whether this process is new and other instances may exist that it does not know. */
+  private boolean isUninformed(long nowNanos) {
+    String own = config.get().controlAddress();
+    return fleet.peers().count() == 1
+        && nowNanos - createdNanos < INTRODUCTION_NANOS
+        && config.get().seeds().stream().anyMatch(s -> !s.equals(own));
+  }
+
   /**
    * Returns what a request may expect, for each service with backend servers in this region that
    * accept work.
