Tell the other instances of a region which servers could not be reached

What callers saw: a cold backend server was flooded and fell again (FAILBACK). Cause: an instance that sent nothing to a server while it was dark, or was itself starting, had no sign of the restart until the new entry, though its neighbours had failed connections. Change: a message between instances names the servers that may have started again, with the time since a connection last failed. The receiver regards a failure as its own, without a backoff, unless an answer has settled it: one on a connection that is older than the failure, or any later conclusion. So a failure that is told again and again is judged once. What others run there ends the suspicion only 1 s after the failure, as it may be from before.

--- a/core/src/main/java/org/gentianslip/core/load/Availability.java
+++ b/core/src/main/java/org/gentianslip/core/load/Availability.java
@@ -38,6 +38,9 @@
   /** How long after a pause the rate of requests grows until it is no longer limited. */
   private static final long RESUME_NANOS = TimeUnit.SECONDS.toNanos(1);
 
+  /** How long after a failure reports of others may still be from before it. */
+  private static final long REPORT_NANOS = TimeUnit.SECONDS.toNanos(1);
+
   private static final long RATE_NANOS = TimeUnit.SECONDS.toNanos(1);
 
   private final Deque<Long> sends;
@@ -53,6 +56,17 @@
 
   private long unreachableNanos;
 
+  /** The last failed connection of any instance, as far as it is known. */
+  private long failedNanos = Long.MIN_VALUE;
+
+  /** The last part of an answer, and when its connection was established. */
+  private long contactNanos = Long.MIN_VALUE;
+
+  private long contactConnectedNanos;
+
+  /** When it was last concluded whether the backend server had started again. */
+  private long settledNanos = Long.MIN_VALUE;
+
   /** Creates the availability of a backend server to which nothing was sent. */
   Availability() {
     this(new ArrayDeque<>());
@@ -120,9 +134,44 @@
     long backoffNanos = INITIAL_BACKOFF_NANOS << Math.min(consecutiveConnectFailures, 3);
     consecutiveConnectFailures++;
     backoffUntilNanos = nowNanos + Math.min(backoffNanos, MAX_BACKOFF_NANOS);
+    failedNanos = nowNanos;
     suspectRestart(nowNanos);
   }
 
+  /** Returns when a connection last failed, while the backend server may have started again. */
+  OptionalLong failedNanos() {
+    return recovering && failedNanos != Long.MIN_VALUE
+        ? OptionalLong.of(failedNanos)
+        : OptionalLong.empty();
+  }
+
+  /**
+   * Records a failed connection of another instance, unless a later answer has settled already what
+   * it points to.
+   *
+   * @return whether nothing had pointed to a restart before
+   */
+  boolean recordFailureOfOthers(long nowNanos, long heardNanos) {
+    boolean known = failedNanos != Long.MIN_VALUE && heardNanos - failedNanos <= 0;
+    if (known || isSettled(heardNanos)) {
+      return false;
+    }
+    failedNanos = heardNanos;
+    boolean first = suspectRestart(nowNanos);
+    suspectedNanos = first ? heardNanos : suspectedNanos;
+    return first;
+  }
+
+  /** Returns whether it is known already if the backend server started again at a given time. */
+  private boolean isSettled(long failureNanos) {
+    boolean concluded = settledNanos != Long.MIN_VALUE && settledNanos - failureNanos > 0;
+    boolean refuted =
+        contactNanos != Long.MIN_VALUE
+            && contactNanos - failureNanos > 0
+            && contactConnectedNanos - failureNanos < 0;
+    return concluded || refuted;
+  }
+
   /**
    * Records that the backend server may have started again.
    *
@@ -144,9 +193,14 @@
    * @param connectedNanos when its connection was established
    * @return whether it shows that the backend server has not started again as suspected
    */
-  boolean recordContact(long connectedNanos) {
+  boolean recordContact(long nowNanos, long connectedNanos) {
+    contactNanos = nowNanos;
+    contactConnectedNanos = connectedNanos;
     boolean refuted = recovering && connectedNanos - suspectedNanos < 0;
-    recovering = recovering && !refuted;
+    if (refuted) {
+      recovering = false;
+      settledNanos = nowNanos;
+    }
     return refuted;
   }
 
@@ -159,11 +213,12 @@
    * it counts as cold if it has returned by that.
    */
   OptionalLong recordReachedByOthers(long nowNanos) {
-    boolean wasUnreachable = backoffUntilNanos != Long.MIN_VALUE;
-    if (!recovering || !wasUnreachable || nowNanos - backoffUntilNanos < 0) {
+    boolean blocked = backoffUntilNanos != Long.MIN_VALUE && nowNanos - backoffUntilNanos < 0;
+    if (!recovering || blocked || nowNanos - unreachableNanos < REPORT_NANOS) {
       return OptionalLong.empty();
     }
     recovering = false;
+    settledNanos = nowNanos;
     consecutiveConnectFailures = 0;
     markColdUntil(nowNanos + RETURN_COLD_NANOS);
     return OptionalLong.of(nowNanos + RETURN_COLD_NANOS);
@@ -177,7 +232,10 @@
   /** Returns whether it has answered since it may have started again, once for each such event. */
   boolean pollRecovered() {
     boolean recovered = recovering && consecutiveConnectFailures == 0;
-    recovering = recovering && !recovered;
+    if (recovered) {
+      recovering = false;
+      settledNanos = contactNanos;
+    }
     return recovered;
   }
 
--- a/core/src/main/java/org/gentianslip/core/load/BackendLoad.java
+++ b/core/src/main/java/org/gentianslip/core/load/BackendLoad.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 import java.util.function.DoubleToLongFunction;
 import java.util.function.IntSupplier;
@@ -240,8 +241,27 @@
    * @param connectedNanos when the connection on which it arrived was established
    * @return whether it refutes that the backend server has started again, which was possible
    */
-  public synchronized boolean recordContact(long connectedNanos) {
-    return availability.recordContact(connectedNanos);
+  public synchronized boolean recordContact(long nowNanos, long connectedNanos) {
+    return availability.recordContact(nowNanos, connectedNanos);
+  }
+
+  /**
+   * Returns when a connection of any instance last failed, as far as it is known, while the backend
+   * server may have started again.
+   */
+  public synchronized OptionalLong failedNanos() {
+    return availability.failedNanos();
+  }
+
+  /**
+   * Records that a connection of another instance failed, so that the backend server may have
+   * started again, unless a later answer tells.
+   *
+   * @param failedNanos when it failed
+   * @return whether nothing had pointed to a restart before
+   */
+  public synchronized boolean recordFailureOfOthers(long nowNanos, long failedNanos) {
+    return availability.recordFailureOfOthers(nowNanos, failedNanos);
   }
 
   synchronized void recordFullRefusal(long nowNanos) {
--- a/core/src/test/java/org/gentianslip/core/load/BackendLoadTest.java
+++ b/core/src/test/java/org/gentianslip/core/load/BackendLoadTest.java
@@ -6,6 +6,7 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import org.gentianslip.core.id.InstanceId;
 import org.gentianslip.core.limit.ColdRate;
 import org.gentianslip.core.limit.StatedLimit;
@@ -184,6 +185,49 @@
     }
   }
 
+  @Nested
+  @DisplayName("to which a connection of another instance failed")
+  class FailedForOthers {
+
+    private Warmth warmthAfterFailure(long now, long failed) {
+      load.recordFailureOfOthers(now, failed);
+      return load.warmth(now);
+    }
+
+    @Test
+    void mayHaveStartedAgain() {
+      assertThat(warmthAfterFailure(SECOND, SECOND / 2), is(Warmth.UNCONFIRMED));
+    }
+
+    @Test
+    void hasNotStartedAgainIfAnOlderConnectionAnswersLater() {
+      load.recordContact(SECOND - 1, SECOND / 4);
+      assertThat(warmthAfterFailure(SECOND, SECOND / 2), is(Warmth.WARM));
+    }
+
+    @Test
+    void mayHaveStartedAgainIfOnlyNewerConnectionsAnswerLater() {
+      load.recordContact(SECOND - 1, SECOND - 2);
+      assertThat(warmthAfterFailure(SECOND, SECOND / 2), is(Warmth.UNCONFIRMED));
+    }
+
+    @Test
+    void isJudgedOnceForEachFailure() {
+      assertThat(warmthAfterFailure(SECOND, SECOND / 2), is(Warmth.UNCONFIRMED));
+      load.recordContact(2 * SECOND, 2 * SECOND - 1);
+      assertThat(load.pollRecovered(), is(true));
+      assertThat(warmthAfterFailure(2 * SECOND + 1, SECOND / 2 + 1), is(Warmth.WARM));
+    }
+
+    @Test
+    void isToldToOthersWhileItMayHaveStartedAgain() {
+      load.recordFailureOfOthers(SECOND, SECOND / 2);
+      assertThat(load.failedNanos(), is(OptionalLong.of(SECOND / 2)));
+      load.recordContact(2 * SECOND, SECOND / 4);
+      assertThat(load.failedNanos(), is(OptionalLong.empty()));
+    }
+  }
+
   @Nested
   @DisplayName("that is cold")
   class Cold {
--- a/entry/src/main/java/org/gentianslip/entry/fleet/FleetMessage.java
+++ b/entry/src/main/java/org/gentianslip/entry/fleet/FleetMessage.java
@@ -62,6 +62,9 @@
  *     milliseconds; null if it is unknown, and in messages of earlier processes
  * @param origins where streams began; null if there is nothing to tell, and in messages of earlier
  *     versions
+ * @param failures the time since a connection to a backend server of the region last failed, in
+ *     milliseconds by id, of those that may have started again; null in messages of earlier
+ *     versions
  */
 record FleetMessage(
     Instance self,
@@ -84,7 +87,8 @@
     Map<String, Limit> limits,
     Map<String, JsonNode> usage,
     JsonNode confirmedAge,
-    @JsonInclude(JsonInclude.Include.NON_NULL) OriginReport origins) {
+    @JsonInclude(JsonInclude.Include.NON_NULL) OriginReport origins,
+    @JsonInclude(JsonInclude.Include.NON_EMPTY) Map<String, Long> failures) {
 
   private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
 
@@ -97,6 +101,7 @@
     crashes = crashes == null ? List.of() : List.copyOf(crashes);
     completions = completions == null ? List.of() : List.copyOf(completions);
     limits = limits == null ? Map.of() : Map.copyOf(limits);
+    failures = failures == null ? Map.of() : Map.copyOf(failures);
     evidenceAck = evidenceAck == null ? Ack.of(SyncAck.NONE) : evidenceAck;
   }
 
--- a/entry/src/main/java/org/gentianslip/entry/fleet/FleetMessages.java
+++ b/entry/src/main/java/org/gentianslip/entry/fleet/FleetMessages.java
@@ -49,6 +49,9 @@
   /** How long other instances are told that a backend server has ceased to name a limit. */
   private static final long END_SHARED_NANOS = TimeUnit.SECONDS.toNanos(10);
 
+  /** How long other instances are told that a connection to a backend server failed. */
+  private static final long FAILURE_SHARED_NANOS = TimeUnit.SECONDS.toNanos(5);
+
   /** The maximum number of crashes and of completed answers in one message, the oldest ones. */
   private static final int MAX_EVIDENCE = 100;
 
@@ -82,7 +85,8 @@
         SyncAck.NONE,
         Map.of(),
         null,
-        null);
+        null,
+        Map.of());
   }
 
   /**
@@ -137,7 +141,8 @@
         evidenceCursors.receivedFrom(receiver),
         limits(nowNanos, backends),
         usage == null ? null : UsageFields.of(usage),
-        origins(nowNanos, receiver));
+        origins(nowNanos, receiver),
+        failures(nowNanos, backends));
   }
 
   /** Returns the origins that a receiver lacks, if any instance needs them. */
@@ -180,7 +185,8 @@
       SyncAck evidenceAck,
       Map<String, FleetMessage.Limit> limits,
       Map<String, JsonNode> usage,
-      OriginReport origins) {
+      OriginReport origins,
+      Map<String, Long> failures) {
     // Read before the version in force, which is then at least as recent as was confirmed.
     OptionalLong confirmedAge = state.knowledge().ageMillis(Clocks.read());
     Revision published = updater.revision();
@@ -205,7 +211,8 @@
         limits,
         usage,
         confirmedAge.isPresent() ? LongNode.valueOf(confirmedAge.getAsLong()) : null,
-        origins);
+        origins,
+        failures);
   }
 
   /**
@@ -252,6 +259,35 @@
     return limits;
   }
 
+  /** Returns the time since a connection failed, for backend servers that may have restarted. */
+  private static Map<String, Long> failures(long nowNanos, Map<EngineId, BackendLoad> backends) {
+    Map<String, Long> failures = new HashMap<>();
+    backends.forEach(
+        (id, load) ->
+            load.failedNanos().stream()
+                .map(failed -> nowNanos - failed)
+                .filter(age -> age < FAILURE_SHARED_NANOS)
+                .map(TimeUnit.NANOSECONDS::toMillis)
+                .forEach(age -> failures.put(id.value(), age)));
+    return failures;
+  }
+
+  private void applyFailures(long nowNanos, PeerRecord peer, Map<String, Long> failures) {
+    if (!peer.region().equals(state.config().region())) {
+      return;
+    }
+    Map<EngineId, BackendLoad> loads = failures.isEmpty() ? Map.of() : state.loads();
+    failures.forEach(
+        (id, age) -> {
+          BackendLoad load = loads.get(EngineId.of(id));
+          long failedNanos = nowNanos - TimeUnit.MILLISECONDS.toNanos(Math.max(0, age));
+          if (load != null && load.recordFailureOfOthers(nowNanos, failedNanos)) {
+            LOGGER.atInfo().log(
+                "fleet: event=restart-suspected backend=%s from=%s age=%s", id, peer.id(), age);
+          }
+        });
+  }
+
   private static PeerLoad load(
       long nowNanos, BackendLoad load, InstanceId receiver, LoadScope scope) {
     return switch (scope) {
@@ -295,6 +331,7 @@
         .forEach(
             (id, limit) ->
                 state.load(EngineId.of(id)).ifPresent(l -> l.applyLimit(limit.toLimit(nowNanos))));
+    applyFailures(nowNanos, peer, message.failures());
     state.knowledge().recordStated(message.version(), nowNanos);
     boolean behind =
         message.version() > state.routesVersion() || state.published().routes().isEmpty();
--- a/entry/src/main/java/org/gentianslip/entry/gateway/BackendAttempt.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/BackendAttempt.java
@@ -133,13 +133,13 @@
     }
   }
 
-  private void recordContact() {
-    if (decision.option().load().recordContact(connectedNanos())) {
+  private void recordContact(long nowNanos) {
+    if (decision.option().load().recordContact(nowNanos, connectedNanos())) {
       LOGGER.atInfo().log(
           "gateway: event=restart-refuted backend=%s started=%s connection-age=%s",
           backend.id(),
           backend.startedMillis(),
-          TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - connectedNanos()));
+          TimeUnit.NANOSECONDS.toMillis(nowNanos - connectedNanos()));
     }
   }
 
@@ -195,7 +195,7 @@
     if (edgeHeaders.isOtherBackend(status, headers)) {
       return;
     }
-    recordContact();
+    recordContact(lastReceivedNanos());
     recordLimit(edgeHeaders.requestsPerSecond(headers), edgeHeaders.isSigned(headers));
     edgeHeaders.pauseMillis(status, headers).ifPresent(this::recordPause);
     if (edgeHeaders.isLeaving(headers)) {
@@ -208,7 +208,7 @@
     super.onBodyPart(bytes);
     writtenNanos = System.nanoTime();
     heardNanos.set(writtenNanos);
-    recordContact();
+    recordContact(writtenNanos);
   }
 
   private void recordPause(long millis) {
