Name the engine that is asked for its runs

Change: the call names the engine that it means. The answer of another one says nothing of that engine's runs; it counts as unreachable. The call itself moves to ReportCall, apart from what is read from it.

--- a/entry/src/main/java/org/gentianslip/entry/gateway/EdgeHeaders.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/EdgeHeaders.java
@@ -63,6 +63,9 @@
       Optional<CustomerId> customer,
       Optional<Backend> source);
 
+  /** Names the backend server that a request is meant for; no other one runs it. */
+  void addExpectedBackend(HttpHeaders headers, Backend backend);
+
   /** Returns whether a response proves that the request did not run and will not run. */
   boolean isNotRun(int status, HttpHeaders headers);
 
--- /dev/null
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/ReportCall.java
@@ -0,0 +1,150 @@
+package org.gentianslip.entry.gateway;
+
+import io.netty.channel.EventLoop;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.util.concurrent.ScheduledFuture;
+import java.io.ByteArrayOutputStream;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import org.gentianslip.core.published.Backend;
+import org.gentianslip.core.stream.RunEvidence;
+
+/**
+ * One call that asks an engine for its report. It always ends, with one result. Confined to one
+ * event loop.
+ */
+final class ReportCall implements ResponseListener {
+
+  /** The time limit of a call, with its connection, in milliseconds. */
+  static final int TIMEOUT_MILLIS = 300;
+
+  /** The largest report that is read, in bytes; thousands of runs fit. */
+  private static final int MAX_BYTES = 256 << 10;
+
+  private static final AtomicLong NUMBER = new AtomicLong();
+
+  private final Gateway gateway;
+  private final Backend backend;
+  private final Listener listener;
+  private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+  private Exchange exchange;
+  private ScheduledFuture<?> timer;
+  private int status;
+  private boolean otherAnswers;
+  private boolean ended;
+
+  /** Receives the result of a call, which is one of these. */
+  interface Listener {
+
+    /** Called with a complete answer, which may be no report. */
+    void onAnswer(int status, byte[] body);
+
+    /** Called if there is no complete answer, with what that says about the engine. */
+    void onNoAnswer(RunEvidence evidence);
+  }
+
+  private ReportCall(Gateway gateway, Backend backend, Listener listener) {
+    this.gateway = gateway;
+    this.backend = backend;
+    this.listener = listener;
+  }
+
+  /** Asks an engine for its report, on the event loop. */
+  static void start(Gateway gateway, EventLoop loop, Backend backend, Listener listener) {
+    new ReportCall(gateway, backend, listener).send(loop);
+  }
+
+  private void send(EventLoop loop) {
+    String idHeader = gateway.edgeHeaders().requestId();
+    // Each call has an id of its own, so its answer can't be taken for one to a request.
+    String id = gateway.state().config().id().value() + "-report-" + NUMBER.incrementAndGet();
+    HttpHeaders headers = new DefaultHttpHeaders(false);
+    headers.set(HttpHeaderNames.HOST, backend.address());
+    headers.set(idHeader, id);
+    gateway.edgeHeaders().addExpectedBackend(headers, backend);
+    // The connection is not kept: the engine may close it after an answer that is no report.
+    headers.set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+    var request =
+        new OutgoingRequest(
+            backend.address(),
+            HttpMethod.GET,
+            gateway.engineReports().target(),
+            headers,
+            new byte[0],
+            id,
+            idHeader,
+            true,
+            TIMEOUT_MILLIS,
+            (now, requestHeaders) -> true);
+    timer = loop.schedule(this::onTimeout, TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+    exchange = gateway.client(loop).send(request, this);
+  }
+
+  private void onTimeout() {
+    if (ended) {
+      return;
+    }
+    boolean written = exchange.cancel();
+    if (status > 0) {
+      end(RunEvidence.NO_REPORT);
+    } else {
+      end(written ? RunEvidence.NO_ANSWER : RunEvidence.UNREACHABLE);
+    }
+  }
+
+  @Override
+  public void onHead(int receivedStatus, HttpHeaders headers) {
+    status = receivedStatus;
+    otherAnswers = gateway.edgeHeaders().isOtherBackend(receivedStatus, headers);
+  }
+
+  @Override
+  public void onBodyPart(byte[] bytes) {
+    if (ended) {
+      return;
+    }
+    if (body.size() + bytes.length > MAX_BYTES) {
+      exchange.cancel();
+      end(RunEvidence.NO_REPORT);
+      return;
+    }
+    body.writeBytes(bytes);
+  }
+
+  @Override
+  public void onComplete() {
+    if (otherAnswers) {
+      end(RunEvidence.UNREACHABLE);
+    } else if (markEnded()) {
+      listener.onAnswer(status, body.toByteArray());
+    }
+  }
+
+  /** An engine that closes the connection, or answers otherwise, is alive and has no such call. */
+  @Override
+  public void onFailure(boolean written, String cause) {
+    end(written ? RunEvidence.NO_REPORT : RunEvidence.UNREACHABLE);
+  }
+
+  @Override
+  public void onNotWritten() {
+    end(RunEvidence.UNREACHABLE);
+  }
+
+  private void end(RunEvidence evidence) {
+    if (markEnded()) {
+      listener.onNoAnswer(evidence);
+    }
+  }
+
+  private boolean markEnded() {
+    boolean first = !ended;
+    ended = true;
+    timer.cancel(false);
+    return first;
+  }
+}
