Ask an engine of a new process's first list when it started

What callers saw: a cold backend server was flooded and fell again (FAILBACK). Cause: each of 14 breaches that were traced has a restarted instance whose first list was read between an engine's return and its new entry. It shows the start before, and a new process remembers nothing of the engine, so it held it for warm and sent without a limit until the entry came. Change: for 1.5 s, by which the entry of a later start has arrived, an engine of the first list gets work at the cold rate. As soon as that turns a request away the engine is asked for its report, which states its start: the listed one ends the limit, a later one marks it cold.

--- a/core/src/main/java/org/gentianslip/core/load/Availability.java
+++ b/core/src/main/java/org/gentianslip/core/load/Availability.java
@@ -64,6 +64,8 @@
 
   private long contactConnectedNanos;
 
+  private long unconfirmedUntilNanos = Long.MIN_VALUE;
+
   /** When it was last concluded whether the backend server had started again. */
   private long settledNanos = Long.MIN_VALUE;
 
@@ -224,6 +226,19 @@
     return OptionalLong.of(nowNanos + RETURN_COLD_NANOS);
   }
 
+  /** Records that until the given time only the backend server itself can say when it started. */
+  void expectConfirmation(long untilNanos) {
+    unconfirmedUntilNanos = untilNanos;
+  }
+
+  /** Records that the backend server has said when it started, which settles all suspicions. */
+  void confirmStart(long nowNanos) {
+    unconfirmedUntilNanos = Long.MIN_VALUE;
+    recovering = false;
+    consecutiveConnectFailures = 0;
+    settledNanos = nowNanos;
+  }
+
   /** Marks the backend server as cold, unless it is already marked for longer. */
   void markColdUntil(long untilNanos) {
     coldUntilNanos = Math.max(coldUntilNanos, untilNanos);
@@ -241,7 +256,9 @@
 
   /** Returns how warm the backend server is believed to be. */
   Warmth warmth(long nowNanos) {
-    if (recovering) {
+    boolean unconfirmed =
+        unconfirmedUntilNanos != Long.MIN_VALUE && nowNanos - unconfirmedUntilNanos < 0;
+    if (recovering || unconfirmed) {
       return Warmth.UNCONFIRMED;
     }
     boolean cold = coldUntilNanos != Long.MIN_VALUE && nowNanos - coldUntilNanos < 0;
--- a/core/src/main/java/org/gentianslip/core/load/BackendLoad.java
+++ b/core/src/main/java/org/gentianslip/core/load/BackendLoad.java
@@ -264,6 +264,19 @@
     return availability.recordFailureOfOthers(nowNanos, failedNanos);
   }
 
+  /**
+   * Limits work to the rate of a cold server until the backend server has confirmed that it is
+   * still the start that is known, or until the given time, by which its entry shows a later one.
+   */
+  public synchronized void expectConfirmation(long untilNanos) {
+    availability.expectConfirmation(untilNanos);
+  }
+
+  /** Records that the backend server has said when it started, which settles all suspicions. */
+  public synchronized void confirmStart(long nowNanos) {
+    availability.confirmStart(nowNanos);
+  }
+
   synchronized void recordFullRefusal(long nowNanos) {
     pace.recordSetback(nowNanos, slots);
     availability.recordFullRefusal(nowNanos);
--- a/entry/src/main/java/org/gentianslip/entry/gateway/BackendRegistry.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/BackendRegistry.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import java.util.function.Predicate;
 import java.util.function.Supplier;
 import org.gentianslip.core.fleet.FleetView;
@@ -24,6 +25,7 @@
 import org.gentianslip.core.load.Candidates;
 import org.gentianslip.core.load.RequestSize;
 import org.gentianslip.core.load.SendRates;
+import org.gentianslip.core.load.Warmth;
 import org.gentianslip.core.published.Backend;
 import org.gentianslip.core.published.LeavingIncarnations;
 import org.gentianslip.core.published.PublishedState;
@@ -50,11 +52,19 @@
    */
   private static final long INTRODUCTION_NANOS = TimeUnit.SECONDS.toNanos(3);
 
+  /** The time by which the entry of a start has arrived, unless the publisher is disturbed. */
+  private static final long ENTRY_NANOS = TimeUnit.MILLISECONDS.toNanos(1_500);
+
   private final FleetView fleet;
   private final long createdNanos;
   private final Map<EngineId, Tracked> loads = new ConcurrentHashMap<>();
   private final LeavingIncarnations leaving = new LeavingIncarnations();
 
+  /** The engines of the first list that were not asked yet. */
+  private final Map<EngineId, Backend> unconfirmed = new ConcurrentHashMap<>();
+
+  private volatile Consumer<Backend> startCheck = backend -> {};
+
   /** The backend servers of this region that accept work, by service; replaced as a whole. */
   private volatile Map<ServiceId, BackendGroup> groups = Map.of();
 
@@ -119,6 +129,9 @@
     for (Backend b : after.backends().values()) {
       Backend previous = before.backends().get(b.id());
       boolean started = previous == null || !previous.isSameStart(b);
+      if (previous == null) {
+        expectConfirmation(nowNanos, after, b);
+      }
       boolean evacuationEnded =
           before.evacuated().contains(b.dataCentre())
               && !after.evacuated().contains(b.dataCentre());
@@ -135,6 +148,66 @@
     }
   }
 
+  /**
+   * Limits an engine of the first list of a new process until it has said when it started. The
+   * entry of a later start may be under way, and this process remembers nothing of the engine.
+   */
+  private void expectConfirmation(long nowNanos, PublishedState state, Backend backend) {
+    boolean limited =
+        profile(state, backend.service())
+            .filter(p -> p.engine().isPresent() && p.coldPerSecond() > 0)
+            .isPresent();
+    boolean comparable = config.get().isLocal(backend) && backend.startedMillis() != 0;
+    if (limited && comparable && nowNanos - createdNanos < INTRODUCTION_NANOS) {
+      loadOf(state, backend).expectConfirmation(nowNanos + ENTRY_NANOS);
+      unconfirmed.put(backend.id(), backend);
+    }
+  }
+
+  /** Asks the unconfirmed engines of a service that would get more work if they were confirmed. */
+  private void askUnconfirmed(long nowNanos, PublishedState state, ServiceId service) {
+    for (Backend b : unconfirmed.values()) {
+      boolean limited =
+          b.service().equals(service)
+              && load(b.id())
+                  .filter(l -> l.warmth(nowNanos) == Warmth.UNCONFIRMED)
+                  .filter(
+                      l ->
+                          !l.acceptsWork(
+                              nowNanos, () -> coldPerSecond(nowNanos, state, service, b.id())))
+                  .isPresent();
+      if (limited && unconfirmed.remove(b.id(), b)) {
+        startCheck.accept(b);
+      }
+    }
+    if (nowNanos - createdNanos >= INTRODUCTION_NANOS + ENTRY_NANOS) {
+      unconfirmed.clear();
+    }
+  }
+
+  /** Sets what asks an engine when it started. */
+  void setStartCheck(Consumer<Backend> check) {
+    startCheck = check;
+  }
+
+  /**
+   * Records when a backend server says that it started.
+   *
+   * @param asked the backend server as it was published when it was asked
+   */
+  void recordStart(long nowNanos, PublishedState state, Backend asked, long startedMillis) {
+    Tracked tracked = loads.get(asked.id());
+    if (tracked == null || !tracked.backend().isSameStart(asked)) {
+      return;
+    }
+    tracked.load().confirmStart(nowNanos);
+    if (startedMillis != asked.startedMillis()) {
+      long warmUpMillis =
+          profile(state, asked.service()).map(ServiceProfile::warmUpMillis).orElse(0L);
+      tracked.load().markColdUntil(nowNanos + TimeUnit.MILLISECONDS.toNanos(warmUpMillis));
+    }
+  }
+
   static Optional<ServiceProfile> profile(PublishedState state, ServiceId service) {
     return state.routes().flatMap(r -> r.service(service));
   }
@@ -177,6 +250,9 @@
       Predicate<EngineId> usable,
       RequestSize size,
       List<EngineId> holders) {
+    if (!unconfirmed.isEmpty()) {
+      askUnconfirmed(nowNanos, state, service);
+    }
     return groups
         .getOrDefault(service, BackendGroup.EMPTY)
         .candidates(
--- a/entry/src/main/java/org/gentianslip/entry/gateway/GatewayServer.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/GatewayServer.java
@@ -1,6 +1,7 @@
 package org.gentianslip.entry.gateway;
 
 import com.google.common.flogger.FluentLogger;
+import io.netty.channel.EventLoop;
 import io.netty.channel.nio.NioEventLoopGroup;
 import io.netty.util.concurrent.DefaultThreadFactory;
 import java.util.concurrent.CountDownLatch;
@@ -9,6 +10,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.gentianslip.core.membership.PauseDetector;
+import org.gentianslip.core.published.Backend;
 import org.gentianslip.core.quarantine.QuarantineChange;
 import org.gentianslip.core.quarantine.Verdict;
 import org.gentianslip.core.route.CallerLimits;
@@ -76,6 +78,7 @@
         () -> state.published().routes().map(RouteTable::regionConflictCount).orElse(0L));
     metrics.registerConfigurationAge(() -> state.knowledge().ageSeconds(Clocks.read()));
     this.onPause = onPause;
+    state.setStartCheck(this::askStart);
     this.callerServer =
         new CallerServer(
             eventLoops,
@@ -92,6 +95,11 @@
             gateway::handleForwardedRequest);
   }
 
+  private void askStart(Backend backend) {
+    EventLoop loop = eventLoops.next();
+    loop.execute(() -> StartQuery.start(gateway, loop, backend));
+  }
+
   private CallerLimits limits() {
     return state.published().routes().map(RouteTable::limits).orElse(CallerLimits.DEFAULT);
   }
--- a/entry/src/main/java/org/gentianslip/entry/gateway/GatewayState.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/GatewayState.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.Consumer;
 import java.util.function.Predicate;
 import org.gentianslip.core.customer.FormerKeys;
 import org.gentianslip.core.fleet.FleetView;
@@ -174,6 +175,16 @@
     PublishedStateLog.logChanges(before, after);
   }
 
+  /** Sets what asks an engine when it started. */
+  void setStartCheck(Consumer<Backend> check) {
+    backends.setStartCheck(check);
+  }
+
+  /** Records when a backend server says that it started, in Unix milliseconds. */
+  void recordStart(long nowNanos, Backend asked, long startedMillis) {
+    backends.recordStart(nowNanos, published.get(), asked, startedMillis);
+  }
+
   /** Records that a backend server has said that it is leaving. */
   void markLeaving(Backend backend) {
     backends.markLeaving(published.get(), backend);
--- a/entry/src/test/java/org/gentianslip/entry/gateway/BackendRegistryTest.java
+++ b/entry/src/test/java/org/gentianslip/entry/gateway/BackendRegistryTest.java
@@ -2,8 +2,10 @@
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThan;
 import static org.hamcrest.Matchers.sameInstance;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -110,6 +112,73 @@
     }
   }
 
+  @Nested
+  @DisplayName("of a new process")
+  class NewProcess {
+
+    private static final int ALLOWED_PER_SECOND = 17;
+
+    private final List<Backend> asked = new ArrayList<>();
+    private final PublishedState listed = withStart(1_000, 0);
+    private final BackendRegistry started =
+        new BackendRegistry(() -> config, new GatewayState(config, 1).fleet(), 0);
+
+    @BeforeEach
+    void publish() {
+      started.setStartCheck(asked::add);
+      started.applyPublished(0, PublishedState.NONE, listed);
+    }
+
+    private Warmth warmth(long nowNanos) {
+      return started.load(ENGINE).orElseThrow().warmth(nowNanos);
+    }
+
+    private Backend onlyBackend() {
+      return listed.backends().get(ENGINE);
+    }
+
+    @Test
+    void sendsAtTheColdRate() {
+      assertThat(warmth(1), is(Warmth.UNCONFIRMED));
+    }
+
+    @Test
+    void asksAnEngineThatWouldGetMoreWorkWhenItStarted() {
+      for (int i = 0; asked.isEmpty(); i++) {
+        Candidates found = started.candidates(1, listed, FARM, id -> true, PROMPT, List.of());
+        found
+            .options()
+            .forEach(
+                o ->
+                    o.load()
+                        .reserve(
+                            1,
+                            false,
+                            PROMPT,
+                            o.load().estimate(1, false, PROMPT, Optional.empty())));
+        assertThat(i, is(lessThan(ALLOWED_PER_SECOND)));
+      }
+      assertThat(asked, is(List.of(onlyBackend())));
+    }
+
+    @Test
+    void trustsAnEngineThatHasNotStartedAgain() {
+      started.recordStart(1, listed, onlyBackend(), 1_000);
+      assertThat(warmth(2), is(Warmth.WARM));
+    }
+
+    @Test
+    void marksAnEngineColdThatHasStartedSince() {
+      started.recordStart(1, listed, onlyBackend(), 2_000);
+      assertThat(warmth(COLD_NANOS), is(Warmth.COLD));
+    }
+
+    @Test
+    void trustsTheListOnceTheEntryOfLaterStartsHasArrived() {
+      assertThat(warmth(COLD_NANOS / 2), is(Warmth.WARM));
+    }
+  }
+
   @Test
   void keepsTheLoadObjectIfTheServiceIsUnchanged() {
     registry.applyPublished(0, PublishedState.NONE, withService());
--- a/entry/src/test/java/org/gentianslip/entry/gateway/NoReports.java
+++ b/entry/src/test/java/org/gentianslip/entry/gateway/NoReports.java
@@ -1,6 +1,7 @@
 package org.gentianslip.entry.gateway;
 
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 
 /** The call of engines that report nothing. */
@@ -15,4 +16,9 @@
   public Optional<Set<String>> runs(int status, byte[] body) {
     return Optional.empty();
   }
+
+  @Override
+  public OptionalLong startedMillis(int status, byte[] body) {
+    return OptionalLong.empty();
+  }
 }
