Log a suspected restart without the connection of a failed write

A request whose write on a kept connection failed inside the call that sends it got no end before its deadline. Cause: the log line of a suspected restart read the age of the connection from an exchange that the attempt did not have yet; the exception was swallowed. Change: the line has the time since the server was last heard instead.

--- a/entry/src/main/java/org/gentianslip/entry/gateway/BackendAttempt.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/BackendAttempt.java
@@ -123,13 +123,14 @@
   }
 
   private void suspectRestart(long nowNanos, String cause) {
+    long heard = Math.max(writtenNanos, lastReceivedNanos());
     if (decision.option().load().suspectRestart(nowNanos)) {
       LOGGER.atInfo().log(
-          "gateway: event=restart-suspected backend=%s started=%s cause=%s connection-age=%s",
+          "gateway: event=restart-suspected backend=%s started=%s cause=%s heard-age=%s",
           backend.id(),
           backend.startedMillis(),
           cause,
-          TimeUnit.NANOSECONDS.toMillis(nowNanos - connectedNanos()));
+          TimeUnit.NANOSECONDS.toMillis(nowNanos - heard));
     }
   }
 
--- a/entry/src/test/java/org/gentianslip/entry/gateway/ServerFixture.java
+++ b/entry/src/test/java/org/gentianslip/entry/gateway/ServerFixture.java
@@ -50,6 +50,7 @@
   private final List<Long> receivedDeadlines = new CopyOnWriteArrayList<>();
   private final EdgeHeaders headers;
   private HttpServer backend;
+  private GatewayState state;
   private GatewayServer server;
   private int port;
 
@@ -121,7 +122,12 @@
     exchange.close();
   }
 
-  private PublishedState published() {
+  /** Publishes the backend server at another address. */
+  void publishAt(String address) {
+    state.applyPublished(System.nanoTime(), published(address));
+  }
+
+  private PublishedState published(String address) {
     var route =
         new Route(
             "r",
@@ -137,7 +143,6 @@
             Set.of());
     var service = new ServiceProfile(DESK, 1_000, 0, 1_000, Optional.empty());
     var routes = RouteTable.of(1, List.of(route), List.of(service), CallerLimits.DEFAULT);
-    String address = HOST + ":" + backend.getAddress().getPort();
     var desk = new Backend(BACKEND, DESK, address, CENTRE, 1_000, false, 0, 0);
     return new PublishedState(
         Revision.of(1, 1), Optional.of(routes), Map.of(BACKEND, desk), Set.of());
@@ -163,8 +168,8 @@
             List.of(),
             100,
             new GatewayBounds(0.2, 56, 10_000, 1.5, 3, 8_000));
-    var state = new GatewayState(config, 1);
-    state.applyPublished(System.nanoTime(), published());
+    state = new GatewayState(config, 1);
+    publishAt(HOST + ":" + backend.getAddress().getPort());
     server = new GatewayServer(state, headers, new NoReports(), () -> {});
     server.start();
   }
