Judge a suspected restart from when the server was last heard

Cause: the time of a failure was the time at which it was noticed. A connection that was established after the return of a server, but before a connect timeout or a silence was noticed, counted as older, and its answer refuted the restart. A failure that was told to a neighbour and back came back younger by the time of the messages, and was judged again. Change: a failed connection counts from its beginning, a broken or silent exchange from the last part that was heard. A failure that is told within 1 s of the known one is the same. An attempt that this instance gives up itself is no sign.

--- a/core/src/main/java/org/gentianslip/core/load/Availability.java
+++ b/core/src/main/java/org/gentianslip/core/load/Availability.java
@@ -11,9 +11,9 @@
  * Whether one start of a backend server may be sent work: not while it is backed off or pauses, and
  * at a limited rate just after a pause, and while it is cold or may have started again unnoticed.
  *
- * <p>It may have started again since a connection failed, an exchange broke or all connections fell
- * silent. An answer on a connection that is older than the first of these refutes that; after any
- * other answer it counts as cold. Not thread-safe.
+ * <p>It may have started again since a connection failed, an exchange broke or fell silent. An
+ * answer on a connection from before the first of these refutes that, and so may its own word;
+ * after a success on any other connection it counts as cold. Not thread-safe.
  */
 final class Availability {
 
@@ -41,6 +41,9 @@
   /** How long after a failure reports of others may still be from before it. */
   private static final long REPORT_NANOS = TimeUnit.SECONDS.toNanos(1);
 
+  /** The difference of the times at which one failure is told, as messages take time. */
+  private static final long SAME_FAILURE_NANOS = TimeUnit.SECONDS.toNanos(1);
+
   private static final long RATE_NANOS = TimeUnit.SECONDS.toNanos(1);
 
   private final Deque<Long> sends;
@@ -51,7 +54,7 @@
   private int sentAfterPause;
   private boolean recovering;
 
-  /** When it may first have started again; defined while recovering. */
+  /** The time since which it may have started again; defined while recovering. */
   private long suspectedNanos;
 
   private long unreachableNanos;
@@ -66,6 +69,9 @@
 
   private long unconfirmedUntilNanos = Long.MIN_VALUE;
 
+  /** Whether work was turned away since it may have started again, or since it was asked. */
+  private boolean limitedUnconfirmed;
+
   /** When it was last concluded whether the backend server had started again. */
   private long settledNanos = Long.MIN_VALUE;
 
@@ -131,13 +137,17 @@
     consecutiveConnectFailures = 0;
   }
 
-  /** Blocks new work for a time that doubles with each failed connection in a row. */
-  void recordUnreachable(long nowNanos) {
+  /**
+   * Blocks new work for a time that doubles with each failed connection in a row.
+   *
+   * @param begunNanos when the connection was begun
+   */
+  void recordUnreachable(long nowNanos, long begunNanos) {
     long backoffNanos = INITIAL_BACKOFF_NANOS << Math.min(consecutiveConnectFailures, 3);
     consecutiveConnectFailures++;
     backoffUntilNanos = nowNanos + Math.min(backoffNanos, MAX_BACKOFF_NANOS);
-    failedNanos = nowNanos;
-    suspectRestart(nowNanos);
+    failedNanos = begunNanos;
+    suspectRestart(nowNanos, begunNanos);
   }
 
   /** Returns when a connection last failed, while the backend server may have started again. */
@@ -148,20 +158,19 @@
   }
 
   /**
-   * Records a failed connection of another instance, unless a later answer has settled already what
-   * it points to.
+   * Records a failed connection of another instance, unless it is known or a later answer has
+   * settled what it points to.
    *
+   * @param heardNanos when it was begun, a little later if the message took time
    * @return whether nothing had pointed to a restart before
    */
   boolean recordFailureOfOthers(long nowNanos, long heardNanos) {
-    boolean known = failedNanos != Long.MIN_VALUE && heardNanos - failedNanos <= 0;
+    boolean known = failedNanos != Long.MIN_VALUE && heardNanos - failedNanos <= SAME_FAILURE_NANOS;
     if (known || isSettled(heardNanos)) {
       return false;
     }
     failedNanos = heardNanos;
-    boolean first = suspectRestart(nowNanos);
-    suspectedNanos = first ? heardNanos : suspectedNanos;
-    return first;
+    return suspectRestart(nowNanos, heardNanos);
   }
 
   /** Returns whether it is known already if the backend server started again at a given time. */
@@ -177,12 +186,13 @@
   /**
    * Records that the backend server may have started again.
    *
+   * @param sinceNanos the time since which it may have
    * @return whether nothing had pointed to that before
    */
-  boolean suspectRestart(long nowNanos) {
+  boolean suspectRestart(long nowNanos, long sinceNanos) {
     boolean first = !recovering;
-    if (first) {
-      suspectedNanos = nowNanos;
+    if (first || sinceNanos - suspectedNanos < 0) {
+      suspectedNanos = sinceNanos;
     }
     recovering = true;
     unreachableNanos = nowNanos;
@@ -288,7 +298,16 @@
     }
     dropOldSends(nowNanos);
     boolean leftByOthers = recovering && nowNanos - unreachableNanos >= RECOVERY_NANOS;
-    return sends.size() < (leftByOthers ? Math.max(1, limit) : limit);
+    boolean accepts = sends.size() < (leftByOthers ? Math.max(1, limit) : limit);
+    limitedUnconfirmed |= !accepts && warmth(nowNanos) == Warmth.UNCONFIRMED;
+    return accepts;
+  }
+
+  /** Returns whether work was turned away that its own word on its start might allow, once. */
+  boolean pollLimitedUnconfirmed(long nowNanos) {
+    boolean limited = limitedUnconfirmed && warmth(nowNanos) == Warmth.UNCONFIRMED;
+    limitedUnconfirmed = false;
+    return limited;
   }
 
   private void dropOldSends(long nowNanos) {
--- a/core/src/main/java/org/gentianslip/core/load/BackendLoad.java
+++ b/core/src/main/java/org/gentianslip/core/load/BackendLoad.java
@@ -219,9 +219,13 @@
     failureShare += 2 * SMOOTHING_FACTOR * (1 - failureShare);
   }
 
-  /** Blocks new work for a time that doubles with each failed connection in a row. */
-  synchronized void recordUnreachable(long nowNanos) {
-    availability.recordUnreachable(nowNanos);
+  /**
+   * Blocks new work for a time that doubles with each failed connection in a row.
+   *
+   * @param begunNanos when the connection was begun
+   */
+  synchronized void recordUnreachable(long nowNanos, long begunNanos) {
+    availability.recordUnreachable(nowNanos, begunNanos);
     cache.clear();
   }
 
@@ -229,10 +233,11 @@
    * Records that an exchange broke or fell silent, so that the backend server may have started
    * again. It gets work at the rate of a cold one until it has answered.
    *
+   * @param heardNanos when it was last heard in that exchange, or when the request was sent
    * @return whether nothing had pointed to a restart before
    */
-  public synchronized boolean suspectRestart(long nowNanos) {
-    return availability.suspectRestart(nowNanos);
+  public synchronized boolean suspectRestart(long nowNanos, long heardNanos) {
+    return availability.suspectRestart(nowNanos, heardNanos);
   }
 
   /**
@@ -272,6 +277,14 @@
     availability.expectConfirmation(untilNanos);
   }
 
+  /**
+   * Returns whether work was turned away that the server's own word on its start might allow, once
+   * for each time.
+   */
+  public synchronized boolean pollLimitedUnconfirmed(long nowNanos) {
+    return availability.pollLimitedUnconfirmed(nowNanos);
+  }
+
   /** Records that the backend server has said when it started, which settles all suspicions. */
   public synchronized void confirmStart(long nowNanos) {
     availability.confirmStart(nowNanos);
--- a/core/src/main/java/org/gentianslip/core/load/Reservation.java
+++ b/core/src/main/java/org/gentianslip/core/load/Reservation.java
@@ -67,7 +67,7 @@
 
   /** Records that the backend server could not be connected to. */
   public void unreachable(long nowNanos) {
-    end(() -> load.recordUnreachable(nowNanos));
+    end(() -> load.recordUnreachable(nowNanos, sentNanos));
   }
 
   /** Records that the backend server refused the request because it is full. */
--- a/core/src/test/java/org/gentianslip/core/load/BackendGroupTest.java
+++ b/core/src/test/java/org/gentianslip/core/load/BackendGroupTest.java
@@ -100,7 +100,7 @@
     @Test
     void omitsMembersThatAcceptNoWork() {
       List<BackendGroup.Member> members = members(2);
-      members.get(0).load().recordUnreachable(0);
+      members.get(0).load().recordUnreachable(0, 0);
       assertThat(
           ids(candidates(BackendGroup.of(members), ANY, prompt("p"), List.of())),
           is(Set.of(EngineId.of("e1"))));
--- a/core/src/test/java/org/gentianslip/core/load/BackendLoadTest.java
+++ b/core/src/test/java/org/gentianslip/core/load/BackendLoadTest.java
@@ -228,6 +228,70 @@
     }
   }
 
+  @Nested
+  @DisplayName("that returned before a failure was noticed")
+  class ReturnedBeforeNotice {
+
+    private static final long MILLI = 1_000_000L;
+
+    /** An answer on a connection that was established after the return of the backend server. */
+    private Warmth warmthAfterAnswerOfReturned() {
+      load.recordContact(1_400 * MILLI, 1_200 * MILLI);
+      return load.warmth(1_400 * MILLI);
+    }
+
+    @Test
+    void isNotTakenForTheFormerStartAfterConnectTimeout() {
+      Reservation connecting = reserve(950 * MILLI);
+      connecting.unreachable(1_300 * MILLI);
+      assertThat(warmthAfterAnswerOfReturned(), is(Warmth.UNCONFIRMED));
+    }
+
+    @Test
+    void isNotTakenForTheFormerStartAfterSilence() {
+      Reservation silent = reserve(950 * MILLI);
+      silent.failed(1_300 * MILLI);
+      load.suspectRestart(1_300 * MILLI, 950 * MILLI);
+      assertThat(warmthAfterAnswerOfReturned(), is(Warmth.UNCONFIRMED));
+    }
+  }
+
+  @Nested
+  @DisplayName("whose failure is told back by the instance that was told")
+  class ToldBack {
+
+    private static final long MILLI = 1_000_000L;
+    private static final long DELAY = 5 * MILLI;
+
+    private final BackendLoad other = new BackendLoad(6, null);
+
+    private void tell(long now, BackendLoad from, BackendLoad to) {
+      from.failedNanos()
+          .ifPresent(f -> to.recordFailureOfOthers(now + DELAY, now + DELAY - (now - f)));
+    }
+
+    @Test
+    void keepsTheTimeOfItsFailure() {
+      reserve(SECOND).unreachable(SECOND);
+      for (long now = SECOND + 50 * MILLI; now < 2 * SECOND; now += 100 * MILLI) {
+        tell(now, load, other);
+        tell(now + 50 * MILLI, other, load);
+      }
+      assertThat(load.failedNanos(), is(OptionalLong.of(SECOND)));
+    }
+
+    @Test
+    void isJudgedOnceAlthoughMessagesTakeTime() {
+      reserve(SECOND).unreachable(SECOND);
+      tell(SECOND + MILLI, load, other);
+      load.recordContact(SECOND + 2 * MILLI, SECOND + MILLI);
+      reserve(SECOND + MILLI).succeeded(SECOND + 2 * MILLI);
+      assertThat(load.pollRecovered(), is(true));
+      tell(SECOND + 10 * MILLI, other, load);
+      assertThat(load.warmth(SECOND + 20 * MILLI), is(Warmth.WARM));
+    }
+  }
+
   @Nested
   @DisplayName("that is cold")
   class Cold {
--- a/core/src/test/java/org/gentianslip/core/load/FloodedColdServerTest.java
+++ b/core/src/test/java/org/gentianslip/core/load/FloodedColdServerTest.java
@@ -48,7 +48,7 @@
     long now = nanos(millis);
     if (millis == RETURN_MILLIS) {
       silent.get(instance).forEach(r -> r.failed(now));
-      silent.get(instance).forEach(r -> load.suspectRestart(now));
+      silent.get(instance).forEach(r -> load.suspectRestart(now, nanos(DARK_MILLIS)));
     }
     if (!load.acceptsWork(now, () -> ALLOWED_PER_SECOND / INSTANCES)) {
       return;
--- a/entry/src/main/java/org/gentianslip/entry/gateway/Attempt.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/Attempt.java
@@ -38,6 +38,7 @@
   private final BufferShare buffered;
   private int headBytes;
   private long bufferedBytes;
+  private boolean givenUp;
   private boolean ended;
 
   Attempt(RequestExecution execution) {
@@ -157,11 +158,16 @@
     return lastReceivedNanos;
   }
 
-  /** Returns when the connection was established on which the response arrives. */
+  /** Returns when the connection was established on which a part of the response arrived. */
   long connectedNanos() {
     return exchange.connectedNanos();
   }
 
+  /** Returns whether this instance has given the attempt up, whatever its target does. */
+  boolean givenUp() {
+    return givenUp;
+  }
+
   /** Returns whether any byte of the request may have been written. */
   boolean mayHaveBeenWritten() {
     return exchange != null && exchange.written();
@@ -236,6 +242,7 @@
       return true;
     }
     exchange.cancel();
+    givenUp = true;
     onFailure(true, "more than " + bufferedBytes + " bytes would be buffered");
     return false;
   }
--- a/entry/src/main/java/org/gentianslip/entry/gateway/BackendAttempt.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/BackendAttempt.java
@@ -86,7 +86,9 @@
   @Override
   void recordFailure(long nowNanos, String cause) {
     reservation.failed(nowNanos);
-    suspectRestart(nowNanos, "broken");
+    if (!givenUp()) {
+      suspectRestart(nowNanos, "broken");
+    }
     if (receivedEvents() <= MAX_EVENTS_OF_CRASH) {
       reportCrashIfDown(nowNanos);
     }
@@ -124,7 +126,7 @@
 
   private void suspectRestart(long nowNanos, String cause) {
     long heard = Math.max(writtenNanos, lastReceivedNanos());
-    if (decision.option().load().suspectRestart(nowNanos)) {
+    if (decision.option().load().suspectRestart(nowNanos, heard)) {
       LOGGER.atInfo().log(
           "gateway: event=restart-suspected backend=%s started=%s cause=%s heard-age=%s",
           backend.id(),
