Ask each engine that may have restarted when it started, where that limits work

Cause: only engines of a new process's first list were asked. After a broken or silent exchange, or a failure that a neighbour told, an engine got work at the cold rate until its next success and then for its whole time to warm up, and an instance whose share of that rate is 0 sent it nothing for seconds. A failure told by a neighbour that did not know of a later start yet also made that later start suspect.

--- a/entry/src/main/java/org/gentianslip/entry/fleet/FleetMessage.java
+++ b/entry/src/main/java/org/gentianslip/entry/fleet/FleetMessage.java
@@ -62,9 +62,8 @@
  *     milliseconds; null if it is unknown, and in messages of earlier processes
  * @param origins where streams began; null if there is nothing to tell, and in messages of earlier
  *     versions
- * @param failures the time since a connection to a backend server of the region last failed, in
- *     milliseconds by id, of those that may have started again; null in messages of earlier
- *     versions
+ * @param failures the last failed connections to backend servers of the region that may have
+ *     started again, by id; null in messages of earlier versions
  */
 record FleetMessage(
     Instance self,
@@ -88,7 +87,7 @@
     Map<String, JsonNode> usage,
     JsonNode confirmedAge,
     @JsonInclude(JsonInclude.Include.NON_NULL) OriginReport origins,
-    @JsonInclude(JsonInclude.Include.NON_EMPTY) Map<String, Long> failures) {
+    @JsonInclude(JsonInclude.Include.NON_EMPTY) Map<String, Failure> failures) {
 
   private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
 
@@ -346,6 +345,16 @@
     }
   }
 
+  /**
+   * A failed connection to a backend server, with an age because the clocks of instances differ.
+   *
+   * @param age the time since the connection was begun, in milliseconds
+   * @param started when the start of the backend server began that the sender knows, in Unix
+   *     milliseconds, or 0 if unknown
+   */
+  @JsonFormat(shape = JsonFormat.Shape.ARRAY)
+  record Failure(long age, long started) {}
+
   /**
    * The JSON form of a {@link CrashReport}, with ages because the clocks of instances differ.
    *
--- a/entry/src/main/java/org/gentianslip/entry/fleet/FleetMessages.java
+++ b/entry/src/main/java/org/gentianslip/entry/fleet/FleetMessages.java
@@ -22,6 +22,7 @@
 import org.gentianslip.core.load.BackendLoad;
 import org.gentianslip.core.load.LoadSource;
 import org.gentianslip.core.load.PeerLoad;
+import org.gentianslip.core.published.Backend;
 import org.gentianslip.core.published.Revision;
 import org.gentianslip.core.quarantine.EvidenceBatch;
 import org.gentianslip.core.quarantine.PromptQuarantine;
@@ -186,7 +187,7 @@
       Map<String, FleetMessage.Limit> limits,
       Map<String, JsonNode> usage,
       OriginReport origins,
-      Map<String, Long> failures) {
+      Map<String, FleetMessage.Failure> failures) {
     // Read before the version in force, which is then at least as recent as was confirmed.
     OptionalLong confirmedAge = state.knowledge().ageMillis(Clocks.read());
     Revision published = updater.revision();
@@ -259,33 +260,47 @@
     return limits;
   }
 
-  /** Returns the time since a connection failed, for backend servers that may have restarted. */
-  private static Map<String, Long> failures(long nowNanos, Map<EngineId, BackendLoad> backends) {
-    Map<String, Long> failures = new HashMap<>();
+  /** Returns the last failed connections to backend servers that may have started again. */
+  private Map<String, FleetMessage.Failure> failures(
+      long nowNanos, Map<EngineId, BackendLoad> backends) {
+    Map<String, FleetMessage.Failure> failures = new HashMap<>();
     backends.forEach(
         (id, load) ->
             load.failedNanos().stream()
                 .map(failed -> nowNanos - failed)
                 .filter(age -> age < FAILURE_SHARED_NANOS)
                 .map(TimeUnit.NANOSECONDS::toMillis)
-                .forEach(age -> failures.put(id.value(), age)));
+                .forEach(
+                    age -> failures.put(id.value(), new FleetMessage.Failure(age, startOf(id)))));
     return failures;
   }
 
-  private void applyFailures(long nowNanos, PeerRecord peer, Map<String, Long> failures) {
-    if (!peer.region().equals(state.config().region())) {
+  private long startOf(EngineId id) {
+    Backend published = state.published().backends().get(id);
+    return published == null ? 0 : published.startedMillis();
+  }
+
+  private void applyFailures(
+      long nowNanos, PeerRecord peer, Map<String, FleetMessage.Failure> failures) {
+    if (failures.isEmpty() || !peer.region().equals(state.config().region())) {
       return;
     }
-    Map<EngineId, BackendLoad> loads = failures.isEmpty() ? Map.of() : state.loads();
-    failures.forEach(
-        (id, age) -> {
-          BackendLoad load = loads.get(EngineId.of(id));
-          long failedNanos = nowNanos - TimeUnit.MILLISECONDS.toNanos(Math.max(0, age));
-          if (load != null && load.recordFailureOfOthers(nowNanos, failedNanos)) {
-            LOGGER.atInfo().log(
-                "fleet: event=restart-suspected backend=%s from=%s age=%s", id, peer.id(), age);
-          }
-        });
+    failures.forEach((id, failure) -> applyFailure(nowNanos, peer, EngineId.of(id), failure));
+  }
+
+  private void applyFailure(
+      long nowNanos, PeerRecord peer, EngineId id, FleetMessage.Failure failure) {
+    Optional<BackendLoad> load = state.load(id);
+    boolean ofEarlierStart = failure.started() < startOf(id);
+    if (load.isEmpty() || ofEarlierStart || failure.age() < 0) {
+      return;
+    }
+    long failedNanos = nowNanos - TimeUnit.MILLISECONDS.toNanos(failure.age());
+    if (load.get().recordFailureOfOthers(nowNanos, failedNanos)) {
+      LOGGER.atInfo().log(
+          "fleet: event=restart-suspected backend=%s started=%s from=%s age=%s",
+          id, startOf(id), peer.id(), failure.age());
+    }
   }
 
   private static PeerLoad load(
--- a/entry/src/main/java/org/gentianslip/entry/gateway/BackendRegistry.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/BackendRegistry.java
@@ -25,7 +25,6 @@
 import org.gentianslip.core.load.Candidates;
 import org.gentianslip.core.load.RequestSize;
 import org.gentianslip.core.load.SendRates;
-import org.gentianslip.core.load.Warmth;
 import org.gentianslip.core.published.Backend;
 import org.gentianslip.core.published.LeavingIncarnations;
 import org.gentianslip.core.published.PublishedState;
@@ -52,6 +51,10 @@
    */
   private static final long INTRODUCTION_NANOS = TimeUnit.SECONDS.toNanos(3);
 
+  /** The maximum time from asking an engine when it started to the end of the call. */
+  private static final long START_QUERY_NANOS =
+      TimeUnit.MILLISECONDS.toNanos(ReportCall.TIMEOUT_MILLIS);
+
   /** The time by which the entry of a start has arrived, unless the publisher is disturbed. */
   private static final long ENTRY_NANOS = TimeUnit.MILLISECONDS.toNanos(1_500);
 
@@ -60,9 +63,6 @@
   private final Map<EngineId, Tracked> loads = new ConcurrentHashMap<>();
   private final LeavingIncarnations leaving = new LeavingIncarnations();
 
-  /** The engines of the first list that were not asked yet. */
-  private final Map<EngineId, Backend> unconfirmed = new ConcurrentHashMap<>();
-
   private volatile Consumer<Backend> startCheck = backend -> {};
 
   /** The backend servers of this region that accept work, by service; replaced as a whole. */
@@ -77,6 +77,9 @@
   private record Tracked(Backend backend, BackendLoad load) {
 
     Tracked with(Backend next, EngineProfile engine) {
+      if (next.startedMillis() == 0) {
+        return new Tracked(backend, load.withProfile(engine));
+      }
       return backend.isSameStart(next)
           ? new Tracked(next, load.withProfile(engine))
           : new Tracked(next, load.ofNextStart(next.slots(), engine));
@@ -160,29 +163,20 @@
     boolean comparable = config.get().isLocal(backend) && backend.startedMillis() != 0;
     if (limited && comparable && nowNanos - createdNanos < INTRODUCTION_NANOS) {
       loadOf(state, backend).expectConfirmation(nowNanos + ENTRY_NANOS);
-      unconfirmed.put(backend.id(), backend);
     }
   }
 
-  /** Asks the unconfirmed engines of a service that would get more work if they were confirmed. */
-  private void askUnconfirmed(long nowNanos, PublishedState state, ServiceId service) {
-    for (Backend b : unconfirmed.values()) {
-      boolean limited =
-          b.service().equals(service)
-              && load(b.id())
-                  .filter(l -> l.warmth(nowNanos) == Warmth.UNCONFIRMED)
-                  .filter(
-                      l ->
-                          !l.acceptsWork(
-                              nowNanos, () -> coldPerSecond(nowNanos, state, service, b.id())))
-                  .isPresent();
-      if (limited && unconfirmed.remove(b.id(), b)) {
-        startCheck.accept(b);
+  /**
+   * Asks the engines when they started that may have started again and would get more work if they
+   * had not. Must be called periodically.
+   */
+  void askUnconfirmed(long nowNanos) {
+    for (Tracked t : loads.values()) {
+      boolean limited = t.load().pollLimitedUnconfirmed(nowNanos);
+      if (limited && t.backend().startedMillis() != 0) {
+        startCheck.accept(t.backend());
       }
     }
-    if (nowNanos - createdNanos >= INTRODUCTION_NANOS + ENTRY_NANOS) {
-      unconfirmed.clear();
-    }
   }
 
   /** Sets what asks an engine when it started. */
@@ -190,6 +184,14 @@
     startCheck = check;
   }
 
+  /** Records that an engine that was asked when it started could not be reached. */
+  void recordUnanswered(long nowNanos, Backend asked) {
+    Tracked tracked = loads.get(asked.id());
+    if (tracked != null && tracked.backend().isSameStart(asked)) {
+      tracked.load().suspectRestart(nowNanos, nowNanos - START_QUERY_NANOS);
+    }
+  }
+
   /**
    * Records when a backend server says that it started.
    *
@@ -250,9 +252,6 @@
       Predicate<EngineId> usable,
       RequestSize size,
       List<EngineId> holders) {
-    if (!unconfirmed.isEmpty()) {
-      askUnconfirmed(nowNanos, state, service);
-    }
     return groups
         .getOrDefault(service, BackendGroup.EMPTY)
         .candidates(
--- a/entry/src/main/java/org/gentianslip/entry/gateway/GatewayServer.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/GatewayServer.java
@@ -127,6 +127,7 @@
         onPause.run();
       }
       state.processor().updateCapacity(now);
+      state.askUnconfirmed(now);
       gateway.closeExpired();
       state.quarantine().update(now).forEach(GatewayServer::log);
     } catch (RuntimeException e) {
--- a/entry/src/main/java/org/gentianslip/entry/gateway/StartQuery.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/StartQuery.java
@@ -40,8 +40,7 @@
   public void onNoAnswer(RunEvidence evidence) {
     log(evidence.name());
     if (evidence == RunEvidence.UNREACHABLE) {
-      long now = System.nanoTime();
-      gateway.state().load(backend.id()).ifPresent(l -> l.recordFailureOfOthers(now, now));
+      gateway.state().recordUnanswered(System.nanoTime(), backend);
     }
   }
 
