Take a stream up at the only version only after reading the store

Callers got streams with events of two versions (reported from other systems): during a release an instance that was cut off from the store, or stood still, took a stream up that had begun at a server of the new version elsewhere, and went on at one of the old version.

Cause: the rule took the age of the published state, up to 5 s, for proof that there is no other version. A server can join, begin a stream and lose it in far less. The age was also dated by when the response of a watch was handled, not by when the call began, so that after a pause of the process an old response counted as a new one; a pause that ended between the last response and the take-up was seen by nothing.

Ruled out: a shorter bound on the age. In the steady state a watch waits for 4 s (2 s at a relay), and the list is dated up to two calls back, so that a bound below that refuses sound take-ups, and one above it permits the fault. The answer of an engine names the version of its weights, not of its software, and not its start; it can't be asked before the first event.

Change: a stream that is taken up began before its request was received, at a server that was published before. An unknown stream is therefore taken up at the only version only if a call to the store that began after the receipt has returned and its changes are applied. If the watch has not done so, the request waits for one read, which is shared by those that come before it begins (20 a second at most) and goes beside the watch on a connection of its own. Only the order of events within the process counts, no clock. If the store does not respond within 1 s, or the last call to it failed, the request is refused as not run.

TakeUpRuleTest replaces the test of the age by one of the order, which is stricter.

--- a/core/src/main/java/org/gentianslip/core/stream/TakeUp.java
+++ b/core/src/main/java/org/gentianslip/core/stream/TakeUp.java
@@ -16,6 +16,13 @@
    */
   record AtVersion(SoftwareVersion version, Reason reason) implements TakeUp {}
 
+  /**
+   * The stream began at the only version that the service has had, unless a change that is not
+   * known yet says otherwise. The request must not run before all changes are known that were
+   * published before it was received.
+   */
+  record Unconfirmed() implements TakeUp {}
+
   /** The version at which the stream began is not known, so the request must not run. */
   record Unknown() implements TakeUp {}
 
--- a/core/src/main/java/org/gentianslip/core/stream/TakeUpClaim.java
+++ b/core/src/main/java/org/gentianslip/core/stream/TakeUpClaim.java
@@ -14,6 +14,7 @@
  * @param resumed the ids of attempts that the request names, as they were received
  * @param service the service that serves the request
  * @param streamNanos how long a stream of its route may last, in nanoseconds
+ * @param receivedNanos when the request was received, in nanoseconds of the monotonic clock
  */
 public record TakeUpClaim(
     boolean takesUp,
@@ -21,7 +22,8 @@
     Optional<SoftwareVersion> statedVersion,
     List<String> resumed,
     ServiceId service,
-    long streamNanos) {
+    long streamNanos,
+    long receivedNanos) {
 
   /** Copies the ids. */
   public TakeUpClaim {
--- a/core/src/main/java/org/gentianslip/core/stream/TakeUpRule.java
+++ b/core/src/main/java/org/gentianslip/core/stream/TakeUpRule.java
@@ -7,12 +7,16 @@
 /**
  * Decides at which version of the software of backend servers a request may go on with a stream.
  *
+ * <p>A stream that a request takes up began before the request was received, at a server that was
+ * published before. So an unknown stream began at the only version of a service only if all changes
+ * up to the receipt of the request are known, whatever the age of the published state.
+ *
  * <p>Changes no state. Thread-safe.
  */
 public final class TakeUpRule {
 
-  /** The age of the published state from which versions may exist that are not known. */
-  static final long MAX_AGE_NANOS = TimeUnit.SECONDS.toNanos(5);
+  /** How much longer than a stream a service must have had one version only. */
+  static final long MARGIN_NANOS = TimeUnit.SECONDS.toNanos(5);
 
   private final StreamOrigins origins;
   private final VersionHistory history;
@@ -26,9 +30,10 @@
   /**
    * Decides about a request.
    *
-   * @param ageNanos the time since the published state was last confirmed, in nanoseconds
+   * @param completeNanos a time before which no change was published that is not known, in
+   *     nanoseconds of the monotonic clock
    */
-  public TakeUp decide(long nowNanos, TakeUpClaim claim, long ageNanos) {
+  public TakeUp decide(long nowNanos, TakeUpClaim claim, long completeNanos) {
     if (claim.stated()) {
       return known(claim.statedVersion(), TakeUp.Reason.STATED).orElseGet(TakeUp.Unknown::new);
     }
@@ -36,8 +41,16 @@
       return new TakeUp.Fresh();
     }
     return known(recorded(claim), TakeUp.Reason.RECORDED)
-        .or(() -> known(onlyVersion(nowNanos, claim, ageNanos), TakeUp.Reason.ONLY_VERSION))
-        .orElseGet(TakeUp.Unknown::new);
+        .orElseGet(() -> decideByHistory(nowNanos, claim, completeNanos));
+  }
+
+  private TakeUp decideByHistory(long nowNanos, TakeUpClaim claim, long completeNanos) {
+    Optional<SoftwareVersion> version =
+        history.soleVersion(claim.service(), nowNanos, claim.streamNanos() + MARGIN_NANOS);
+    if (version.isPresent() && completeNanos - claim.receivedNanos() < 0) {
+      return new TakeUp.Unconfirmed();
+    }
+    return known(version, TakeUp.Reason.ONLY_VERSION).orElseGet(TakeUp.Unknown::new);
   }
 
   private static Optional<TakeUp> known(Optional<SoftwareVersion> version, TakeUp.Reason reason) {
@@ -49,10 +62,4 @@
         ? origins.versionOf(claim.resumed().get(0))
         : Optional.empty();
   }
-
-  private Optional<SoftwareVersion> onlyVersion(long nowNanos, TakeUpClaim claim, long ageNanos) {
-    return ageNanos <= MAX_AGE_NANOS
-        ? history.soleVersion(claim.service(), nowNanos, claim.streamNanos() + MAX_AGE_NANOS)
-        : Optional.empty();
-  }
 }
--- a/core/src/test/java/org/gentianslip/core/stream/TakeUpRuleTest.java
+++ b/core/src/test/java/org/gentianslip/core/stream/TakeUpRuleTest.java
@@ -23,7 +23,8 @@
   private static final SoftwareVersion V1 = SoftwareVersion.of("v1");
   private static final SoftwareVersion V2 = SoftwareVersion.of("v2");
   private static final long STREAM_NANOS = TimeUnit.SECONDS.toNanos(3);
-  private static final long WINDOW_NANOS = STREAM_NANOS + TakeUpRule.MAX_AGE_NANOS;
+  private static final long WINDOW_NANOS = STREAM_NANOS + TakeUpRule.MARGIN_NANOS;
+  private static final long RECEIVED = WINDOW_NANOS - 10;
   private static final TakeUp UNKNOWN = new TakeUp.Unknown();
   private static final TakeUp RECORDED = new TakeUp.AtVersion(V1, TakeUp.Reason.RECORDED);
   private static final TakeUp ONLY = new TakeUp.AtVersion(V1, TakeUp.Reason.ONLY_VERSION);
@@ -33,11 +34,12 @@
   private final TakeUpRule rule = new TakeUpRule(origins, history);
 
   private static TakeUpClaim claim(String... resumed) {
-    return new TakeUpClaim(true, false, Optional.empty(), List.of(resumed), SERVICE, STREAM_NANOS);
+    return new TakeUpClaim(
+        true, false, Optional.empty(), List.of(resumed), SERVICE, STREAM_NANOS, RECEIVED);
   }
 
   private static TakeUpClaim stated(Optional<SoftwareVersion> version) {
-    return new TakeUpClaim(true, true, version, List.of("a"), SERVICE, STREAM_NANOS);
+    return new TakeUpClaim(true, true, version, List.of("a"), SERVICE, STREAM_NANOS, RECEIVED);
   }
 
   private void record(String request, SoftwareVersion version) {
@@ -65,7 +67,8 @@
 
   @Test
   void letsRequestsWithoutAnEarlierStreamRunAnywhere() {
-    var fresh = new TakeUpClaim(false, false, Optional.empty(), List.of(), SERVICE, STREAM_NANOS);
+    var fresh =
+        new TakeUpClaim(false, false, Optional.empty(), List.of(), SERVICE, STREAM_NANOS, RECEIVED);
     assertThat(rule.decide(0, fresh, 0), is(new TakeUp.Fresh()));
   }
 
@@ -89,7 +92,7 @@
     private TakeUp decide(String... resumed) {
       publish(0, V1, V2);
       publish(WINDOW_NANOS, V1, V2);
-      return rule.decide(WINDOW_NANOS, claim(resumed), 0);
+      return rule.decide(WINDOW_NANOS, claim(resumed), RECEIVED);
     }
 
     @Test
@@ -137,29 +140,43 @@
     @Test
     void goesOnIfThereWasNoOtherForLongEnough() {
       publish(0, V1);
-      assertThat(rule.decide(WINDOW_NANOS, claim("a"), TakeUpRule.MAX_AGE_NANOS), is(ONLY));
-      assertThat(rule.decide(WINDOW_NANOS, claim("a", "b"), 0), is(ONLY));
+      assertThat(rule.decide(WINDOW_NANOS, claim("a"), RECEIVED), is(ONLY));
+      assertThat(rule.decide(WINDOW_NANOS, claim("a", "b"), RECEIVED), is(ONLY));
     }
 
     @Test
     void refusesIfThatIsNotKnownForLongEnough() {
       publish(0, V1);
-      assertThat(rule.decide(WINDOW_NANOS - 1, claim("a"), 0), is(UNKNOWN));
+      assertThat(rule.decide(WINDOW_NANOS - 1, claim("a"), RECEIVED), is(UNKNOWN));
     }
 
     @Test
     void refusesIfAnotherWasPublishedRecently() {
       publish(0, V2);
       publish(1, V1);
-      assertThat(rule.decide(WINDOW_NANOS + 1, claim("a"), 0), is(UNKNOWN));
-      assertThat(rule.decide(WINDOW_NANOS + 2, claim("a"), 0), is(ONLY));
+      assertThat(rule.decide(WINDOW_NANOS + 1, claim("a"), RECEIVED), is(UNKNOWN));
+      assertThat(rule.decide(WINDOW_NANOS + 2, claim("a"), RECEIVED), is(ONLY));
     }
 
     @Test
-    void refusesIfThePublishedStateMayBeOutOfDate() {
+    void awaitsTheChangesBeforeItsReceipt() {
       publish(0, V1);
-      TakeUp decision = rule.decide(WINDOW_NANOS, claim("a"), TakeUpRule.MAX_AGE_NANOS + 1);
-      assertThat(decision, is(UNKNOWN));
+      TakeUp unconfirmed = new TakeUp.Unconfirmed();
+      assertThat(rule.decide(WINDOW_NANOS, claim("a"), RECEIVED - 1), is(unconfirmed));
+    }
+
+    @Test
+    void refusesAfterTheyHaveBroughtAnotherVersion() {
+      publish(0, V1);
+      publish(WINDOW_NANOS, V1, V2);
+      assertThat(rule.decide(WINDOW_NANOS, claim("a"), RECEIVED), is(UNKNOWN));
+    }
+
+    @Test
+    void awaitsNothingIfItsOriginIsRecorded() {
+      publish(0, V1);
+      record("a", V1);
+      assertThat(rule.decide(WINDOW_NANOS, claim("a"), RECEIVED - 1), is(RECORDED));
     }
   }
 }
--- a/entry/src/main/java/org/gentianslip/entry/gateway/Gateway.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/Gateway.java
@@ -63,6 +63,7 @@
   private final RequestAdmission admission;
   private final StreamTakeUp takeUp;
   private final EngineReports engineReports;
+  private final ReadBarrier barrier;
   private final EngineContacts engineContacts = new EngineContacts();
   private final GatewayMetrics metrics;
   private final DecisionLog decisions;
@@ -75,6 +76,7 @@
       GatewayState state,
       EdgeHeaders edgeHeaders,
       EngineReports engineReports,
+      ReadBarrier barrier,
       GatewayMetrics metrics,
       DecisionLog decisions) {
     this.state = state;
@@ -82,6 +84,7 @@
     this.admission = new RequestAdmission(state, edgeHeaders);
     this.takeUp = new StreamTakeUp(state, edgeHeaders, metrics);
     this.engineReports = engineReports;
+    this.barrier = barrier;
     this.metrics = metrics;
     this.decisions = decisions;
   }
@@ -106,6 +109,10 @@
     return engineReports;
   }
 
+  ReadBarrier barrier() {
+    return barrier;
+  }
+
   EngineContacts engineContacts() {
     return engineContacts;
   }
--- a/entry/src/main/java/org/gentianslip/entry/gateway/GatewayServer.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/GatewayServer.java
@@ -61,9 +61,13 @@
    * @param onPause runs after a pause of this process has been detected
    */
   public GatewayServer(
-      GatewayState state, EdgeHeaders edgeHeaders, EngineReports engineReports, Runnable onPause) {
+      GatewayState state,
+      EdgeHeaders edgeHeaders,
+      EngineReports engineReports,
+      ReadBarrier barrier,
+      Runnable onPause) {
     this.state = state;
-    this.gateway = new Gateway(state, edgeHeaders, engineReports, metrics, decisions);
+    this.gateway = new Gateway(state, edgeHeaders, engineReports, barrier, metrics, decisions);
     metrics.registerGauges(
         gateway::inFlight,
         gateway::version,
--- a/entry/src/main/java/org/gentianslip/entry/gateway/GatewayState.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/GatewayState.java
@@ -73,6 +73,7 @@
   private volatile Optional<ShutdownPlan> shutdownPlan = Optional.empty();
   private volatile boolean refusing;
   private volatile long confirmedNanos = System.nanoTime();
+  private final AtomicLong completeNanos = new AtomicLong(System.nanoTime());
   private final ConfigurationKnowledge knowledge = new ConfigurationKnowledge();
 
   /**
@@ -152,6 +153,19 @@
     return nowNanos - confirmedNanos;
   }
 
+  /**
+   * Records that all changes are applied that were published before a time, in nanoseconds of the
+   * monotonic clock.
+   */
+  public void markComplete(long nanos) {
+    completeNanos.accumulateAndGet(nanos, (a, b) -> b - a > 0 ? b : a);
+  }
+
+  /** Returns the latest known time before which no change was published that is not applied. */
+  long completeNanos() {
+    return completeNanos.get();
+  }
+
   /** Returns what is known of how recent the configuration is. */
   public ConfigurationKnowledge knowledge() {
     return knowledge;
--- a/entry/src/main/java/org/gentianslip/entry/gateway/RequestExecution.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/RequestExecution.java
@@ -40,6 +40,9 @@
   /** The connect timeout for instances of other regions, in milliseconds. */
   private static final int FORWARD_CONNECT_MILLIS = 800;
 
+  /** How long a request that takes a stream up waits for the newest published state. */
+  private static final int BARRIER_MILLIS = 1_000;
+
   /** The retry delay if another instance holds the prompt back, in milliseconds. */
   private static final double UNKNOWN_HOLD_MILLIS = 30_000;
 
@@ -96,9 +99,32 @@
     long leftNanos = deadlineNanos - System.nanoTime();
     deadlineTimer = writer.eventLoop().schedule(this::onTimeout, leftNanos, TimeUnit.NANOSECONDS);
     planner.countRequest(System.nanoTime());
-    TakeUp takeUp =
-        gateway.takeUp().decide(System.nanoTime(), request, route, service(), planner.forwarded());
-    if (takeUp instanceof TakeUp.Unknown) {
+    TakeUp takeUp = takeUp();
+    if (takeUp instanceof TakeUp.Unconfirmed) {
+      gateway
+          .barrier()
+          .pass()
+          .completeOnTimeout(false, BARRIER_MILLIS, TimeUnit.MILLISECONDS)
+          .thenRunAsync(this::beginAfterBarrier, writer.eventLoop());
+      return;
+    }
+    begin(takeUp);
+  }
+
+  private void beginAfterBarrier() {
+    if (!ended) {
+      begin(takeUp());
+    }
+  }
+
+  private TakeUp takeUp() {
+    return gateway
+        .takeUp()
+        .decide(System.nanoTime(), request, route, service(), planner.forwarded());
+  }
+
+  private void begin(TakeUp takeUp) {
+    if (takeUp instanceof TakeUp.Unknown || takeUp instanceof TakeUp.Unconfirmed) {
       refuseOrAbort(AttemptPlanner.UNKNOWN_VERSION, AttemptPlanner.DEFAULT_RETRY_MILLIS);
       return;
     }
--- a/entry/src/main/java/org/gentianslip/entry/gateway/StreamTakeUp.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/StreamTakeUp.java
@@ -64,13 +64,14 @@
       return new TakeUp.Fresh();
     }
     TakeUpClaim claim = claim(request, route, service, forwarded);
-    long ageNanos = state.confirmationAgeNanos(nowNanos);
+    // Read before the history, which then contains all changes up to that time.
+    long completeNanos = state.completeNanos();
     TakeUp result =
         new TakeUpRule(state.streamOrigins(), state.versionHistory())
-            .decide(nowNanos, claim, ageNanos);
+            .decide(nowNanos, claim, completeNanos);
     if (!(result instanceof TakeUp.Fresh)) {
       metrics.countTakeUp(describe(result));
-      log(nowNanos, request, claim, ageNanos, result);
+      log(nowNanos, request, claim, nowNanos - completeNanos, result);
     }
     return result;
   }
@@ -90,13 +91,15 @@
         ForwardHeaders.begunVersion(request.headers()),
         resumed,
         service,
-        state.longestStreamNanos());
+        state.longestStreamNanos(),
+        request.receivedNanos());
   }
 
   private static String describe(TakeUp result) {
-    return result instanceof TakeUp.AtVersion known
-        ? known.reason().name().toLowerCase(Locale.ROOT).replace('_', '-')
-        : "unknown";
+    if (result instanceof TakeUp.AtVersion known) {
+      return known.reason().name().toLowerCase(Locale.ROOT).replace('_', '-');
+    }
+    return result instanceof TakeUp.Unconfirmed ? "unconfirmed" : "unknown";
   }
 
   private void log(
--- /dev/null
+++ b/entry/src/main/java/org/gentianslip/entry/published/DemandedReader.java
@@ -0,0 +1,83 @@
+package org.gentianslip.entry.published;
+
+import com.google.common.flogger.FluentLogger;
+import java.io.IOException;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicReference;
+import org.gentianslip.entry.gateway.ReadBarrier;
+
+/**
+ * Reads the publisher's changes on demand, beside the watch of an updater.
+ *
+ * <p>Demands that come before a call begins share it. At most one call is under way at a time, and
+ * calls begin at intervals of at least {@value #MIN_INTERVAL_MILLIS} ms. Safe for use by several
+ * threads.
+ */
+public final class DemandedReader implements ReadBarrier, AutoCloseable {
+
+  private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+
+  /** The minimum interval between calls, each of which counts against the publisher's budget. */
+  private static final long MIN_INTERVAL_MILLIS = 50;
+
+  private final PublishedSource source;
+  private final PublishedStateUpdater updater;
+  private final AtomicReference<CompletableFuture<Boolean>> next = new AtomicReference<>();
+  private final ScheduledExecutorService thread =
+      Executors.newSingleThreadScheduledExecutor(
+          r -> {
+            var t = new Thread(r, "published-demand");
+            t.setDaemon(true);
+            return t;
+          });
+  private volatile long begunNanos =
+      System.nanoTime() - TimeUnit.MILLISECONDS.toNanos(MIN_INTERVAL_MILLIS);
+
+  /**
+   * Creates a reader.
+   *
+   * @param source the source, which nothing else uses
+   * @param updater applies the changes
+   */
+  public DemandedReader(PublishedSource source, PublishedStateUpdater updater) {
+    this.source = source;
+    this.updater = updater;
+  }
+
+  @Override
+  public CompletableFuture<Boolean> pass() {
+    if (updater.isFailing()) {
+      return CompletableFuture.completedFuture(false);
+    }
+    var created = new CompletableFuture<Boolean>();
+    CompletableFuture<Boolean> pending = next.compareAndExchange(null, created);
+    if (pending != null) {
+      return pending.copy();
+    }
+    long elapsedNanos = System.nanoTime() - begunNanos;
+    long delayNanos = TimeUnit.MILLISECONDS.toNanos(MIN_INTERVAL_MILLIS) - elapsedNanos;
+    thread.schedule(this::read, Math.max(0, delayNanos), TimeUnit.NANOSECONDS);
+    return created.copy();
+  }
+
+  private void read() {
+    begunNanos = System.nanoTime();
+    // Taken before the call begins, so that later demands wait for another one.
+    CompletableFuture<Boolean> current = next.getAndSet(null);
+    boolean applied = false;
+    try {
+      applied = updater.applyHistory(source);
+    } catch (IOException | RuntimeException e) {
+      LOGGER.atInfo().log("published: event=no-changes cause=%s", e);
+    }
+    current.complete(applied);
+  }
+
+  @Override
+  public void close() {
+    thread.shutdownNow();
+  }
+}
--- a/entry/src/main/java/org/gentianslip/entry/published/PublishedStateUpdater.java
+++ b/entry/src/main/java/org/gentianslip/entry/published/PublishedStateUpdater.java
@@ -189,9 +189,7 @@
       return;
     }
     synchronized (this) {
-      boolean changed = items.apply(now, changes.changes(), changes.revision(), isRecovering(now));
-      recordUnheld(now, changes.changes());
-      notifyConfirmed(now, changed);
+      apply(now, changes);
       watched = changes.revision();
       if (!items.revision().isAfter(watched)) {
         versions.closeGap();
@@ -200,6 +198,36 @@
     }
   }
 
+  private void apply(long nowNanos, PublishedSource.Changes changes) {
+    boolean changed =
+        items.apply(nowNanos, changes.changes(), changes.revision(), isRecovering(nowNanos));
+    recordUnheld(nowNanos, changes.changes());
+    notifyConfirmed(nowNanos, changed);
+  }
+
+  /**
+   * Applies all changes that were published before this call.
+   *
+   * @param other a source that this updater does not use
+   * @return whether they are applied; false if nothing was listed yet, or the history is lost
+   */
+  boolean applyHistory(PublishedSource other) throws IOException {
+    Revision known = revision();
+    if (known.equals(Revision.NONE)) {
+      return false;
+    }
+    ClockReading begun = Clocks.read();
+    PublishedSource.Changes changes = other.history(known);
+    if (changes.historyLost()) {
+      return false;
+    }
+    synchronized (this) {
+      apply(System.nanoTime(), changes);
+      listener.onNewest(begun);
+    }
+    return true;
+  }
+
   /** Records the versions that are not in the state, as of a server that has left since. */
   private void recordUnheld(long nowNanos, List<ItemChange> changes) {
     for (ItemChange change : changes) {
--- a/entry/src/test/java/org/gentianslip/entry/gateway/OverloadedGatewayTest.java
+++ b/entry/src/test/java/org/gentianslip/entry/gateway/OverloadedGatewayTest.java
@@ -15,6 +15,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.gentianslip.core.id.DataCentreId;
 import org.gentianslip.core.id.InstanceId;
@@ -62,7 +63,12 @@
   private final GatewayMetrics metrics = new GatewayMetrics();
   private final Gateway gateway =
       new Gateway(
-          state, new PlainHeaders(() -> {}, () -> {}), new NoReports(), metrics, new DecisionLog());
+          state,
+          new PlainHeaders(() -> {}, () -> {}),
+          new NoReports(),
+          () -> CompletableFuture.completedFuture(false),
+          metrics,
+          new DecisionLog());
   private final Writer writer = new Writer();
 
   /** Keeps a response. */
--- a/entry/src/test/java/org/gentianslip/entry/gateway/ServerFixture.java
+++ b/entry/src/test/java/org/gentianslip/entry/gateway/ServerFixture.java
@@ -14,6 +14,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
@@ -165,7 +166,13 @@
             new GatewayBounds(0.2, 56, 10_000, 1.5, 3, 8_000));
     var state = new GatewayState(config, 1);
     state.applyPublished(System.nanoTime(), published());
-    server = new GatewayServer(state, headers, new NoReports(), () -> {});
+    server =
+        new GatewayServer(
+            state,
+            headers,
+            new NoReports(),
+            () -> CompletableFuture.completedFuture(false),
+            () -> {});
     server.start();
   }
 
