Ask for the origins of streams while the only version can't be confirmed

Callers of an instance that is cut off from the store got "not run" for streams that began elsewhere, as long as the cut lasted: since the only version of a service counts only after a read of the store, nothing but the recorded origin can decide, and the instance did not ask for origins while its history still showed one version.

Change: an instance states that it needs origins while its calls to the store fail, and for 10 s after it could not confirm the only version for a request. Others that it reaches then send what they have recorded, also of streams from before.

Ruled out: asking from some age of the list on, as the watch leaves the list unconfirmed for seconds in the steady state.

The cost of the exchange while the store is down was not measured.

--- a/entry/src/main/java/org/gentianslip/entry/fleet/FleetMessages.java
+++ b/entry/src/main/java/org/gentianslip/entry/fleet/FleetMessages.java
@@ -142,7 +142,7 @@
 
   /** Returns the origins that a receiver lacks, if any instance needs them. */
   private OriginReport origins(long nowNanos, InstanceId receiver) {
-    boolean own = !state.hasSoleVersions(nowNanos);
+    boolean own = updater.isFailing() || state.needsOrigins(nowNanos);
     long after = originCursors.acknowledgedBy(receiver);
     OriginBatch batch =
         originDemand.isPresent(nowNanos, own)
--- a/entry/src/main/java/org/gentianslip/entry/gateway/GatewayState.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/GatewayState.java
@@ -51,6 +51,9 @@
   /** How much longer than its route allows a stream may last, in milliseconds. */
   private static final long STREAM_MARGIN_MILLIS = 5_000;
 
+  /** How long origins are needed after the only version of a service could not be confirmed. */
+  private static final long ORIGIN_NEED_NANOS = TimeUnit.SECONDS.toNanos(10);
+
   /** The length of the ids of requests for which it is kept where their stream began. */
   private static final int MAX_ORIGIN_LETTERS = 128;
 
@@ -73,6 +76,7 @@
   private volatile Optional<ShutdownPlan> shutdownPlan = Optional.empty();
   private volatile boolean refusing;
   private volatile long confirmedNanos = System.nanoTime();
+  private volatile long unconfirmedVersionNanos = System.nanoTime() - ORIGIN_NEED_NANOS;
   private final AtomicLong completeNanos = new AtomicLong(System.nanoTime());
   private final ConfigurationKnowledge knowledge = new ConfigurationKnowledge();
 
@@ -322,11 +326,24 @@
     return versionHistory;
   }
 
+  /** Records that the only version of a service could not be confirmed for a stream. */
+  void recordUnconfirmedVersion(long nowNanos) {
+    unconfirmedVersionNanos = nowNanos;
+  }
+
+  /**
+   * Returns whether this instance needs the origins that others have recorded, as it can't tell
+   * them from the only version of a service.
+   */
+  public boolean needsOrigins(long nowNanos) {
+    return !hasSoleVersions(nowNanos) || nowNanos - unconfirmedVersionNanos < ORIGIN_NEED_NANOS;
+  }
+
   /**
    * Returns whether each service is known to have had at most one version for longer than a stream
    * lasts.
    */
-  public boolean hasSoleVersions(long nowNanos) {
+  private boolean hasSoleVersions(long nowNanos) {
     return published.get().routes().isPresent()
         && versionHistory.hasSoleVersions(
             nowNanos, longestStreamNanos() + TimeUnit.MILLISECONDS.toNanos(STREAM_MARGIN_MILLIS));
--- a/entry/src/main/java/org/gentianslip/entry/gateway/RequestExecution.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/RequestExecution.java
@@ -112,9 +112,14 @@
   }
 
   private void beginAfterBarrier() {
-    if (!ended) {
-      begin(takeUp());
+    if (ended) {
+      return;
     }
+    TakeUp takeUp = takeUp();
+    if (takeUp instanceof TakeUp.Unconfirmed) {
+      gateway.state().recordUnconfirmedVersion(System.nanoTime());
+    }
+    begin(takeUp);
   }
 
   private TakeUp takeUp() {
