--- a/entry/src/main/java/org/gentianslip/entry/published/DemandedReader.java
+++ b/entry/src/main/java/org/gentianslip/entry/published/DemandedReader.java
@@ -13,8 +13,8 @@
  * Reads the publisher's changes on demand, beside the watch of an updater.
  *
  * <p>Demands that come before a call begins share it. At most one call is under way at a time, and
- * calls begin at intervals of at least {@value #MIN_INTERVAL_MILLIS} ms. Safe for use by several
- * threads.
+ * calls begin at intervals of at least {@value #MIN_INTERVAL_MILLIS} ms, and {@value
+ * #FAILED_INTERVAL_MILLIS} ms after one that has failed. Safe for use by several threads.
  */
 public final class DemandedReader implements ReadBarrier, AutoCloseable {
 
@@ -23,6 +23,9 @@
   /** The minimum interval between calls, each of which counts against the publisher's budget. */
   private static final long MIN_INTERVAL_MILLIS = 50;
 
+  /** The minimum interval after a call that has failed. */
+  private static final long FAILED_INTERVAL_MILLIS = 250;
+
   private final PublishedSource source;
   private final PublishedStateUpdater updater;
   private final AtomicReference<CompletableFuture<Boolean>> next = new AtomicReference<>();
@@ -33,6 +36,7 @@
             t.setDaemon(true);
             return t;
           });
+  private volatile boolean failed;
   private volatile long begunNanos =
       System.nanoTime() - TimeUnit.MILLISECONDS.toNanos(MIN_INTERVAL_MILLIS);
 
@@ -49,16 +53,14 @@
 
   @Override
   public CompletableFuture<Boolean> pass() {
-    if (updater.isFailing()) {
-      return CompletableFuture.completedFuture(false);
-    }
     var created = new CompletableFuture<Boolean>();
     CompletableFuture<Boolean> pending = next.compareAndExchange(null, created);
     if (pending != null) {
       return pending.copy();
     }
     long elapsedNanos = System.nanoTime() - begunNanos;
-    long delayNanos = TimeUnit.MILLISECONDS.toNanos(MIN_INTERVAL_MILLIS) - elapsedNanos;
+    long intervalMillis = failed ? FAILED_INTERVAL_MILLIS : MIN_INTERVAL_MILLIS;
+    long delayNanos = TimeUnit.MILLISECONDS.toNanos(intervalMillis) - elapsedNanos;
     thread.schedule(this::read, Math.max(0, delayNanos), TimeUnit.NANOSECONDS);
     return created.copy();
   }
@@ -73,6 +75,7 @@
     } catch (IOException | RuntimeException e) {
       LOGGER.atInfo().log("published: event=no-changes cause=%s", e);
     }
+    failed = !applied;
     current.complete(applied);
   }
 
