Read the store once more after a reset of an idle connection

Change: a read that fails within 200 ms is made once more.

Test: DemandedReaderTest.readsOnceMoreAfterResetOfIdleConnection failed without the second call and passes; the others show that a demand during a call waits for the next one.

--- a/entry/src/main/java/org/gentianslip/entry/gateway/RequestExecution.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/RequestExecution.java
@@ -41,7 +41,7 @@
   private static final int FORWARD_CONNECT_MILLIS = 800;
 
   /** How long a request that takes a stream up waits for the newest published state. */
-  private static final int BARRIER_MILLIS = 500;
+  private static final int BARRIER_MILLIS = 700;
 
   /** The retry delay if another instance holds the prompt back, in milliseconds. */
   private static final double UNKNOWN_HOLD_MILLIS = 30_000;
--- a/entry/src/main/java/org/gentianslip/entry/published/DemandedReader.java
+++ b/entry/src/main/java/org/gentianslip/entry/published/DemandedReader.java
@@ -26,6 +26,9 @@
   /** The minimum interval after a call that has failed. */
   private static final long FAILED_INTERVAL_MILLIS = 250;
 
+  /** The time in which a call fails whose connection was reset before. */
+  private static final long MAX_RESET_NANOS = TimeUnit.MILLISECONDS.toNanos(200);
+
   private final PublishedSource source;
   private final PublishedStateUpdater updater;
   private final AtomicReference<CompletableFuture<Boolean>> next = new AtomicReference<>();
@@ -71,7 +74,7 @@
     CompletableFuture<Boolean> current = next.getAndSet(null);
     boolean applied = false;
     try {
-      applied = updater.applyHistory(source);
+      applied = applyHistory();
     } catch (IOException | RuntimeException e) {
       LOGGER.atInfo().log("published: event=no-changes cause=%s", e);
     }
@@ -79,6 +82,18 @@
     current.complete(applied);
   }
 
+  /** Reads once more if the call fails early, as on a connection that was reset while idle. */
+  private boolean applyHistory() throws IOException {
+    try {
+      return updater.applyHistory(source);
+    } catch (IOException e) {
+      if (System.nanoTime() - begunNanos > MAX_RESET_NANOS) {
+        throw e;
+      }
+      return updater.applyHistory(source);
+    }
+  }
+
   @Override
   public void close() {
     thread.shutdownNow();
