Believe the end of an answer without a length only after an orderly end

Callers got a part of an answer without a length as a complete one when the instance itself closed the connection to the backend server, as the end of its event loop does (PartAsCompleteAnswerTest.readsNoPartIfItClosesTheConnectionItself on: "200 who", a failure expected).

Cause: the decoder ends a body without a length when the connection is closed, whoever closed it and why. Nothing recorded how the connection had ended.

There the failed read or write ended the exchange before the decoder ended the body. That was the order of events, not a rule.

If the request is not written by then, the answer is complete once it is, and failed if the write fails. A failed write fails its exchange before it closes the connection.

--- a/entry/src/main/java/org/gentianslip/entry/gateway/BackendClient.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/BackendClient.java
@@ -141,6 +141,7 @@
         .group(loop)
         .channel(NioSocketChannel.class)
         .option(ChannelOption.TCP_NODELAY, true)
+        .option(ChannelOption.ALLOW_HALF_CLOSURE, true)
         .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, connectMillis)
         .handler(
             new ChannelInitializer<SocketChannel>() {
@@ -202,9 +203,11 @@
                 EmptyHttpHeaders.INSTANCE))
         .addListener(
             f -> {
-              if (!f.isSuccess()) {
-                connection.close();
+              if (f.isSuccess()) {
+                connection.onWritten(exchange);
+              } else {
                 exchange.fail("not written: " + f.cause());
+                connection.close();
               }
             });
   }
--- a/entry/src/main/java/org/gentianslip/entry/gateway/BackendConnection.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/BackendConnection.java
@@ -5,6 +5,7 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
@@ -31,7 +32,8 @@
  * the connection is closed after the current exchange; whether it has a body is told by the method
  * of the request that it names. A response without an id is accepted only for the first request, as
  * it may otherwise answer an earlier one. Each request is sent at most once on a connection, as the
- * responses to two sends could not be told apart. Confined to its event loop.
+ * responses to two sends could not be told apart. A response that ends with the connection is
+ * complete only if its request could be written to its end. Confined to its event loop.
  */
 final class BackendConnection extends ChannelInboundHandlerAdapter {
 
@@ -56,6 +58,9 @@
   private final SentRequests sent = new SentRequests();
   private Channel channel;
   private Exchange exchange;
+  private boolean requestWritten;
+  private boolean endsWithConnection;
+  private boolean endedUnwritten;
   private boolean skippingResponse;
   private int skippedBytes;
   private int skippedResponses;
@@ -83,6 +88,8 @@
 
   void assign(Exchange next) {
     exchange = next;
+    requestWritten = false;
+    endedUnwritten = false;
     sent.add(next.request().id(), isHead(next));
     HttpHeaders headers = next.request().headers();
     reusable =
@@ -203,7 +210,8 @@
       closeIfTooMuchIsSkipped();
       return;
     }
-    reusable = reusable && HttpUtil.isKeepAlive(response) && !endsWithConnection(response);
+    endsWithConnection = endsWithConnection(response);
+    reusable = reusable && HttpUtil.isKeepAlive(response) && !endsWithConnection;
     readKeepAlive(headers.get("Keep-Alive"));
     exchange.listener().onHead(status, headers);
   }
@@ -237,7 +245,27 @@
     if (content.content().isReadable()) {
       current.listener().onBodyPart(ByteBufUtil.getBytes(content.content()));
     }
-    if (content instanceof LastHttpContent && current.markEnded()) {
+    if (content instanceof LastHttpContent) {
+      endedUnwritten = endsWithConnection && !requestWritten;
+      if (!endedUnwritten) {
+        complete(current);
+      }
+    }
+  }
+
+  /** Records that a request has been written to its end. */
+  void onWritten(Exchange written) {
+    if (written != exchange) {
+      return;
+    }
+    requestWritten = true;
+    if (endedUnwritten) {
+      complete(written);
+    }
+  }
+
+  private void complete(Exchange current) {
+    if (current.markEnded()) {
       finishExchange();
       current.listener().onComplete();
     }
@@ -268,6 +296,14 @@
     }
   }
 
+  @Override
+  public void userEventTriggered(ChannelHandlerContext ctx, Object event) throws Exception {
+    if (event instanceof ChannelInputShutdownEvent && !endedUnwritten) {
+      closeAndFail("closed by the other side");
+    }
+    super.userEventTriggered(ctx, event);
+  }
+
   @Override
   public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
     closeAndFail(cause.toString());
--- a/entry/src/test/java/org/gentianslip/entry/gateway/ClientFixture.java
+++ b/entry/src/test/java/org/gentianslip/entry/gateway/ClientFixture.java
@@ -3,6 +3,8 @@
 import io.netty.channel.nio.NioEventLoopGroup;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import org.gentianslip.entry.testing.AnswerServer;
 import org.junit.jupiter.api.extension.AfterEachCallback;
 import org.junit.jupiter.api.extension.BeforeEachCallback;
@@ -52,6 +54,22 @@
     return answer;
   }
 
+  /** Ends the event loop of the client, which closes its connections. */
+  void shutdownLoops() {
+    loops.shutdownGracefully(0, 0, TimeUnit.SECONDS);
+  }
+
+  /** Stops the event loop of the client until a latch is open. */
+  void stopLoopUntil(CountDownLatch latch) {
+    loops
+        .next()
+        .submit(
+            () -> {
+              latch.await();
+              return true;
+            });
+  }
+
   @Override
   public void beforeEach(ExtensionContext context) throws Exception {
     loops = new NioEventLoopGroup(1);
--- a/entry/src/test/java/org/gentianslip/entry/gateway/ReceivedAnswer.java
+++ b/entry/src/test/java/org/gentianslip/entry/gateway/ReceivedAnswer.java
@@ -19,6 +19,7 @@
   private static final long GIVE_UP_SECONDS = 10;
 
   private final CompletableFuture<String> result = new CompletableFuture<>();
+  private final CompletableFuture<Integer> head = new CompletableFuture<>();
   private final ByteArrayOutputStream body = new ByteArrayOutputStream();
   private int status;
 
@@ -32,9 +33,15 @@
     return result.get(GIVE_UP_SECONDS, TimeUnit.SECONDS);
   }
 
+  /** Waits for the head of the answer. */
+  void awaitHead() throws Exception {
+    head.get(GIVE_UP_SECONDS, TimeUnit.SECONDS);
+  }
+
   @Override
   public void onHead(int receivedStatus, HttpHeaders headers) {
     status = receivedStatus;
+    head.complete(receivedStatus);
   }
 
   @Override
