Take no end after a failed write for the end of an answer at the own edge

A backend server answers a long upload at once with a 200 without a length, sends part of its body and resets the connection. The caller of the own edge got that part as a complete answer: 20 of 20 uploads on, also if the server read 1 MB before (CutResponseTest.readsNoPartAsCompleteAnswerIfItsRequestCannotBeWritten).

Cause: the operating system reports a reset once, here to the write. The HTTP library reads the response nevertheless, and the reads return the part and then an end, as after an orderly end.

Change: the sockets of these clients remember a failed write; an end of the input after it is a failure. It holds for all clients of BoundedHttpClients.

--- a/entry/src/main/java/org/gentianslip/entry/http/BoundedHttpClients.java
+++ b/entry/src/main/java/org/gentianslip/entry/http/BoundedHttpClients.java
@@ -9,7 +9,8 @@
  *
  * <p>A connection fails if it receives too many bytes that are no body, be it in a head, between
  * the chunks of a body or after it. Bodies are passed on as received, so that a bound of their
- * reader holds for what is received too. Stateless and safe for use by several threads.
+ * reader holds for what is received too. A body that ends with the connection is incomplete if its
+ * request could not be written. Stateless and safe for use by several threads.
  */
 public final class BoundedHttpClients {
 
--- a/entry/src/main/java/org/gentianslip/entry/http/BoundedSocket.java
+++ b/entry/src/main/java/org/gentianslip/entry/http/BoundedSocket.java
@@ -11,12 +11,15 @@
 /**
  * A socket that fails when it has received too many bytes since the last progress.
  *
- * <p>Progress is a write, or a call of {@link #markProgress()}. Safe for use by several threads.
+ * <p>Progress is a write, or a call of {@link #markProgress()}. After a write that failed, the end
+ * of the input is a failure: the operating system reports a reset once, here to the write, and to
+ * later reads an end. Safe for use by several threads.
  */
 final class BoundedSocket extends Socket {
 
   private final long maxBytes;
   private final AtomicLong receivedBytes = new AtomicLong();
+  private volatile boolean writeFailed;
 
   BoundedSocket(long maxBytes) {
     this.maxBytes = maxBytes;
@@ -28,6 +31,9 @@
   }
 
   private void count(long bytes) throws IOException {
+    if (bytes < 0 && writeFailed) {
+      throw new IOException("The input ended after a write had failed");
+    }
     if (bytes > 0 && receivedBytes.addAndGet(bytes) > maxBytes) {
       throw new IOException("More than " + maxBytes + " bytes were received that are no body");
     }
@@ -52,7 +58,7 @@
     @Override
     public int read() throws IOException {
       int next = super.read();
-      count(next < 0 ? 0 : 1);
+      count(next < 0 ? -1 : 1);
       return next;
     }
 
@@ -73,13 +79,23 @@
     @Override
     public void write(int next) throws IOException {
       markProgress();
-      out.write(next);
+      try {
+        out.write(next);
+      } catch (IOException e) {
+        writeFailed = true;
+        throw e;
+      }
     }
 
     @Override
     public void write(byte[] bytes, int offset, int length) throws IOException {
       markProgress();
-      out.write(bytes, offset, length);
+      try {
+        out.write(bytes, offset, length);
+      } catch (IOException e) {
+        writeFailed = true;
+        throw e;
+      }
     }
   }
 }
--- a/entry/src/test/java/org/gentianslip/entry/relay/CutResponseTest.java
+++ b/entry/src/test/java/org/gentianslip/entry/relay/CutResponseTest.java
@@ -26,6 +26,11 @@
 
   private static final Duration TIMEOUT = Duration.ofSeconds(5);
   private static final String FAILURE = "failure";
+
+  /** The size of a request that fits into no buffer of a connection. */
+  private static final int UPLOAD_BYTES = 16 << 20;
+
+  private static final int UPLOADS = 20;
   private static final String LENGTH =
       "HTTP/1.1 200 OK\r\nNote: a b\r\nContent-Length: 5\r\n\r\nwhole";
   private static final String CHUNKED =
@@ -57,15 +62,19 @@
         });
   }
 
-  /** Returns the status and the body of a whole response, or the failure. */
   private String read() throws Exception {
+    return read("GET", null);
+  }
+
+  /** Returns the status and the body of a whole response, or the failure. */
+  private String read(String method, byte[] body) throws Exception {
     var result = new CompletableFuture<UpstreamResult>();
     var request =
         new UpstreamRequest(
-            "GET",
+            method,
             "http://" + server.address() + "/",
             Map.of(),
-            null,
+            body,
             null,
             System.nanoTime() + TIMEOUT.toNanos());
     client.startOnFreshConnection(
@@ -73,8 +82,10 @@
     if (result.get(TIMEOUT.toSeconds() * 2, TimeUnit.SECONDS)
         instanceof UpstreamResult.Responded responded) {
       try {
-        byte[] body = ResponseBodyReader.read(responded.response());
-        return responded.response().code() + " " + new String(body, StandardCharsets.ISO_8859_1);
+        byte[] received = ResponseBodyReader.read(responded.response());
+        return responded.response().code()
+            + " "
+            + new String(received, StandardCharsets.ISO_8859_1);
       } catch (IOException e) {
         return FAILURE;
       }
@@ -101,6 +112,25 @@
     assertThat(wrong, is(empty()));
   }
 
+  @ParameterizedTest
+  @ValueSource(ints = {0, 1 << 20})
+  void readsNoPartAsCompleteAnswerIfItsRequestCannotBeWritten(int readBytes) throws Exception {
+    server.setScript(
+        (place, socket) -> {
+          socket.getOutputStream().write(WITHOUT_LENGTH.getBytes(StandardCharsets.ISO_8859_1));
+          socket.getInputStream().readNBytes(readBytes);
+          AnswerServer.reset(socket);
+        });
+    List<String> wrong = new ArrayList<>();
+    for (int i = 0; i < UPLOADS; i++) {
+      String read = read("POST", new byte[UPLOAD_BYTES]);
+      if (!read.equals(FAILURE)) {
+        wrong.add("upload " + i + ": " + read);
+      }
+    }
+    assertThat(wrong, is(empty()));
+  }
+
   @ParameterizedTest
   @ValueSource(
       strings = {
