Count a head without a status as no answer

An answer with the status 000 was skipped like an interim one at the ports of the platform, and what followed on the connection was taken for the answer; 600 to 999 were passed on as answers at both edges.

Cause: everything below 200 counted as interim, and the number was parsed as any whole number ("+200", "0200", "2000").

Ruled out: texts that are no numbers or are negative; the decoders reject them.

Change: ResponseFraming counts a status outside 100 to 599 as no answer for both clients, and the decoder of the platform's ports takes three digits only. Interim answers of 100 to 199 are skipped as before, except 101.

--- a/entry/src/main/java/org/gentianslip/entry/gateway/BackendConnection.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/BackendConnection.java
@@ -180,12 +180,13 @@
       return;
     }
     HttpHeaders headers = response.headers();
-    Optional<String> fault = ResponseFraming.fault(response.status().reasonPhrase(), headers);
+    int status = response.status().code();
+    String reasonPhrase = response.status().reasonPhrase();
+    Optional<String> fault = ResponseFraming.fault(status, reasonPhrase, headers);
     if (fault.isPresent()) {
       closeAndFail("not an answer: " + fault.get());
       return;
     }
-    int status = response.status().code();
     if (status == HttpResponseStatus.SWITCHING_PROTOCOLS.code()) {
       closeAndFail("not an answer: switches to a protocol that was not asked for");
       return;
--- a/entry/src/main/java/org/gentianslip/entry/gateway/ResponseDecoder.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/ResponseDecoder.java
@@ -9,6 +9,7 @@
 import io.netty.handler.codec.http.HttpResponseDecoder;
 import java.util.List;
 import java.util.function.Predicate;
+import java.util.regex.Pattern;
 
 /**
  * Decodes responses, and asks of each one whether it answers a HEAD request and so has no body.
@@ -19,6 +20,8 @@
  */
 final class ResponseDecoder extends HttpResponseDecoder {
 
+  private static final Pattern STATUS = Pattern.compile("\\d{3}");
+
   private final Predicate<HttpResponse> answersHead;
   private boolean inputEnded;
   private boolean inputFailed;
@@ -28,6 +31,14 @@
     this.answersHead = answersHead;
   }
 
+  @Override
+  protected HttpMessage createMessage(String[] statusLine) {
+    if (!STATUS.matcher(statusLine[1]).matches()) {
+      throw new IllegalArgumentException("The status is not three digits: " + statusLine[1]);
+    }
+    return super.createMessage(statusLine);
+  }
+
   @Override
   protected boolean isContentAlwaysEmpty(HttpMessage message) {
     return super.isContentAlwaysEmpty(message)
--- a/entry/src/main/java/org/gentianslip/entry/http/ResponseFraming.java
+++ b/entry/src/main/java/org/gentianslip/entry/http/ResponseFraming.java
@@ -8,7 +8,7 @@
 import java.util.regex.Pattern;
 
 /**
- * Checks whether the head of a response is one head and tells where its body ends.
+ * Checks whether the head of a response is one head, has a status and tells where its body ends.
  *
  * <p>A server that stops within a head and goes on with another response leaves the second status
  * line in the first head. Stateless and safe for use by several threads.
@@ -18,6 +18,8 @@
 public final class ResponseFraming {
 
   private static final Pattern STATUS_LINE = Pattern.compile("HTTP/\\d\\.\\d \\d{3}");
+  private static final int MIN_STATUS = 100;
+  private static final int MAX_STATUS = 599;
   private static final Pattern LENGTH = Pattern.compile("\\d+");
 
   private ResponseFraming() {}
@@ -25,8 +27,13 @@
   /**
    * Returns why a response must not be read, or empty if it may be. The connection of a response
    * that must not be read must be closed.
+   *
+   * @see <a href="https://www.rfc-editor.org/rfc/rfc9110#section-15">RFC 9110, section 15</a>
    */
-  public static Optional<String> fault(String reasonPhrase, HttpHeaders headers) {
+  public static Optional<String> fault(int status, String reasonPhrase, HttpHeaders headers) {
+    if (status < MIN_STATUS || status > MAX_STATUS) {
+      return Optional.of("no status " + status);
+    }
     if (hasSecondStatusLine(reasonPhrase, headers)) {
       return Optional.of("a second status line within the head");
     }
--- a/entry/src/main/java/org/gentianslip/entry/relay/SingleSendInterceptor.java
+++ b/entry/src/main/java/org/gentianslip/entry/relay/SingleSendInterceptor.java
@@ -37,7 +37,8 @@
       throw new IOException("The request was sent before or its send deadline has passed");
     }
     Response response = chain.proceed(chain.request());
-    Optional<String> fault = ResponseFraming.fault(response.message(), headers(response));
+    Optional<String> fault =
+        ResponseFraming.fault(response.code(), response.message(), headers(response));
     if (fault.isPresent()) {
       chain.call().cancel();
       response.close();
--- a/entry/src/test/java/org/gentianslip/entry/gateway/CutAnswerTest.java
+++ b/entry/src/test/java/org/gentianslip/entry/gateway/CutAnswerTest.java
@@ -214,6 +214,25 @@
     assertThat(readOfText(text), is(ReceivedAnswer.FAILURE));
   }
 
+  @ParameterizedTest
+  @ValueSource(
+      strings = {"000", "001", "020", "099", "600", "999", "+200", "0200", "2000", "-200", "2x0"})
+  void readsNoAnswerWithoutStatus(String status) throws Exception {
+    String head = "HTTP/1.1 " + status + " OK\r\nRequest-Id: a1\r\nContent-Length: 5\r\n\r\n";
+    assertThat(readOfText(head + "whole"), is(ReceivedAnswer.FAILURE));
+    assertThat(readOfText(head + "whole" + Answer.LENGTH.text), is(ReceivedAnswer.FAILURE));
+    assertThat(
+        readOfText(head.replace("Content-Length: 5\r\n", "") + Answer.LENGTH.text),
+        is(ReceivedAnswer.FAILURE));
+  }
+
+  @ParameterizedTest
+  @ValueSource(strings = {"100", "102", "103", "199"})
+  void readsAnswerAfterInterimOne(String status) throws Exception {
+    String interim = "HTTP/1.1 " + status + " Wait\r\n\r\n";
+    assertThat(readOfText(interim + Answer.LENGTH.text), is(ReceivedAnswer.whole(200, "whole")));
+  }
+
   @ParameterizedTest
   @ValueSource(strings = {"", "Content-Length: 3\r\n"})
   void readsNoChunksInAnOlderVersion(String headers) throws Exception {
--- a/entry/src/test/java/org/gentianslip/entry/http/ResponseFramingTest.java
+++ b/entry/src/test/java/org/gentianslip/entry/http/ResponseFramingTest.java
@@ -20,7 +20,7 @@
       int colon = header.indexOf(':');
       received.add(header.substring(0, colon), header.substring(colon + 1).trim());
     }
-    return ResponseFraming.fault(reasonPhrase, received).isEmpty();
+    return ResponseFraming.fault(200, reasonPhrase, received).isEmpty();
   }
 
   @Test
--- a/entry/src/test/java/org/gentianslip/entry/relay/CutResponseTest.java
+++ b/entry/src/test/java/org/gentianslip/entry/relay/CutResponseTest.java
@@ -149,6 +149,17 @@
     assertThat(read(), is(FAILURE));
   }
 
+  @ParameterizedTest
+  @ValueSource(
+      strings = {"000", "001", "020", "099", "600", "999", "+20", "0200", "2000", "-20", "2x0"})
+  void readsNoResponseWithoutStatus(String status) throws Exception {
+    String response = LENGTH.replace("200", status);
+    answer(response, false);
+    assertThat(read(), is(FAILURE));
+    answer(response + LENGTH, false);
+    assertThat(read(), is(FAILURE));
+  }
+
   @Test
   void readsNoTwoHeadsAsOne() throws Exception {
     List<String> wrong = new ArrayList<>();
