Divide the refusals that a backend server bears among the instances

Backend servers may say in their answers that they fail if they have to refuse more than N requests in a second for want of room. Nothing read it. With three instances and N = 5, a server whose queue ended refused 98 requests in a second (BrittleServerFleetTest before the change).

Cause: an instance learned of a full server by refusals of its own, backed off for 50 ms, and relied on up to three requests per slot that the server lets wait.

Ruled out: sending by what the reports of others leave free. Reports are some 100 ms old, and in virtual time 28 instances without a place of their own took the same free one (11 refusals in a second for N = 5).

Change: StatedLimit holds the refusals as it holds a named limit of requests, travels between instances in the same way and ends by the same rule; LimitShare divides both. RefusalLimit decides: an instance fills its own places, which add up to the slots, and beyond that sends as its share of 0.85 N allows. After the refusal of a request to a place it keeps to those that it has, and tries one more at a time. A new process counts three instances at least. A server that starts is presumed to bear what others of its service said last, as nobody knows before its first answer.

Open: with more instances than slots, one without a place sends by its share only; callers that no instance knows may cause one refusal at each instance at once.

--- a/core/src/main/java/org/gentianslip/core/limit/LimitShare.java
+++ b/core/src/main/java/org/gentianslip/core/limit/LimitShare.java
@@ -6,7 +6,8 @@
 import org.gentianslip.core.id.InstanceId;
 
 /**
- * Divides the request rate that a backend server has named among the instances of a region.
+ * Divides the rate of requests or refusals that a backend server has named among the instances of a
+ * region.
  *
  * <p>As many instances send as there are whole requests per second, one at least; they are selected
  * by rendezvous hashing for each backend server, so that many instances with a small share each do
@@ -21,6 +22,9 @@
   /** The lowest rate of all instances together, so that the end of a limit is noticed. */
   private static final double MIN_PER_SECOND = 0.25;
 
+  /** A try of one more place is refused, or takes a place that another instance then lacks. */
+  private static final int REFUSALS_PER_TRY = 2;
+
   private static final double NANOS_PER_SECOND = TimeUnit.SECONDS.toNanos(1);
 
   private LimitShare() {}
@@ -44,4 +48,38 @@
     boolean selected = EngineSubsetting.shareOf(self, instances, backend, senders).isPresent();
     return selected ? (long) (NANOS_PER_SECOND * senders / usedPerSecond) : Long.MAX_VALUE;
   }
+
+  /**
+   * Returns the share of one instance in the refusals that a backend server bears.
+   *
+   * <p>The shares of all instances add up to whole refusals in any second, and so do their tries of
+   * one more place. The intervals of the instances differ, so that they don't try at once after
+   * refusals at the same moment.
+   *
+   * @param self the instance
+   * @param instances the instances of the region, including {@code self}
+   * @param minInstances the number of instances that is assumed at least
+   * @param backend the backend server
+   * @param perSecond the refusals per second that the backend server bears, not negative
+   */
+  public static RefusalShare refusals(
+      InstanceId self,
+      Collection<InstanceId> instances,
+      int minInstances,
+      EngineId backend,
+      double perSecond) {
+    if (perSecond < 0) {
+      throw new IllegalArgumentException("limit must not be negative: " + perSecond);
+    }
+    int whole = (int) (USED_SHARE * perSecond);
+    int sharers = Math.max(minInstances, instances.size());
+    int index =
+        EngineSubsetting.shareOf(self, instances, backend, instances.size())
+            .map(EngineShare::index)
+            .orElse(sharers - 1);
+    int portion = EngineShare.equal(index, sharers).portionOfFree(whole);
+    double roundSeconds = REFUSALS_PER_TRY * sharers / Math.max(MIN_PER_SECOND, whole);
+    double intervalSeconds = roundSeconds * (1 + (double) index / sharers);
+    return new RefusalShare(portion, (long) (NANOS_PER_SECOND * intervalSeconds));
+  }
 }
--- a/core/src/main/java/org/gentianslip/core/limit/StatedLimit.java
+++ b/core/src/main/java/org/gentianslip/core/limit/StatedLimit.java
@@ -1,9 +1,10 @@
 package org.gentianslip.core.limit;
 
 /**
- * What a backend server has said about the requests that it takes. Immutable.
+ * What a backend server has said about the requests that it takes, or about the refusals for want
+ * of room that it bears. Immutable.
  *
- * @param perSecond the requests per second that it takes from all instances together, or a negative
+ * @param perSecond the requests or refusals per second of all instances together, or a negative
  *     number if it names no limit
  * @param heardNanos when it said so, in nanoseconds of the monotonic clock
  */
--- a/core/src/main/java/org/gentianslip/core/load/BackendGroup.java
+++ b/core/src/main/java/org/gentianslip/core/load/BackendGroup.java
@@ -64,7 +64,8 @@
       EngineId id = backend.id();
       return load.acceptsWork(nowNanos, () -> rates.coldPerSecond(id))
           && load.isWithinPace(nowNanos, total -> rates.portion(id, total))
-          && load.isWithinLimit(nowNanos, perSecond -> rates.intervalNanos(id, perSecond));
+          && load.isWithinLimit(nowNanos, perSecond -> rates.intervalNanos(id, perSecond))
+          && load.isWithinRefusalLimit(nowNanos, id, rates);
     }
   }
 
--- a/core/src/main/java/org/gentianslip/core/load/BackendLoad.java
+++ b/core/src/main/java/org/gentianslip/core/load/BackendLoad.java
@@ -6,6 +6,9 @@
 import java.util.function.DoubleToLongFunction;
 import java.util.function.IntSupplier;
 import java.util.function.IntUnaryOperator;
+import org.gentianslip.core.id.EngineId;
+import org.gentianslip.core.limit.HeardLimit;
+import org.gentianslip.core.limit.RefusalLimit;
 import org.gentianslip.core.limit.ServerPace;
 import org.gentianslip.core.limit.StatedLimit;
 import org.gentianslip.core.route.EngineProfile;
@@ -60,6 +63,7 @@
   private final PeerLoads peers = new PeerLoads();
   private final Availability availability;
   private final ServerPace pace;
+  private final RefusalLimit refusals;
   private int running;
 
   /** The requests that this instance had at the backend server when its pace became limited. */
@@ -74,7 +78,7 @@
   private double otherPrefillMillis;
   private double failureShare;
   private double waitRatio = 1;
-  private StatedLimit limit;
+  private final HeardLimit limit = new HeardLimit();
   private long lastSentNanos = Long.MIN_VALUE;
   private double serviceMillis = INITIAL_SERVICE_MILLIS;
   private int instances = 1;
@@ -86,12 +90,18 @@
    * @param engine the properties of its model engine, or null for a plain service
    */
   public BackendLoad(int slots, EngineProfile engine) {
-    this(slots, engine, new Availability(), new ServerPace());
+    this(slots, engine, new Availability(), new ServerPace(), new RefusalLimit());
   }
 
-  private BackendLoad(int slots, EngineProfile engine, Availability availability, ServerPace pace) {
+  private BackendLoad(
+      int slots,
+      EngineProfile engine,
+      Availability availability,
+      ServerPace pace,
+      RefusalLimit refusals) {
     this.availability = availability;
     this.pace = pace;
+    this.refusals = refusals;
     this.slots = Math.max(1, slots);
     this.isEngine = engine != null;
     this.cache = new PromptCache(engine == null ? 0 : (long) (CACHE_SHARE * engine.cacheTokens()));
@@ -107,7 +117,7 @@
     if (isEngine == (engineNow != null)) {
       return this;
     }
-    return new BackendLoad(slots, engineNow, availability, pace);
+    return new BackendLoad(slots, engineNow, availability, pace, refusals);
   }
 
   /** Counts a request that is about to be sent, and returns the reservation that tracks it. */
@@ -117,6 +127,7 @@
     final boolean outdated = isOutdated(nowNanos);
     cache.record(size.prompt());
     pace.recordSend(nowNanos, unanswered, estimate.totalMillis());
+    final RefusalLimit.Send send = refusals.recordSend(nowNanos, occupancy());
     running++;
     unanswered++;
     if (urgent) {
@@ -126,7 +137,7 @@
     }
     availability.recordSend(nowNanos);
     lastSentNanos = nowNanos;
-    return new Reservation(this, urgent, estimate, nowNanos, outdated);
+    return new Reservation(this, urgent, estimate, nowNanos, outdated, send);
   }
 
   /** Removes prefill time that is no longer outstanding. */
@@ -211,9 +222,10 @@
     cache.clear();
   }
 
-  synchronized void recordFullRefusal(long nowNanos) {
+  synchronized void recordFullRefusal(long nowNanos, RefusalLimit.Send send) {
     pace.recordSetback(nowNanos, slots);
     availability.recordFullRefusal(nowNanos);
+    refusals.recordRefusal(nowNanos, send, running);
   }
 
   /**
@@ -259,12 +271,7 @@
    * @return whether the limit has changed
    */
   public synchronized boolean applyLimit(StatedLimit next) {
-    if (limit != null && !next.isNewerThan(limit)) {
-      return false;
-    }
-    boolean changed = limit == null ? next.isLimited() : next.perSecond() != limit.perSecond();
-    limit = next;
-    return changed;
+    return limit.apply(next);
   }
 
   /**
@@ -275,8 +282,26 @@
    * @return whether the limit has changed
    */
   public synchronized boolean endLimit(long sentNanos, long nowNanos) {
-    boolean ends = limit != null && sentNanos - limit.heardNanos() >= 0;
-    return ends && applyLimit(StatedLimit.none(nowNanos));
+    return limit.end(sentNanos, nowNanos);
+  }
+
+  /**
+   * Records what the backend server has said about the refusals for want of room that it bears,
+   * unless something newer is known.
+   *
+   * @return whether that number has changed
+   */
+  public synchronized boolean applyRefusalLimit(StatedLimit next) {
+    return refusals.stated().apply(next);
+  }
+
+  /**
+   * Records an answer that names no limit of refusals, as {@link #endLimit} does.
+   *
+   * @return whether the limit has changed
+   */
+  public synchronized boolean endRefusalLimit(long sentNanos, long nowNanos) {
+    return refusals.stated().end(sentNanos, nowNanos);
   }
 
   /**
@@ -304,14 +329,34 @@
    *     second of all instances, in nanoseconds
    */
   public synchronized boolean isWithinLimit(long nowNanos, DoubleToLongFunction intervalNanos) {
-    if (limit == null || !limit.isLimited()) {
+    if (!limit.isLimited()) {
       return true;
     }
-    long interval = intervalNanos.applyAsLong(limit.perSecond());
+    long interval = intervalNanos.applyAsLong(limit.newest().orElseThrow().perSecond());
     boolean neverSent = lastSentNanos == Long.MIN_VALUE;
     return interval != Long.MAX_VALUE && (neverSent || nowNanos - lastSentNanos >= interval);
   }
 
+  /**
+   * Returns whether a request would keep to the refusals that the backend server bears, if it has
+   * said so.
+   *
+   * @param id the id of the backend server
+   */
+  public synchronized boolean isWithinRefusalLimit(long nowNanos, EngineId id, SendRates rates) {
+    if (!refusals.stated().isLimited()) {
+      return true;
+    }
+    peers.dropExpired(nowNanos);
+    double perSecond = refusals.stated().newest().orElseThrow().perSecond();
+    return refusals.accepts(
+        nowNanos, occupancy(), rates.places(id, slots), rates.refusals(id, perSecond));
+  }
+
+  private RefusalLimit.Occupancy occupancy() {
+    return new RefusalLimit.Occupancy(slots, running, running + peers.running());
+  }
+
   /**
    * Returns whether a request would keep to the pace of a backend server that starts or recovers.
    *
@@ -329,7 +374,12 @@
 
   /** Returns what the backend server has said about the requests that it takes, if anything. */
   public synchronized Optional<StatedLimit> limit() {
-    return Optional.ofNullable(limit);
+    return limit.newest();
+  }
+
+  /** Returns what the backend server has said about the refusals that it bears, if anything. */
+  public synchronized Optional<StatedLimit> refusalLimit() {
+    return refusals.stated().newest();
   }
 
   /** Records that the engine has prefilled a part of a prompt for another instance. */
--- a/core/src/main/java/org/gentianslip/core/load/Reservation.java
+++ b/core/src/main/java/org/gentianslip/core/load/Reservation.java
@@ -1,5 +1,7 @@
 package org.gentianslip.core.load;
 
+import org.gentianslip.core.limit.RefusalLimit;
+
 /**
  * Tracks one request at a backend server from sending to its end.
  *
@@ -12,6 +14,7 @@
   private final long sentNanos;
   private final double expectedMillis;
   private final boolean outdated;
+  private final RefusalLimit.Send send;
   private double outstandingPrefillMillis;
   private boolean answered;
   private boolean ended;
@@ -21,13 +24,15 @@
       boolean urgent,
       BackendEstimate estimate,
       long sentNanos,
-      boolean outdated) {
+      boolean outdated,
+      RefusalLimit.Send send) {
     this.load = load;
     this.urgent = urgent;
     this.outstandingPrefillMillis = estimate.prefillMillis();
     this.expectedMillis = estimate.totalMillis();
     this.sentNanos = sentNanos;
     this.outdated = outdated;
+    this.send = send;
   }
 
   /** Records that the first event of the answer has arrived, so the prompt is prefilled. */
@@ -72,7 +77,7 @@
 
   /** Records that the backend server refused the request because it is full. */
   public void refusedAsFull(long nowNanos) {
-    end(() -> load.recordFullRefusal(nowNanos));
+    end(() -> load.recordFullRefusal(nowNanos, send));
   }
 
   /** Ends the reservation without a result that concerns the backend server's health. */
--- a/core/src/main/java/org/gentianslip/core/load/SendRates.java
+++ b/core/src/main/java/org/gentianslip/core/load/SendRates.java
@@ -2,6 +2,7 @@
 
 import org.gentianslip.core.id.EngineId;
 import org.gentianslip.core.limit.ColdRate;
+import org.gentianslip.core.limit.RefusalShare;
 
 /**
  * The rates at which this instance may send requests to backend servers that restrict them.
@@ -27,6 +28,16 @@
         public int portion(EngineId backend, int total) {
           return total;
         }
+
+        @Override
+        public int places(EngineId backend, int slots) {
+          return slots;
+        }
+
+        @Override
+        public RefusalShare refusals(EngineId backend, double perSecond) {
+          return RefusalShare.UNLIMITED;
+        }
       };
 
   /** Returns the requests per second that may be sent to a backend server while it is cold. */
@@ -45,4 +56,14 @@
    * the portions of all instances of the region add up to the number.
    */
   int portion(EngineId backend, int total);
+
+  /** Returns how many of the slots of a backend server belong to this instance. */
+  int places(EngineId backend, int slots);
+
+  /**
+   * Returns this instance's share of the refusals for want of room that a backend server bears.
+   *
+   * @param perSecond the refusals per second of all instances together
+   */
+  RefusalShare refusals(EngineId backend, double perSecond);
 }
--- a/core/src/test/java/org/gentianslip/core/limit/LimitShareTest.java
+++ b/core/src/test/java/org/gentianslip/core/limit/LimitShareTest.java
@@ -61,4 +61,24 @@
         IllegalArgumentException.class,
         () -> LimitShare.intervalNanos(InstanceId.of("i0"), instances(2), BACKEND, -0.1));
   }
+
+  @ParameterizedTest
+  @CsvSource({"0.5, 0", "1, 0", "2, 1", "5, 4", "20, 17"})
+  void dividesWholeRefusalsBelowTheLimit(double perSecond, int whole) {
+    for (int count : new int[] {3, 7, 16, 95}) {
+      List<InstanceId> instances = instances(count);
+      int sum =
+          instances.stream()
+              .mapToInt(i -> LimitShare.refusals(i, instances, 3, BACKEND, perSecond).perSecond())
+              .sum();
+      assertThat(sum, is(whole));
+    }
+  }
+
+  @Test
+  void assumesMoreInstancesThanAreKnown() {
+    List<InstanceId> instances = instances(1);
+    RefusalShare share = LimitShare.refusals(instances.get(0), instances, 3, BACKEND, 20);
+    assertThat(share.perSecond(), is(lessThanOrEqualTo(6)));
+  }
 }
--- a/entry/src/main/java/org/gentianslip/entry/fleet/FleetMessage.java
+++ b/entry/src/main/java/org/gentianslip/entry/fleet/FleetMessage.java
@@ -62,6 +62,8 @@
  *     milliseconds; null if it is unknown, and in messages of earlier processes
  * @param origins where streams began; null if there is nothing to tell, and in messages of earlier
  *     versions
+ * @param refusalLimits what backend servers of the region have said about the refusals that they
+ *     bear, by id
  */
 record FleetMessage(
     Instance self,
@@ -84,7 +86,8 @@
     Map<String, Limit> limits,
     Map<String, JsonNode> usage,
     JsonNode confirmedAge,
-    @JsonInclude(JsonInclude.Include.NON_NULL) OriginReport origins) {
+    @JsonInclude(JsonInclude.Include.NON_NULL) OriginReport origins,
+    @JsonInclude(JsonInclude.Include.NON_EMPTY) Map<String, Limit> refusalLimits) {
 
   private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
 
@@ -97,6 +100,7 @@
     crashes = crashes == null ? List.of() : List.copyOf(crashes);
     completions = completions == null ? List.of() : List.copyOf(completions);
     limits = limits == null ? Map.of() : Map.copyOf(limits);
+    refusalLimits = refusalLimits == null ? Map.of() : Map.copyOf(refusalLimits);
     evidenceAck = evidenceAck == null ? Ack.of(SyncAck.NONE) : evidenceAck;
   }
 
@@ -325,7 +329,7 @@
   /**
    * The JSON form of a {@link StatedLimit}, with an age because the clocks of instances differ.
    *
-   * @param perSecond the requests per second, or a negative number if there is no limit
+   * @param perSecond the requests or refusals per second, or a negative number if there is no limit
    * @param age the time since the backend server said so, in milliseconds
    */
   @JsonFormat(shape = JsonFormat.Shape.ARRAY)
--- a/entry/src/main/java/org/gentianslip/entry/fleet/FleetMessages.java
+++ b/entry/src/main/java/org/gentianslip/entry/fleet/FleetMessages.java
@@ -11,6 +11,7 @@
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
 import org.gentianslip.core.fleet.LoadScope;
 import org.gentianslip.core.fleet.PeerRecord;
 import org.gentianslip.core.fleet.SyncAck;
@@ -19,6 +20,7 @@
 import org.gentianslip.core.id.CustomerId;
 import org.gentianslip.core.id.EngineId;
 import org.gentianslip.core.id.InstanceId;
+import org.gentianslip.core.limit.StatedLimit;
 import org.gentianslip.core.load.BackendLoad;
 import org.gentianslip.core.load.LoadSource;
 import org.gentianslip.core.load.PeerLoad;
@@ -81,6 +83,7 @@
         new EvidenceBatch(List.of(), List.of(), 0),
         SyncAck.NONE,
         Map.of(),
+        Map.of(),
         null,
         null);
   }
@@ -135,7 +138,8 @@
         promptCursors.receivedFrom(receiver),
         evidence,
         evidenceCursors.receivedFrom(receiver),
-        limits(nowNanos, backends),
+        limits(nowNanos, backends, BackendLoad::limit),
+        limits(nowNanos, backends, BackendLoad::refusalLimit),
         usage == null ? null : UsageFields.of(usage),
         origins(nowNanos, receiver));
   }
@@ -179,6 +183,7 @@
       EvidenceBatch evidence,
       SyncAck evidenceAck,
       Map<String, FleetMessage.Limit> limits,
+      Map<String, FleetMessage.Limit> refusalLimits,
       Map<String, JsonNode> usage,
       OriginReport origins) {
     // Read before the version in force, which is then at least as recent as was confirmed.
@@ -205,7 +210,8 @@
         limits,
         usage,
         confirmedAge.isPresent() ? LongNode.valueOf(confirmedAge.getAsLong()) : null,
-        origins);
+        origins,
+        refusalLimits);
   }
 
   /**
@@ -240,13 +246,16 @@
     return loads;
   }
 
-  /** Returns what backend servers have said about the requests that they take. */
+  /** Returns what backend servers have said about one of their limits. */
   private static Map<String, FleetMessage.Limit> limits(
-      long nowNanos, Map<EngineId, BackendLoad> backends) {
+      long nowNanos,
+      Map<EngineId, BackendLoad> backends,
+      Function<BackendLoad, Optional<StatedLimit>> limit) {
     Map<String, FleetMessage.Limit> limits = new HashMap<>();
     backends.forEach(
         (id, load) ->
-            load.limit()
+            limit
+                .apply(load)
                 .filter(l -> l.isLimited() || nowNanos - l.heardNanos() < END_SHARED_NANOS)
                 .ifPresent(l -> limits.put(id.value(), FleetMessage.Limit.of(nowNanos, l))));
     return limits;
@@ -295,6 +304,13 @@
         .forEach(
             (id, limit) ->
                 state.load(EngineId.of(id)).ifPresent(l -> l.applyLimit(limit.toLimit(nowNanos))));
+    message
+        .refusalLimits()
+        .forEach(
+            (id, limit) ->
+                state
+                    .load(EngineId.of(id))
+                    .ifPresent(l -> l.applyRefusalLimit(limit.toLimit(nowNanos))));
     state.knowledge().recordStated(message.version(), nowNanos);
     boolean behind =
         message.version() > state.routesVersion() || state.published().routes().isEmpty();
--- a/entry/src/main/java/org/gentianslip/entry/gateway/BackendAttempt.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/BackendAttempt.java
@@ -172,7 +172,9 @@
     if (edgeHeaders.isOtherBackend(status, headers)) {
       return;
     }
-    recordLimit(edgeHeaders.requestsPerSecond(headers), edgeHeaders.isSigned(headers));
+    boolean signed = edgeHeaders.isSigned(headers);
+    recordLimit(edgeHeaders.requestsPerSecond(headers), signed);
+    recordRefusalLimit(edgeHeaders.refusalsPerSecond(headers), signed);
     edgeHeaders.pauseMillis(status, headers).ifPresent(this::recordPause);
     if (edgeHeaders.isLeaving(headers)) {
       execution().gateway().state().markLeaving(backend);
@@ -209,6 +211,20 @@
     }
   }
 
+  private void recordRefusalLimit(OptionalDouble perSecond, boolean signed) {
+    long now = System.nanoTime();
+    BackendLoad load = decision.option().load();
+    boolean changed =
+        perSecond.isPresent()
+            ? load.applyRefusalLimit(new StatedLimit(perSecond.getAsDouble(), now))
+            : signed && load.endRefusalLimit(sentNanos, now);
+    if (changed) {
+      LOGGER.atInfo().log(
+          "gateway: event=refusal-limit backend=%s per-second=%s",
+          backend.id(), perSecond.isPresent() ? perSecond.getAsDouble() : "none");
+    }
+  }
+
   @Override
   Optional<SoftwareVersion> version() {
     Backend published = execution().gateway().state().published().backends().get(backend.id());
--- a/entry/src/main/java/org/gentianslip/entry/gateway/BackendRegistry.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/BackendRegistry.java
@@ -19,6 +19,8 @@
 import org.gentianslip.core.limit.ColdRate;
 import org.gentianslip.core.limit.EngineSubsetting;
 import org.gentianslip.core.limit.LimitShare;
+import org.gentianslip.core.limit.RefusalShare;
+import org.gentianslip.core.limit.StatedLimit;
 import org.gentianslip.core.load.BackendGroup;
 import org.gentianslip.core.load.BackendLoad;
 import org.gentianslip.core.load.Candidates;
@@ -55,6 +57,9 @@
   private final Map<EngineId, BackendLoad> loads = new ConcurrentHashMap<>();
   private final LeavingIncarnations leaving = new LeavingIncarnations();
 
+  /** What backend servers of a service have last said about the refusals that they bear. */
+  private final Map<ServiceId, StatedLimit> refusalLimits = new HashMap<>();
+
   /** The backend servers of this region that accept work, by service; replaced as a whole. */
   private volatile Map<ServiceId, BackendGroup> groups = Map.of();
 
@@ -70,9 +75,34 @@
       PublishedState known = before.routes().isPresent() ? before : PublishedState.NONE;
       markColdBackends(nowNanos, known, after);
     }
+    recordRefusalLimits(before);
     loads.keySet().retainAll(after.backends().keySet());
     leaving.retainPublished(after.backends());
-    groups = buildGroups(after);
+    Map<ServiceId, BackendGroup> built = buildGroups(after);
+    presumeRefusalLimits(before, after);
+    groups = built;
+  }
+
+  private void recordRefusalLimits(PublishedState state) {
+    for (Backend b : state.backends().values()) {
+      load(b.id())
+          .flatMap(BackendLoad::refusalLimit)
+          .ifPresent(
+              l ->
+                  refusalLimits.merge(b.service(), l, (a, next) -> next.isNewerThan(a) ? next : a));
+    }
+  }
+
+  /** Presumes of new backend servers what others of their service have said, until they answer. */
+  private void presumeRefusalLimits(PublishedState before, PublishedState after) {
+    for (Backend b : after.backends().values()) {
+      Backend previous = before.backends().get(b.id());
+      boolean started = previous == null || previous.startedMillis() != b.startedMillis();
+      StatedLimit stated = refusalLimits.get(b.service());
+      if (started && stated != null && stated.isLimited()) {
+        load(b.id()).ifPresent(l -> l.applyRefusalLimit(stated));
+      }
+    }
   }
 
   /** Records that a backend server has said that it is leaving, so that it gets no new work. */
@@ -184,6 +214,21 @@
             .map(s -> s.portionOfFree(total))
             .orElse(0);
       }
+
+      @Override
+      public int places(EngineId backend, int slots) {
+        // A new process may not have heard of all instances yet.
+        return nowNanos - createdNanos < INTRODUCTION_NANOS
+            ? slots / Math.max(MIN_ASSUMED_INSTANCES, liveInRegion(nowNanos).size())
+            : portion(backend, slots);
+      }
+
+      @Override
+      public RefusalShare refusals(EngineId backend, double perSecond) {
+        List<InstanceId> instances = fleet.peers().knownInRegion();
+        return LimitShare.refusals(
+            config.get().id(), instances, MIN_ASSUMED_INSTANCES, backend, perSecond);
+      }
     };
   }
 
--- a/entry/src/main/java/org/gentianslip/entry/gateway/EdgeHeaders.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/EdgeHeaders.java
@@ -78,6 +78,12 @@
    */
   OptionalDouble requestsPerSecond(HttpHeaders headers);
 
+  /**
+   * Returns the refusals for want of room per second that the backend server bears from all
+   * instances together, if it names a limit.
+   */
+  OptionalDouble refusalsPerSecond(HttpHeaders headers);
+
   /** Returns whether the backend server that sent a response says that it is leaving. */
   boolean isLeaving(HttpHeaders headers);
 
--- a/entry/src/main/java/org/gentianslip/entry/gateway/GatewayOperatorView.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/GatewayOperatorView.java
@@ -159,6 +159,10 @@
           .limit()
           .filter(StatedLimit::isLimited)
           .ifPresent(l -> node.put("limitPerSecond", l.perSecond()));
+      load.get()
+          .refusalLimit()
+          .filter(StatedLimit::isLimited)
+          .ifPresent(l -> node.put("refusalsPerSecond", l.perSecond()));
     }
   }
 
--- a/entry/src/test/java/org/gentianslip/entry/gateway/BackendRegistryTest.java
+++ b/entry/src/test/java/org/gentianslip/entry/gateway/BackendRegistryTest.java
@@ -13,6 +13,7 @@
 import org.gentianslip.core.id.InstanceId;
 import org.gentianslip.core.id.RegionId;
 import org.gentianslip.core.id.ServiceId;
+import org.gentianslip.core.limit.StatedLimit;
 import org.gentianslip.core.load.BackendLoad;
 import org.gentianslip.core.load.Candidates;
 import org.gentianslip.core.load.PromptPart;
@@ -94,6 +95,39 @@
     }
   }
 
+  @Nested
+  @DisplayName("if the backend servers of a service bear few refusals")
+  class FewRefusals {
+
+    private static final EngineId NEW_ENGINE = EngineId.of("e2");
+
+    private PublishedState withNewEngineAlone() {
+      var backend = new Backend(NEW_ENGINE, FARM, "127.0.0.1:81", CENTRE, 64, false, 0, 0);
+      return new PublishedState(
+          Revision.of(2, 1), withService().routes(), Map.of(NEW_ENGINE, backend), Set.of());
+    }
+
+    private boolean presumesLimitOfNewEngine() {
+      registry.applyPublished(0, withService(), withNewEngineAlone());
+      return registry.load(NEW_ENGINE).flatMap(BackendLoad::refusalLimit).isPresent();
+    }
+
+    @Test
+    void presumesTheSameOfOneThatStartsLater() {
+      registry.applyPublished(0, PublishedState.NONE, withService());
+      registry.load(ENGINE).orElseThrow().applyRefusalLimit(new StatedLimit(5, 0));
+      assertThat(presumesLimitOfNewEngine(), is(true));
+    }
+
+    @Test
+    void presumesNothingOnceAnAnswerDoesNotSaySo() {
+      registry.applyPublished(0, PublishedState.NONE, withService());
+      registry.load(ENGINE).orElseThrow().applyRefusalLimit(new StatedLimit(5, 0));
+      registry.load(ENGINE).orElseThrow().endRefusalLimit(1, 2);
+      assertThat(presumesLimitOfNewEngine(), is(false));
+    }
+  }
+
   @Test
   void keepsTheLoadObjectIfTheServiceIsUnchanged() {
     registry.applyPublished(0, PublishedState.NONE, withService());
--- a/entry/src/test/java/org/gentianslip/entry/gateway/PlainHeaders.java
+++ b/entry/src/test/java/org/gentianslip/entry/gateway/PlainHeaders.java
@@ -88,6 +88,11 @@
     return false;
   }
 
+  @Override
+  public OptionalDouble refusalsPerSecond(HttpHeaders headers) {
+    return OptionalDouble.empty();
+  }
+
   @Override
   public OptionalDouble requestsPerSecond(HttpHeaders headers) {
     return OptionalDouble.empty();
