--- a/entry/src/main/java/org/gentianslip/entry/fleet/FleetMessages.java
+++ b/entry/src/main/java/org/gentianslip/entry/fleet/FleetMessages.java
@@ -11,6 +11,7 @@
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
 import org.gentianslip.core.fleet.LoadScope;
 import org.gentianslip.core.fleet.PeerRecord;
 import org.gentianslip.core.fleet.SyncAck;
@@ -19,6 +20,7 @@
 import org.gentianslip.core.id.CustomerId;
 import org.gentianslip.core.id.EngineId;
 import org.gentianslip.core.id.InstanceId;
+import org.gentianslip.core.limit.StatedLimit;
 import org.gentianslip.core.load.BackendLoad;
 import org.gentianslip.core.load.LoadSource;
 import org.gentianslip.core.load.PeerLoad;
@@ -85,6 +87,7 @@
         new EvidenceBatch(List.of(), List.of(), 0),
         SyncAck.NONE,
         Map.of(),
+        Map.of(),
         null,
         null,
         Map.of());
@@ -140,7 +143,8 @@
         promptCursors.receivedFrom(receiver),
         evidence,
         evidenceCursors.receivedFrom(receiver),
-        limits(nowNanos, backends),
+        limits(nowNanos, backends, BackendLoad::limit),
+        limits(nowNanos, backends, BackendLoad::refusalLimit),
         usage == null ? null : UsageFields.of(usage),
         origins(nowNanos, receiver),
         failures(nowNanos, backends));
@@ -185,6 +189,7 @@
       EvidenceBatch evidence,
       SyncAck evidenceAck,
       Map<String, FleetMessage.Limit> limits,
+      Map<String, FleetMessage.Limit> refusalLimits,
       Map<String, JsonNode> usage,
       OriginReport origins,
       Map<String, FleetMessage.Failure> failures) {
@@ -213,6 +218,7 @@
         usage,
         confirmedAge.isPresent() ? LongNode.valueOf(confirmedAge.getAsLong()) : null,
         origins,
+        refusalLimits,
         failures);
   }
 
@@ -248,13 +254,16 @@
     return loads;
   }
 
-  /** Returns what backend servers have said about the requests that they take. */
+  /** Returns what backend servers have said about one of their limits. */
   private static Map<String, FleetMessage.Limit> limits(
-      long nowNanos, Map<EngineId, BackendLoad> backends) {
+      long nowNanos,
+      Map<EngineId, BackendLoad> backends,
+      Function<BackendLoad, Optional<StatedLimit>> limit) {
     Map<String, FleetMessage.Limit> limits = new HashMap<>();
     backends.forEach(
         (id, load) ->
-            load.limit()
+            limit
+                .apply(load)
                 .filter(l -> l.isLimited() || nowNanos - l.heardNanos() < END_SHARED_NANOS)
                 .ifPresent(l -> limits.put(id.value(), FleetMessage.Limit.of(nowNanos, l))));
     return limits;
@@ -346,6 +355,13 @@
         .forEach(
             (id, limit) ->
                 state.load(EngineId.of(id)).ifPresent(l -> l.applyLimit(limit.toLimit(nowNanos))));
+    message
+        .refusalLimits()
+        .forEach(
+            (id, limit) ->
+                state
+                    .load(EngineId.of(id))
+                    .ifPresent(l -> l.applyRefusalLimit(limit.toLimit(nowNanos))));
     applyFailures(nowNanos, peer, message.failures());
     state.knowledge().recordStated(message.version(), nowNanos);
     boolean behind =
