Await the entry of a later start for as long as servers take to publish it

Cause: a new process trusted its first list after 1.5 s, whatever the interval at which servers publish themselves. Change: 1.25 intervals of the settings. Evidence: BackendRegistryTest.awaitsThatEntryForLongerIfServersPublishSeldom.

--- a/entry/src/main/java/org/gentianslip/entry/gateway/BackendRegistry.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/BackendRegistry.java
@@ -55,14 +55,19 @@
   private static final long START_QUERY_NANOS =
       TimeUnit.MILLISECONDS.toNanos(ReportCall.TIMEOUT_MILLIS);
 
-  /** The time by which the entry of a start has arrived, unless the publisher is disturbed. */
-  private static final long ENTRY_NANOS = TimeUnit.MILLISECONDS.toNanos(1_500);
+  /** The interval at which backend servers publish themselves if it is not known. */
+  private static final long DEFAULT_HEARTBEAT_MILLIS = 1_200;
+
+  /** The intervals by which the entry of a start has arrived, unless the publisher is disturbed. */
+  private static final double ENTRY_HEARTBEATS = 1.25;
 
   private final FleetView fleet;
   private final long createdNanos;
   private final Map<EngineId, Tracked> loads = new ConcurrentHashMap<>();
   private final LeavingIncarnations leaving = new LeavingIncarnations();
 
+  private volatile long entryNanos = entryNanos(DEFAULT_HEARTBEAT_MILLIS);
+
   private volatile Consumer<Backend> startCheck = backend -> {};
 
   /** The backend servers of this region that accept work, by service; replaced as a whole. */
@@ -162,7 +167,7 @@
             .isPresent();
     boolean comparable = config.get().isLocal(backend) && backend.startedMillis() != 0;
     if (limited && comparable && nowNanos - createdNanos < INTRODUCTION_NANOS) {
-      loadOf(state, backend).expectConfirmation(nowNanos + ENTRY_NANOS);
+      loadOf(state, backend).expectConfirmation(nowNanos + entryNanos);
     }
   }
 
@@ -179,6 +184,15 @@
     }
   }
 
+  /** Sets the interval at which backend servers publish themselves, if it is known. */
+  void setHeartbeatMillis(long millis) {
+    entryNanos = entryNanos(millis > 0 ? millis : DEFAULT_HEARTBEAT_MILLIS);
+  }
+
+  private static long entryNanos(long heartbeatMillis) {
+    return (long) (ENTRY_HEARTBEATS * TimeUnit.MILLISECONDS.toNanos(heartbeatMillis));
+  }
+
   /** Sets what asks an engine when it started. */
   void setStartCheck(Consumer<Backend> check) {
     startCheck = check;
--- a/entry/src/main/java/org/gentianslip/entry/gateway/GatewayState.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/GatewayState.java
@@ -175,6 +175,11 @@
     PublishedStateLog.logChanges(before, after);
   }
 
+  /** Sets the interval at which backend servers publish themselves; 0 if it is not known. */
+  public void setHeartbeatMillis(long millis) {
+    backends.setHeartbeatMillis(millis);
+  }
+
   /** Sets what asks an engine when it started. */
   void setStartCheck(Consumer<Backend> check) {
     backends.setStartCheck(check);
--- a/entry/src/test/java/org/gentianslip/entry/gateway/BackendRegistryTest.java
+++ b/entry/src/test/java/org/gentianslip/entry/gateway/BackendRegistryTest.java
@@ -180,6 +180,13 @@
     void trustsTheListOnceTheEntryOfLaterStartsHasArrived() {
       assertThat(warmth(COLD_NANOS / 2), is(Warmth.WARM));
     }
+
+    @Test
+    void awaitsThatEntryForLongerIfServersPublishSeldom() {
+      started.setHeartbeatMillis(3_000);
+      started.applyPublished(0, PublishedState.NONE, listed);
+      assertThat(warmth(COLD_NANOS), is(Warmth.UNCONFIRMED));
+    }
   }
 
   @Test
