Ask an engine when it started only where a request was turned away

Cause: what this instance states of its waits to others was computed as for a request, so that each new process asked its engines once without any request. Seen: ContinuedStreamTest.withAnErrorInAnotherRegionBreaksTheStreamOff failed in 3 of 3 cases, as the stand-in took the call for the first request. Change: the candidates of a request note the servers that got no work as they may have started again; only these are asked.

--- a/core/src/main/java/org/gentianslip/core/load/Availability.java
+++ b/core/src/main/java/org/gentianslip/core/load/Availability.java
@@ -69,9 +69,6 @@
 
   private long unconfirmedUntilNanos = Long.MIN_VALUE;
 
-  /** Whether work was turned away since it may have started again, or since it was asked. */
-  private boolean limitedUnconfirmed;
-
   /** When it was last concluded whether the backend server had started again. */
   private long settledNanos = Long.MIN_VALUE;
 
@@ -298,16 +295,7 @@
     }
     dropOldSends(nowNanos);
     boolean leftByOthers = recovering && nowNanos - unreachableNanos >= RECOVERY_NANOS;
-    boolean accepts = sends.size() < (leftByOthers ? Math.max(1, limit) : limit);
-    limitedUnconfirmed |= !accepts && warmth(nowNanos) == Warmth.UNCONFIRMED;
-    return accepts;
-  }
-
-  /** Returns whether work was turned away that its own word on its start might allow, once. */
-  boolean pollLimitedUnconfirmed(long nowNanos) {
-    boolean limited = limitedUnconfirmed && warmth(nowNanos) == Warmth.UNCONFIRMED;
-    limitedUnconfirmed = false;
-    return limited;
+    return sends.size() < (leftByOthers ? Math.max(1, limit) : limit);
   }
 
   private void dropOldSends(long nowNanos) {
--- a/core/src/main/java/org/gentianslip/core/load/BackendGroup.java
+++ b/core/src/main/java/org/gentianslip/core/load/BackendGroup.java
@@ -62,8 +62,13 @@
 
     private boolean acceptsWork(long nowNanos, SendRates rates) {
       EngineId id = backend.id();
-      return load.acceptsWork(nowNanos, () -> rates.coldPerSecond(id))
-          && load.isWithinPace(nowNanos, total -> rates.portion(id, total))
+      if (!load.acceptsWork(nowNanos, () -> rates.coldPerSecond(id))) {
+        if (load.awaitsConfirmation(nowNanos)) {
+          rates.turnedAway(id);
+        }
+        return false;
+      }
+      return load.isWithinPace(nowNanos, total -> rates.portion(id, total))
           && load.isWithinLimit(nowNanos, perSecond -> rates.intervalNanos(id, perSecond));
     }
   }
--- a/core/src/main/java/org/gentianslip/core/load/BackendLoad.java
+++ b/core/src/main/java/org/gentianslip/core/load/BackendLoad.java
@@ -277,12 +277,10 @@
     availability.expectConfirmation(untilNanos);
   }
 
-  /**
-   * Returns whether work was turned away that the server's own word on its start might allow, once
-   * for each time.
-   */
-  public synchronized boolean pollLimitedUnconfirmed(long nowNanos) {
-    return availability.pollLimitedUnconfirmed(nowNanos);
+  /** Returns whether the server's own word on its start might allow it more work. */
+  synchronized boolean awaitsConfirmation(long nowNanos) {
+    return availability.warmth(nowNanos) == Warmth.UNCONFIRMED
+        && availability.blockedNanos(nowNanos) <= 0;
   }
 
   /** Records that the backend server has said when it started, which settles all suspicions. */
--- a/core/src/main/java/org/gentianslip/core/load/SendRates.java
+++ b/core/src/main/java/org/gentianslip/core/load/SendRates.java
@@ -45,4 +45,7 @@
    * the portions of all instances of the region add up to the number.
    */
   int portion(EngineId backend, int total);
+
+  /** Called when a backend server gets no work as it may have started again. */
+  default void turnedAway(EngineId backend) {}
 }
--- a/entry/src/main/java/org/gentianslip/entry/gateway/BackendRegistry.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/BackendRegistry.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
@@ -25,6 +26,7 @@
 import org.gentianslip.core.load.Candidates;
 import org.gentianslip.core.load.RequestSize;
 import org.gentianslip.core.load.SendRates;
+import org.gentianslip.core.load.Warmth;
 import org.gentianslip.core.published.Backend;
 import org.gentianslip.core.published.LeavingIncarnations;
 import org.gentianslip.core.published.PublishedState;
@@ -68,6 +70,9 @@
 
   private volatile long entryNanos = entryNanos(DEFAULT_HEARTBEAT_MILLIS);
 
+  /** The backend servers that requests did not go to as they may have started again. */
+  private final Set<EngineId> turnedAway = ConcurrentHashMap.newKeySet();
+
   private volatile Consumer<Backend> startCheck = backend -> {};
 
   /** The backend servers of this region that accept work, by service; replaced as a whole. */
@@ -172,13 +177,14 @@
   }
 
   /**
-   * Asks the engines when they started that may have started again and would get more work if they
-   * had not. Must be called periodically.
+   * Asks the engines when they started that got no requests as they may have started again.
+   * Must be called periodically.
    */
   void askUnconfirmed(long nowNanos) {
-    for (Tracked t : loads.values()) {
-      boolean limited = t.load().pollLimitedUnconfirmed(nowNanos);
-      if (limited && t.backend().startedMillis() != 0) {
+    for (EngineId id : turnedAway) {
+      Tracked t = turnedAway.remove(id) ? loads.get(id) : null;
+      boolean unconfirmed = t != null && t.load().warmth(nowNanos) == Warmth.UNCONFIRMED;
+      if (unconfirmed && t.backend().startedMillis() != 0) {
         startCheck.accept(t.backend());
       }
     }
@@ -270,20 +276,26 @@
         .getOrDefault(service, BackendGroup.EMPTY)
         .candidates(
             nowNanos,
-            rates(nowNanos, state, service),
+            rates(nowNanos, state, service, turnedAway::add),
             usable,
             size,
             holders,
             ThreadLocalRandom.current());
   }
 
-  private SendRates rates(long nowNanos, PublishedState state, ServiceId service) {
+  private SendRates rates(
+      long nowNanos, PublishedState state, ServiceId service, Consumer<EngineId> onTurnedAway) {
     return new SendRates() {
       @Override
       public int coldPerSecond(EngineId backend) {
         return BackendRegistry.this.coldPerSecond(nowNanos, state, service, backend);
       }
 
+      @Override
+      public void turnedAway(EngineId backend) {
+        onTurnedAway.accept(backend);
+      }
+
       @Override
       public long intervalNanos(EngineId backend, double perSecond) {
         return LimitShare.intervalNanos(
@@ -345,7 +357,9 @@
         (service, group) ->
             group
                 .expectedWait(
-                    nowNanos, rates(nowNanos, state, service), ThreadLocalRandom.current())
+                    nowNanos,
+                    rates(nowNanos, state, service, id -> {}),
+                    ThreadLocalRandom.current())
                 .ifPresent(w -> waits.put(service, w)));
     return waits;
   }
