--- a/core/src/main/java/org/gentianslip/core/load/SendRates.java
+++ b/core/src/main/java/org/gentianslip/core/load/SendRates.java
@@ -66,4 +66,7 @@
    * @param perSecond the refusals per second of all instances together
    */
   RefusalShare refusals(EngineId backend, double perSecond);
+
+  /** Called when a backend server gets no work as it may have started again. */
+  default void turnedAway(EngineId backend) {}
 }
