Pass requests on to a neighbour that reaches the service

Cause: reachability was known by server only. An instance took all servers for down, and neither it nor the others knew that it is cut off: the own region was no target of a forward, and the directory and the choice of a target went by the processor alone. Ruled out: servers that are down, as the neighbours use them all the while.

Change: ServiceReach learns from new connections which services an instance can't connect to; it says so to the others with its record, in a log line and in a metric. While a neighbour reaches the service, requests take one hop to it, the stated capacity falls in steps as under overload, and a forward that arrives is given back as not run. Connections that are tried in turn show the end; the neighbours help for some seconds more. If none reaches the service, other regions are asked first and nothing else changes. After a connection that stays silent a request goes to the neighbour at once; after a refused one, once the service is suspected. Where the engine of a forward within the region isn't known, the region's servers are excluded, so that a request runs at each once at most.

--- a/core/src/main/java/org/gentianslip/core/fleet/ContactPlanner.java
+++ b/core/src/main/java/org/gentianslip/core/fleet/ContactPlanner.java
@@ -17,6 +17,7 @@
 import org.gentianslip.core.id.DataCentreId;
 import org.gentianslip.core.id.InstanceId;
 import org.gentianslip.core.id.RegionId;
+import org.gentianslip.core.id.ServiceId;
 
 /**
  * Decides in each round which instances this one contacts.
@@ -87,6 +88,7 @@
   private long relayChangeRound;
   private long relaySinceNanos;
   private int reportedCapacity;
+  private Set<ServiceId> reportedUnreached = Set.of();
 
   /**
    * Creates a planner for the owner of a view.
@@ -155,11 +157,13 @@
 
   /**
    * Returns whether this member reports to its relay in this round; it does at once if its capacity
-   * has changed, so that others soon send it more or less work.
+   * or its reach has changed, so that others soon send it more or less work.
    */
   private boolean reports(PeerRecord self, List<PeerRecord> members, Activity activity) {
-    final boolean changed = self.capacity() != reportedCapacity;
+    final boolean changed =
+        self.capacity() != reportedCapacity || !self.unreached().equals(reportedUnreached);
     reportedCapacity = self.capacity();
+    reportedUnreached = self.unreached();
     InstanceId relayId = members.get(0).id();
     if (!relayId.equals(lastRelay)) {
       lastRelay = relayId;
--- a/core/src/main/java/org/gentianslip/core/fleet/FleetSnapshot.java
+++ b/core/src/main/java/org/gentianslip/core/fleet/FleetSnapshot.java
@@ -3,9 +3,11 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.gentianslip.core.id.RegionId;
 import org.gentianslip.core.id.ServiceId;
@@ -26,6 +28,10 @@
   private final long takenNanos;
   private final long change;
   private final Map<RegionId, List<PeerRecord>> servingByRegion;
+
+  /** The regions with instances that do not reach some service. */
+  private final Set<RegionId> cutOffRegions = new HashSet<>();
+
   private final Map<RegionId, Map<ServiceId, HeardWait>> waitsByRegion;
   private final QuotaView quotas;
 
@@ -40,6 +46,12 @@
     this.servingByRegion = servingByRegion;
     this.waitsByRegion = waitsByRegion;
     this.quotas = quotas;
+    servingByRegion.forEach(
+        (region, peers) -> {
+          if (peers.stream().anyMatch(p -> !p.unreached().isEmpty())) {
+            cutOffRegions.add(region);
+          }
+        });
   }
 
   static FleetSnapshot of(
@@ -86,6 +98,14 @@
     return servingByRegion.getOrDefault(region, List.of());
   }
 
+  /** Returns the other instances of a region that accept requests and reach a service. */
+  public List<PeerRecord> reaching(RegionId region, ServiceId service) {
+    List<PeerRecord> serving = serving(region);
+    return cutOffRegions.contains(region)
+        ? serving.stream().filter(p -> !p.unreached().contains(service)).toList()
+        : serving;
+  }
+
   /**
    * Returns the longest wait and the highest cost of failures that the data centres of a region
    * state for a service, or an empty value if none of them can reach it.
--- a/core/src/main/java/org/gentianslip/core/fleet/PeerRecord.java
+++ b/core/src/main/java/org/gentianslip/core/fleet/PeerRecord.java
@@ -1,8 +1,10 @@
 package org.gentianslip.core.fleet;
 
+import java.util.Set;
 import org.gentianslip.core.id.DataCentreId;
 import org.gentianslip.core.id.InstanceId;
 import org.gentianslip.core.id.RegionId;
+import org.gentianslip.core.id.ServiceId;
 
 /**
  * The state that an instance reports of itself. Immutable and thread-safe.
@@ -19,6 +21,7 @@
  * @param ready whether it serves requests
  * @param leaving whether it is shutting down
  * @param size its processor capacity without overload, in hundredths of a core, greater than 0
+ * @param unreached the services with backend servers in its region to which it can't connect
  */
 public record PeerRecord(
     InstanceId id,
@@ -32,7 +35,43 @@
     int capacity,
     boolean ready,
     boolean leaving,
-    int size) {
+    int size,
+    Set<ServiceId> unreached) {
+
+  /** Copies the set. */
+  public PeerRecord {
+    unreached = Set.copyOf(unreached);
+  }
+
+  /** Creates the record of an instance that reaches all services. */
+  public PeerRecord(
+      InstanceId id,
+      long incarnation,
+      long beat,
+      RegionId region,
+      DataCentreId dataCentre,
+      String callerAddress,
+      String controlAddress,
+      String forwardAddress,
+      int capacity,
+      boolean ready,
+      boolean leaving,
+      int size) {
+    this(
+        id,
+        incarnation,
+        beat,
+        region,
+        dataCentre,
+        callerAddress,
+        controlAddress,
+        forwardAddress,
+        capacity,
+        ready,
+        leaving,
+        size,
+        Set.of());
+  }
 
   /** Creates the record of an instance that has its full capacity. */
   public PeerRecord(
@@ -85,6 +124,7 @@
         capacity,
         ready,
         leaving,
-        size);
+        size,
+        unreached);
   }
 }
--- a/core/src/main/java/org/gentianslip/core/overload/PresentCapacity.java
+++ b/core/src/main/java/org/gentianslip/core/overload/PresentCapacity.java
@@ -4,10 +4,10 @@
 
 /**
  * The capacity that an instance states to others: its size, or a part of it while it refuses
- * requests because of its processor.
+ * requests because of its processor, or passes them on to neighbours.
  *
- * <p>It falls by one step for each 500 ms of refusals without a break, and rises by one step for
- * each second without them, so it always returns to the size when no work is sent. Thread-safe.
+ * <p>It falls by one step for each 500 ms of that without a break, and rises by one step for each
+ * second without it, so it always returns to the size when no work is sent. Thread-safe.
  */
 public final class PresentCapacity {
 
@@ -40,7 +40,7 @@
   /**
    * Updates the capacity; must be called several times in 500 ms.
    *
-   * @param nowRefusing whether requests are refused because of the processor
+   * @param nowRefusing whether requests are refused or passed on
    * @return whether the capacity has changed
    */
   public synchronized boolean update(long nowNanos, boolean nowRefusing) {
--- a/entry/src/main/java/org/gentianslip/entry/fleet/FleetMessage.java
+++ b/entry/src/main/java/org/gentianslip/entry/fleet/FleetMessage.java
@@ -6,6 +6,7 @@
 import com.fasterxml.jackson.databind.node.IntNode;
 import com.google.common.flogger.FluentLogger;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalLong;
@@ -31,6 +32,7 @@
 import org.gentianslip.core.published.Revision;
 import org.gentianslip.core.quarantine.CompletionReport;
 import org.gentianslip.core.quarantine.CrashReport;
+import org.gentianslip.entry.http.Json;
 
 /**
  * The JSON form of a message from one instance to another. Values that are sent often are arrays.
@@ -148,6 +150,7 @@
    * The JSON form of a {@link PeerRecord}.
    *
    * @param size null in messages of earlier versions, which have no other capacity
+   * @param unreached null in messages of earlier versions, which do not tell it
    */
   @JsonFormat(shape = JsonFormat.Shape.ARRAY)
   record Instance(
@@ -162,7 +165,8 @@
       int capacity,
       boolean ready,
       boolean leaving,
-      Integer size) {
+      Integer size,
+      JsonNode unreached) {
 
     static Instance of(PeerRecord peer) {
       return new Instance(
@@ -177,7 +181,8 @@
           peer.capacity(),
           peer.ready(),
           peer.leaving(),
-          peer.size());
+          peer.size(),
+          Json.tree(peer.unreached().stream().map(ServiceId::value).sorted().toList()));
     }
 
     PeerRecord toRecord() {
@@ -193,7 +198,24 @@
           capacity,
           ready,
           leaving,
-          size == null ? capacity : size);
+          size == null ? capacity : size,
+          unreachedServices());
+    }
+
+    /** Returns the stated services; what can't be one is left out, as if nothing were stated. */
+    private Set<ServiceId> unreachedServices() {
+      Set<ServiceId> services = new HashSet<>();
+      if (unreached != null && unreached.isArray()) {
+        for (JsonNode name : unreached) {
+          try {
+            services.add(ServiceId.of(name.asText()));
+          } catch (IllegalArgumentException e) {
+            LOGGER.atWarning().atMostEvery(10, TimeUnit.SECONDS).log(
+                "fleet: event=bad-reach instance=%s cause=%s", id, e.getMessage());
+          }
+        }
+      }
+      return services;
     }
   }
 
--- a/entry/src/main/java/org/gentianslip/entry/gateway/Attempt.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/Attempt.java
@@ -61,6 +61,14 @@
   /** Records that the target failed before any byte of the request was written. */
   abstract void recordUnreachable(long nowNanos);
 
+  /**
+   * Returns whether this instance seems to be cut off from the target: its connection was not
+   * established, and not just refused as that of a single server that is down would be.
+   */
+  boolean seemsCutOff(long nowNanos) {
+    return false;
+  }
+
   /**
    * Called when the stream of this attempt was silent for too long; the attempt may be replaced.
    *
--- a/entry/src/main/java/org/gentianslip/entry/gateway/AttemptPlanner.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/AttemptPlanner.java
@@ -47,6 +47,9 @@
   /** The reason for refusing a request as the version that began its stream is not known. */
   static final String UNKNOWN_VERSION = "unknown-version";
 
+  /** The reason for giving a forwarded request back, as this instance can't reach its service. */
+  static final String UNREACHED = "unreached";
+
   /** The retry delay if none can be computed, in milliseconds. */
   static final long DEFAULT_RETRY_MILLIS = 300;
 
@@ -64,6 +67,7 @@
   private int attempts;
   private int forwards;
   private boolean answerBegun;
+  private boolean unreachable;
   private VersionLimit versions = VersionLimit.NONE;
 
   /**
@@ -131,6 +135,10 @@
 
   /** Chooses as {@link #choose} does, but for the quarantine, and leaves all state as it is. */
   BackendDecision select(long nowNanos, long remainingMillis) {
+    boolean unreached = state.reach().isUnreached(service);
+    if (forwarded && unreached) {
+      return new BackendDecision.Refuse(UNREACHED, DEFAULT_RETRY_MILLIS);
+    }
     List<Backend> holders = state.holders(nowNanos, route, size);
     Candidates localCandidates =
         route.allows(state.config().region())
@@ -139,16 +147,20 @@
     List<RegionOption> regions =
         forwarded || forwards >= MAX_FORWARDS || possibleRuns.size() >= maxBackends()
             ? List.of()
-            : state.forwardCandidates(nowNanos, route, service, holders, this::mayUse);
+            : state.forwardCandidates(
+                nowNanos,
+                route,
+                service,
+                holders,
+                this::mayUse,
+                unreached || unreachable || state.reach().isReturning(nowNanos, service));
+    boolean elsewhere = unreached || (unreachable && isNeighbourAmong(regions));
     BackendDecision decision =
-        BackendSelector.select(
-            nowNanos,
-            route,
-            size,
-            remainingMillis,
-            localCandidates,
-            regions,
-            limitFactor(nowNanos));
+        select(nowNanos, remainingMillis, elsewhere ? Candidates.NONE : localCandidates, regions);
+    boolean refused = decision instanceof BackendDecision.Refuse;
+    if (elsewhere && refused && !state.isStranded(nowNanos, service)) {
+      decision = select(nowNanos, remainingMillis, localCandidates, regions);
+    }
     if (decision instanceof BackendDecision.Refuse && versions.begun() && !hasVersion()) {
       return new BackendDecision.Refuse(NO_VERSION, DEFAULT_RETRY_MILLIS);
     }
@@ -157,6 +169,22 @@
         : new BackendDecision.Refuse(Gateway.LEAVING, 0);
   }
 
+  private BackendDecision select(
+      long nowNanos, long remainingMillis, Candidates local, List<RegionOption> regions) {
+    return BackendSelector.select(
+        nowNanos, route, size, remainingMillis, local, regions, limitFactor(nowNanos));
+  }
+
+  private boolean isNeighbourAmong(List<RegionOption> regions) {
+    return regions.stream()
+        .anyMatch(r -> r.region().equals(state.config().region()) && r.delayMillis() <= 0);
+  }
+
+  /** Records that this instance seems to be cut off, so that a neighbour is tried next. */
+  void markUnreachable() {
+    unreachable = true;
+  }
+
   /** Returns the part of the limit that applies, which is smaller beyond a customer's share. */
   private double limitFactor(long nowNanos) {
     if (customer.isEmpty()) {
@@ -273,6 +301,7 @@
 
   private boolean mayUse(EngineId backend) {
     return !excluded.contains(backend)
+        && !excludedRegions.contains(state.config().region())
         && possibleRuns.size() < maxBackends()
         && hasAllowedVersion(backend);
   }
--- a/entry/src/main/java/org/gentianslip/entry/gateway/BackendAttempt.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/BackendAttempt.java
@@ -14,6 +14,7 @@
 import org.gentianslip.core.load.PromptFetch;
 import org.gentianslip.core.load.PromptPart;
 import org.gentianslip.core.load.Reservation;
+import org.gentianslip.core.load.ServiceReach;
 import org.gentianslip.core.published.Backend;
 import org.gentianslip.core.quarantine.PromptQuarantine;
 import org.gentianslip.core.route.Repeatability;
@@ -34,6 +35,9 @@
 
   private static final int FIRST_SERVER_ERROR = 500;
 
+  /** The time without a connection from which its target is silent, as a refusal is faster. */
+  private static final long SILENT_CONNECT_NANOS = TimeUnit.MILLISECONDS.toNanos(200);
+
   /** The maximum number of parts of a prompt in one log line. */
   private static final int LOGGED_PARTS = 8;
 
@@ -43,6 +47,7 @@
   private long writtenNanos = lastReceivedNanos();
   private Reservation reservation;
   private long sentNanos;
+  private boolean shortConnect;
 
   BackendAttempt(RequestExecution execution, BackendDecision.ToBackend decision) {
     super(execution);
@@ -69,6 +74,7 @@
             && !execution().route().streaming();
     int timeoutMillis =
         (int) Math.min(connectMillis, Math.max(1, execution().remainingMillis(nowNanos)));
+    shortConnect = timeoutMillis < connectMillis;
     send(backend.address(), headers, fresh, timeoutMillis);
   }
 
@@ -89,6 +95,7 @@
     if (receivedEvents() <= MAX_EVENTS_OF_CRASH) {
       reportCrashIfDown(nowNanos);
     }
+    execution().gateway().reach().check(execution().writer().eventLoop(), backend);
     LOGGER.atInfo().log(
         "gateway: event=backend-broke backend=%s id=%s millis=%s events=%s parts=%s prompt=%s"
             + " fingerprint=%s cause=%s",
@@ -117,12 +124,33 @@
 
   @Override
   void recordSilence(long nowNanos) {
+    if (!mayHaveBeenWritten()) {
+      execution().gateway().reach().check(execution().writer().eventLoop(), backend);
+    }
     reservation.failed(nowNanos);
   }
 
   @Override
   void recordUnreachable(long nowNanos) {
     reservation.unreachable(nowNanos);
+    if (!shortConnect) {
+      execution()
+          .gateway()
+          .reach()
+          .recordFailed(nowNanos, execution().writer().eventLoop(), backend);
+    }
+  }
+
+  @Override
+  boolean seemsCutOff(long nowNanos) {
+    boolean refused = nowNanos - sentNanos < SILENT_CONNECT_NANOS;
+    ServiceReach.State reach = execution().gateway().state().reach().state(backend.service());
+    return !mayHaveBeenWritten() && (!refused || reach != ServiceReach.State.REACHED);
+  }
+
+  @Override
+  public void onConnected() {
+    execution().gateway().reach().recordReached(System.nanoTime(), backend);
   }
 
   /** Returns when any part of the body was last received, or when this attempt was created. */
--- a/entry/src/main/java/org/gentianslip/entry/gateway/BackendClient.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/BackendClient.java
@@ -178,6 +178,7 @@
       release(connection);
       return;
     }
+    exchange.listener().onConnected();
     write(connection, exchange);
   }
 
--- a/entry/src/main/java/org/gentianslip/entry/gateway/CrashDetector.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/CrashDetector.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Consumer;
 import org.gentianslip.core.id.EngineId;
 import org.gentianslip.core.published.Backend;
 
@@ -19,7 +20,7 @@
   private static final int CONNECT_MILLIS = 350;
 
   private final BackendClient client;
-  private final Map<EngineId, List<Runnable>> pending = new HashMap<>();
+  private final Map<EngineId, List<Consumer<Boolean>>> pending = new HashMap<>();
 
   CrashDetector(BackendClient client) {
     this.client = client;
@@ -27,20 +28,28 @@
 
   /** Runs an action later if the backend server is down. */
   void ifDown(Backend backend, Runnable action) {
-    List<Runnable> waiting = pending.get(backend.id());
+    check(
+        backend,
+        reachable -> {
+          if (!reachable) {
+            action.run();
+          }
+        });
+  }
+
+  /** Tells later whether the backend server accepts a connection. */
+  void check(Backend backend, Consumer<Boolean> onResult) {
+    List<Consumer<Boolean>> waiting = pending.get(backend.id());
     if (waiting != null) {
-      waiting.add(action);
+      waiting.add(onResult);
       return;
     }
-    pending.put(backend.id(), new ArrayList<>(List.of(action)));
+    pending.put(backend.id(), new ArrayList<>(List.of(onResult)));
     client.checkReachable(
         backend.address(), CONNECT_MILLIS, reachable -> conclude(backend.id(), reachable));
   }
 
   private void conclude(EngineId backend, boolean reachable) {
-    List<Runnable> waiting = pending.remove(backend);
-    if (!reachable) {
-      waiting.forEach(Runnable::run);
-    }
+    pending.remove(backend).forEach(w -> w.accept(reachable));
   }
 }
--- a/entry/src/main/java/org/gentianslip/entry/gateway/ForwardAttempt.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/ForwardAttempt.java
@@ -8,8 +8,8 @@
 import org.gentianslip.core.id.SoftwareVersion;
 
 /**
- * An attempt at an instance of another region, which does not forward the request again. Confined
- * to one event loop.
+ * An attempt at an instance of another region, or at a neighbour that reaches a service which this
+ * instance does not; it does not forward the request again. Confined to one event loop.
  */
 final class ForwardAttempt extends Attempt {
 
@@ -39,7 +39,7 @@
 
   @Override
   long oneWayMillis() {
-    return ForwardTargets.ONE_WAY_MILLIS;
+    return execution().gateway().state().forwardTargets().oneWayMillis(peer.region());
   }
 
   @Override
@@ -168,6 +168,13 @@
       execution().onAttemptNotRun(this, "instance does not know the customer");
       return;
     }
+    if (outcome.equals(Gateway.NOT_RUN)
+        && headers.get(Gateway.REASON, "").equals(AttemptPlanner.UNREACHED)) {
+      // Other instances of its region may reach the service.
+      recordUnreachable(System.nanoTime());
+      execution().onAttemptNotRun(this, "instance does not reach the service");
+      return;
+    }
     if (outcome.equals(Gateway.NOT_RUN)) {
       recordRefusalIfAnyBackendWasAllowed();
       execution().onAttemptNotRun(this, "instance refused");
--- a/entry/src/main/java/org/gentianslip/entry/gateway/ForwardTargets.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/ForwardTargets.java
@@ -17,6 +17,7 @@
 import org.gentianslip.core.fleet.FleetView;
 import org.gentianslip.core.fleet.HeardWait;
 import org.gentianslip.core.fleet.PeerRecord;
+import org.gentianslip.core.fleet.ServiceWait;
 import org.gentianslip.core.id.InstanceId;
 import org.gentianslip.core.id.RegionId;
 import org.gentianslip.core.id.ServiceId;
@@ -49,6 +50,11 @@
   /** The assumed round-trip time to another region, in milliseconds. */
   private static final double DEFAULT_ROUND_TRIP_MILLIS = 2 * ONE_WAY_MILLIS;
 
+  /** The assumed one-way time to an instance of the own region, in milliseconds. */
+  private static final long NEAR_ONE_WAY_MILLIS = 1;
+
+  private static final double NEAR_ROUND_TRIP_MILLIS = 2 * NEAR_ONE_WAY_MILLIS;
+
   private final FleetView fleet;
   private final RegionId ownRegion;
   private final Map<PaceKey, RegionPace> paces = new ConcurrentHashMap<>();
@@ -61,26 +67,50 @@
     this.ownRegion = ownRegion;
   }
 
+  /** Returns the assumed one-way time to an instance of a region, in milliseconds. */
+  long oneWayMillis(RegionId region) {
+    return region.equals(ownRegion) ? NEAR_ONE_WAY_MILLIS : ONE_WAY_MILLIS;
+  }
+
+  /** Returns the other instances of the own region that reach a service. */
+  List<PeerRecord> reachingNeighbours(long nowNanos, ServiceId service) {
+    return fleet.snapshot(nowNanos).reaching(ownRegion, service);
+  }
+
   /**
-   * Returns the other regions that may serve a request.
+   * Returns the regions whose instances may serve a request.
    *
    * @param promptRegions the regions with an engine that holds the shared part of the prompt
    * @param usable tests whether the request may be sent to a region
+   * @param neighbours whether the other instances of the own region are among them
    */
   List<RegionOption> candidates(
       long nowNanos,
       Route route,
       ServiceId service,
       Set<RegionId> promptRegions,
-      Predicate<RegionId> usable) {
+      Predicate<RegionId> usable,
+      boolean neighbours) {
     FleetSnapshot snapshot = fleet.snapshot(nowNanos);
     List<RegionOption> options = new ArrayList<>();
     for (RegionId region : snapshot.regions()) {
+      boolean near = region.equals(ownRegion);
       Optional<HeardWait> wait = snapshot.statedWait(region, service);
-      if (wait.isPresent()
-          && !region.equals(ownRegion)
-          && route.allows(region)
-          && usable.test(region)) {
+      boolean known = near ? neighbours : wait.isPresent();
+      boolean allowed = known && route.allows(region) && usable.test(region);
+      if (!allowed || snapshot.reaching(region, service).isEmpty()) {
+        continue;
+      }
+      if (near) {
+        options.add(
+            new RegionOption(
+                region,
+                ServiceWait.UNKNOWN,
+                NEAR_ROUND_TRIP_MILLIS,
+                promptRegions.contains(region),
+                millis(delayNanos(nowNanos, region, service)),
+                0));
+      } else {
         options.add(
             new RegionOption(
                 region,
@@ -124,6 +154,8 @@
                         + " age="
                         + TimeUnit.NANOSECONDS.toMillis(nowNanos - w.heardNanos()))
             .orElse(" no-server")
+        + " reaching="
+        + fleet.snapshot(nowNanos).reaching(region, service).size()
         + " paused="
         + TimeUnit.NANOSECONDS.toMillis(delayNanos(nowNanos, region, service));
   }
@@ -131,7 +163,7 @@
   /** Returns how long no request may be forwarded to a region, in nanoseconds. */
   private long delayNanos(long nowNanos, RegionId region, ServiceId service) {
     long instanceNanos =
-        fleet.snapshot(nowNanos).serving(region).stream()
+        fleet.snapshot(nowNanos).reaching(region, service).stream()
             .mapToLong(p -> pauseNanos(nowNanos, p))
             .min()
             .orElse(0);
@@ -184,10 +216,13 @@
     return pausedUntil == null ? 0 : Math.max(0, pausedUntil - nowNanos);
   }
 
-  /** Returns an available instance of a region, drawn in proportion to the present capacities. */
-  Optional<PeerRecord> selectInstance(long nowNanos, RegionId region) {
+  /**
+   * Returns an available instance of a region that reaches a service, drawn in proportion to the
+   * present capacities.
+   */
+  Optional<PeerRecord> selectInstance(long nowNanos, RegionId region, ServiceId service) {
     List<PeerRecord> available =
-        fleet.snapshot(nowNanos).serving(region).stream()
+        fleet.snapshot(nowNanos).reaching(region, service).stream()
             .filter(p -> pauseNanos(nowNanos, p) == 0)
             .toList();
     long total = available.stream().mapToLong(PeerRecord::capacity).sum();
--- a/entry/src/main/java/org/gentianslip/entry/gateway/Gateway.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/Gateway.java
@@ -64,6 +64,7 @@
   private final StreamTakeUp takeUp;
   private final EngineReports engineReports;
   private final EngineContacts engineContacts = new EngineContacts();
+  private final ReachMonitor reach = new ReachMonitor(this);
   private final GatewayMetrics metrics;
   private final DecisionLog decisions;
   private final OverloadCheck overload = new OverloadCheck(this);
@@ -110,6 +111,11 @@
     return engineContacts;
   }
 
+  /** Returns the monitor of the services that this instance reaches. */
+  ReachMonitor reach() {
+    return reach;
+  }
+
   /** Returns the client of an event loop, creating it if necessary. */
   BackendClient client(EventLoop loop) {
     return clients.computeIfAbsent(loop, BackendClient::new);
--- a/entry/src/main/java/org/gentianslip/entry/gateway/GatewayMetrics.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/GatewayMetrics.java
@@ -51,7 +51,7 @@
   private final Counter attempts =
       Counter.builder()
           .name("gentian_gateway_attempts_total")
-          .help("Attempts at backend servers and at instances of other regions.")
+          .help("Attempts at backend servers, at instances of other regions and at neighbours.")
           .labelNames("rank", "to")
           .register(registry);
 
@@ -100,6 +100,14 @@
         capacityCores);
   }
 
+  /** Registers the gauge of how long this instance has not connected to a service. */
+  void registerReach(DoubleSupplier unreachedSeconds) {
+    gauge(
+        "gentian_gateway_unreached_seconds",
+        "Time since a connection to a service that can't be reached; 0 if all can.",
+        unreachedSeconds);
+  }
+
   /** Registers the counts by customer with a quota, which are read at each scrape. */
   void registerQuotas(Supplier<Map<String, CustomerQuotas.Counts>> counts) {
     CounterWithCallback.builder()
--- a/entry/src/main/java/org/gentianslip/entry/gateway/GatewayServer.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/GatewayServer.java
@@ -1,6 +1,7 @@
 package org.gentianslip.entry.gateway;
 
 import com.google.common.flogger.FluentLogger;
+import io.netty.channel.EventLoop;
 import io.netty.channel.nio.NioEventLoopGroup;
 import io.netty.util.concurrent.DefaultThreadFactory;
 import java.util.concurrent.CountDownLatch;
@@ -50,6 +51,7 @@
   private final ScheduledExecutorService timer =
       Executors.newSingleThreadScheduledExecutor(new DefaultThreadFactory("gateway-timer", true));
   private final PauseDetector pauses = new PauseDetector(MAX_GAP_NANOS, System.nanoTime());
+  private final EventLoop eventLoop = eventLoops.next();
   private final CallerServer callerServer;
   private final CallerServer forwardServer;
   private final AtomicBoolean shutDownStarted = new AtomicBoolean();
@@ -71,6 +73,7 @@
     metrics.registerProcessorGauges(
         () -> state.processor().delayNanos(System.nanoTime()) / NANOS_PER_SECOND,
         () -> state.presentCapacity() / HUNDREDTHS_PER_CORE);
+    metrics.registerReach(() -> state.reach().unreachedNanos(System.nanoTime()) / NANOS_PER_SECOND);
     metrics.registerQuotas(state.quotas()::counts);
     metrics.registerRegionConflicts(
         () -> state.published().routes().map(RouteTable::regionConflictCount).orElse(0L));
@@ -118,7 +121,8 @@
         gateway.closeIdle();
         onPause.run();
       }
-      state.processor().updateCapacity(now);
+      gateway.reach().update(now, eventLoop);
+      state.processor().updateCapacity(now, state.isStranded(now));
       gateway.closeExpired();
       state.quarantine().update(now).forEach(GatewayServer::log);
     } catch (RuntimeException e) {
--- a/entry/src/main/java/org/gentianslip/entry/gateway/GatewayState.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/GatewayState.java
@@ -1,5 +1,6 @@
 package org.gentianslip.entry.gateway;
 
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -25,6 +26,7 @@
 import org.gentianslip.core.load.PromptHolder;
 import org.gentianslip.core.load.RegionOption;
 import org.gentianslip.core.load.RequestSize;
+import org.gentianslip.core.load.ServiceReach;
 import org.gentianslip.core.membership.RendezvousHash;
 import org.gentianslip.core.published.Backend;
 import org.gentianslip.core.published.ConfigurationKnowledge;
@@ -63,6 +65,7 @@
   private final BackendRegistry backends;
   private final PromptLocator prompts;
   private final ForwardTargets forwardTargets;
+  private final ServiceReach reach = new ServiceReach();
   private final CustomerWork customerWork = new CustomerWork();
   private final PromptQuarantine quarantine;
   private final ProcessorGuard processor;
@@ -124,7 +127,8 @@
         processor.capacity(),
         ready(),
         leaving(),
-        c.capacity());
+        c.capacity(),
+        reach.unreached());
   }
 
   /** Returns the guard of this instance's processor. */
@@ -239,22 +243,67 @@
    * accept work.
    */
   public Map<ServiceId, ServiceWait> waits(long nowNanos) {
-    return backends.waits(nowNanos, published.get());
+    Map<ServiceId, ServiceWait> waits = new HashMap<>(backends.waits(nowNanos, published.get()));
+    for (ServiceId service : reach.unreached()) {
+      if (isStranded(nowNanos, service)) {
+        // The neighbours serve requests of other regions, and only they know the wait.
+        waits.put(service, ServiceWait.UNKNOWN);
+      }
+    }
+    return waits;
+  }
+
+  /** Returns which services this instance reaches. */
+  ServiceReach reach() {
+    return reach;
+  }
+
+  /** Returns whether this instance can't reach a service that a neighbour reaches. */
+  boolean isStranded(long nowNanos, ServiceId service) {
+    return reach.isUnreached(service)
+        && !forwardTargets.reachingNeighbours(nowNanos, service).isEmpty();
+  }
+
+  /** Returns whether this instance can't reach some service that a neighbour reaches. */
+  boolean isStranded(long nowNanos) {
+    return reach.unreached().stream().anyMatch(s -> isStranded(nowNanos, s));
+  }
+
+  /** Returns the backend servers of a service in this region that accept work. */
+  Map<EngineId, Backend> localBackends(ServiceId service) {
+    PublishedState state = published.get();
+    Map<EngineId, Backend> local = new HashMap<>();
+    for (Backend b : state.backends().values()) {
+      if (b.service().equals(service) && config().isLocal(b) && state.acceptsWork(b)) {
+        local.put(b.id(), b);
+      }
+    }
+    return local;
+  }
+
+  /** Returns a backend server of this region that accepts work, if it is known. */
+  Optional<Backend> localBackend(EngineId id) {
+    PublishedState state = published.get();
+    return Optional.ofNullable(state.backends().get(id))
+        .filter(b -> config().isLocal(b) && state.acceptsWork(b));
   }
 
   /**
-   * Returns the other regions that may serve a request.
+   * Returns the regions whose instances may serve a request.
    *
    * @param holders the engines that hold the shared part of the prompt
    * @param usable tests whether the request may be sent to a region
+   * @param neighbours whether the other instances of this region are among them
    */
   List<RegionOption> forwardCandidates(
       long nowNanos,
       Route route,
       ServiceId service,
       List<Backend> holders,
-      Predicate<RegionId> usable) {
-    return forwardTargets.candidates(nowNanos, route, service, prompts.regionsOf(holders), usable);
+      Predicate<RegionId> usable,
+      boolean neighbours) {
+    return forwardTargets.candidates(
+        nowNanos, route, service, prompts.regionsOf(holders), usable, neighbours);
   }
 
   /** Returns whether a service has a backend server in a region besides excluded ones. */
@@ -271,7 +320,7 @@
                     && state.acceptsWork(b));
   }
 
-  /** Returns the instances of other regions that requests may be forwarded to. */
+  /** Returns the instances that requests may be forwarded to. */
   ForwardTargets forwardTargets() {
     return forwardTargets;
   }
--- a/entry/src/main/java/org/gentianslip/entry/gateway/ProcessorGuard.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/ProcessorGuard.java
@@ -98,12 +98,17 @@
     return OptionalLong.of(RetryDelay.millis(excessMillis, remainingMillis, fraction));
   }
 
-  /** Updates the capacity that is stated to others; called by the periodic checks. */
-  void updateCapacity(long nowNanos) {
-    if (capacity.update(nowNanos, admission.isRefusing(nowNanos))) {
+  /**
+   * Updates the capacity that is stated to others; called by the periodic checks.
+   *
+   * @param stranded whether requests that arrive here are passed on to neighbours
+   */
+  void updateCapacity(long nowNanos, boolean stranded) {
+    if (capacity.update(nowNanos, stranded || admission.isRefusing(nowNanos))) {
       LOGGER.atInfo().log(
-          "gateway: event=capacity stated=%s delay=%s age=%s",
+          "gateway: event=capacity stated=%s stranded=%s delay=%s age=%s",
           capacity.current(),
+          stranded,
           Math.round(load.delayNanos(nowNanos) / NANOS_PER_MILLI),
           Math.round(load.ageNanos(nowNanos) / NANOS_PER_MILLI));
     }
--- a/entry/src/main/java/org/gentianslip/entry/gateway/RequestExecution.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/RequestExecution.java
@@ -37,7 +37,7 @@
   /** The connect timeout for backend servers of this region, in milliseconds. */
   private static final int CONNECT_MILLIS = 350;
 
-  /** The connect timeout for instances of other regions, in milliseconds. */
+  /** The connect timeout for other instances, in milliseconds. */
   private static final int FORWARD_CONNECT_MILLIS = 800;
 
   /** The retry delay if another instance holds the prompt back, in milliseconds. */
@@ -211,7 +211,7 @@
 
   private void forward(long nowNanos, BackendDecision.ToRegion decision) {
     Optional<PeerRecord> peer =
-        gateway.state().forwardTargets().selectInstance(nowNanos, decision.region());
+        gateway.state().forwardTargets().selectInstance(nowNanos, decision.region(), service());
     if (peer.isEmpty()) {
       gateway.state().forwardTargets().recordRefusal(nowNanos, decision.region(), service());
       startNextAttempt();
@@ -221,7 +221,8 @@
     gateway.state().forwardTargets().recordSend(nowNanos, decision.region(), service());
     var attempt = new ForwardAttempt(this, peer.get());
     current = attempt;
-    countAttempt("instance");
+    boolean near = peer.get().region().equals(gateway.state().config().region());
+    countAttempt(near ? "neighbour" : "instance");
     requestLog.recordAttempt(
         nowNanos,
         "instance",
@@ -263,6 +264,9 @@
       return;
     }
     attempt.exclude(now, planner);
+    if (attempt.seemsCutOff(now)) {
+      planner.markUnreachable();
+    }
     BackendDecision alternative = planner.chooseWithRepeat(now, remainingMillis(now));
     if (alternative instanceof BackendDecision.Refuse) {
       attempt.include(planner);
@@ -376,6 +380,9 @@
     }
     requestLog.recordEvent(System.nanoTime(), reason);
     planner.exclude(attempt.target());
+    if (attempt.seemsCutOff(System.nanoTime())) {
+      planner.markUnreachable();
+    }
     if (written) {
       recordPossibleRun(attempt);
       if (!route.repeatability().allowsRepeat()) {
@@ -502,7 +509,7 @@
   }
 
   private HttpHeaders refusalHeaders(String reason, double excessMillis) {
-    if (reason.equals(AttemptPlanner.QUARANTINED)) {
+    if (reason.equals(AttemptPlanner.QUARANTINED) || reason.equals(AttemptPlanner.UNREACHED)) {
       HttpHeaders headers = gateway.notRunHeaders(id, (long) excessMillis);
       headers.set(Gateway.REASON, reason);
       return headers;
--- a/entry/src/main/java/org/gentianslip/entry/gateway/ResponseListener.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/ResponseListener.java
@@ -5,6 +5,9 @@
 /** Receives the response of one {@link Exchange}, on the event loop of that exchange. */
 interface ResponseListener {
 
+  /** Called when a new connection was established for the exchange, before it is written. */
+  default void onConnected() {}
+
   /** Called when the status line and the headers have been received. */
   void onHead(int status, HttpHeaders headers);
 
--- a/entry/src/test/java/org/gentianslip/entry/gateway/GatewayMetricsTest.java
+++ b/entry/src/test/java/org/gentianslip/entry/gateway/GatewayMetricsTest.java
@@ -32,6 +32,7 @@
     metrics.registerProcessorGauges(() -> 0, () -> 0);
     metrics.registerQuotas(() -> Map.of("maple", new CustomerQuotas.Counts()));
     metrics.registerConfigurationAge(() -> 0);
+    metrics.registerReach(() -> 0);
     metrics.registerRegionConflicts(() -> 0);
     metrics.countRequest("0", "answered");
     metrics.countRefusal("0", "too-late");
--- a/entry/src/test/java/org/gentianslip/entry/gateway/ProcessorGuardTest.java
+++ b/entry/src/test/java/org/gentianslip/entry/gateway/ProcessorGuardTest.java
@@ -87,11 +87,11 @@
   void statesLessCapacityOnlyWhileItRefuses() {
     for (long t = 0; t <= 1_500; t += 50) {
       handle(t, 400, 1);
-      guard.updateCapacity(t * MILLI);
+      guard.updateCapacity(t * MILLI, false);
     }
     assertThat(guard.capacity(), is(25));
     for (long t = 1_750; t <= 5_000; t += 250) {
-      guard.updateCapacity(t * MILLI);
+      guard.updateCapacity(t * MILLI, false);
     }
     assertThat(guard.capacity(), is(100));
   }
