--- a/entry/src/main/java/org/gentianslip/entry/gateway/GatewayServer.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/GatewayServer.java
@@ -52,6 +52,7 @@
   private final ScheduledExecutorService timer =
       Executors.newSingleThreadScheduledExecutor(new DefaultThreadFactory("gateway-timer", true));
   private final PauseDetector pauses = new PauseDetector(MAX_GAP_NANOS, System.nanoTime());
+  private final EventLoop eventLoop = eventLoops.next();
   private final CallerServer callerServer;
   private final CallerServer forwardServer;
   private final AtomicBoolean shutDownStarted = new AtomicBoolean();
@@ -77,6 +78,7 @@
     metrics.registerProcessorGauges(
         () -> state.processor().delayNanos(System.nanoTime()) / NANOS_PER_SECOND,
         () -> state.presentCapacity() / HUNDREDTHS_PER_CORE);
+    metrics.registerReach(() -> state.reach().unreachedNanos(System.nanoTime()) / NANOS_PER_SECOND);
     metrics.registerQuotas(state.quotas()::counts);
     metrics.registerRegionConflicts(
         () -> state.published().routes().map(RouteTable::regionConflictCount).orElse(0L));
@@ -130,7 +132,8 @@
         gateway.closeIdle();
         onPause.run();
       }
-      state.processor().updateCapacity(now);
+      gateway.reach().update(now, eventLoop);
+      state.processor().updateCapacity(now, state.isStranded(now));
       state.askUnconfirmed(now);
       gateway.closeExpired();
       state.quarantine().update(now).forEach(GatewayServer::log);
