Tell no failed connections to a service that this instance doesn't reach

Cause: an instance that is cut off from the servers of a service told its neighbours its failed connections, so that they took the servers for restarted and sent to them at the cold rate until an answer or a question settled it. Change: failures are told only of services that this instance reaches.

--- a/entry/src/main/java/org/gentianslip/entry/fleet/FleetMessages.java
+++ b/entry/src/main/java/org/gentianslip/entry/fleet/FleetMessages.java
@@ -269,13 +269,17 @@
     return limits;
   }
 
-  /** Returns the last failed connections to backend servers that may have started again. */
+  /**
+   * Returns the last failed connections to backend servers that may have started again. Those of an
+   * instance that doesn't reach their service say nothing of the servers.
+   */
   private Map<String, FleetMessage.Failure> failures(
       long nowNanos, Map<EngineId, BackendLoad> backends) {
     Map<String, FleetMessage.Failure> failures = new HashMap<>();
     backends.forEach(
         (id, load) ->
             load.failedNanos().stream()
+                .filter(failed -> reachesServiceOf(id))
                 .map(failed -> nowNanos - failed)
                 .filter(age -> age < FAILURE_SHARED_NANOS)
                 .map(TimeUnit.NANOSECONDS::toMillis)
@@ -284,6 +288,11 @@
     return failures;
   }
 
+  private boolean reachesServiceOf(EngineId id) {
+    Backend published = state.published().backends().get(id);
+    return published == null || state.reaches(published.service());
+  }
+
   private long startOf(EngineId id) {
     Backend published = state.published().backends().get(id);
     return published == null ? 0 : published.startedMillis();
--- a/entry/src/main/java/org/gentianslip/entry/gateway/BackendRegistry.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/BackendRegistry.java
@@ -207,8 +207,8 @@
   }
 
   /**
-   * Asks the engines when they started that got no requests as they may have started again.
-   * Must be called periodically.
+   * Asks the engines when they started that got no requests as they may have started again. Must be
+   * called periodically.
    */
   void askUnconfirmed(long nowNanos) {
     for (EngineId id : turnedAway) {
--- a/entry/src/main/java/org/gentianslip/entry/gateway/GatewayState.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/GatewayState.java
@@ -297,6 +297,11 @@
     return waits;
   }
 
+  /** Returns whether this instance reaches a service, as far as its connections show. */
+  public boolean reaches(ServiceId service) {
+    return !reach.isUnreached(service);
+  }
+
   /** Returns which services this instance reaches. */
   ServiceReach reach() {
     return reach;
