Ask an engine when it started before its share of the cold rate is used up

Cause: an engine was asked only at the next periodic check after a request had got no work, and a refusal makes the sender of a forward pause its region. Seen in StrandedInstanceTest.passesStreamsOnThatRunOnce with a neighbour that had just started: 4 of 60 streams complete, bound 54. Result: StrandedInstanceTest, ContinuedStreamTest, CrashingPromptTest and the tests of the load and the registry pass (80 cases).

--- a/core/src/main/java/org/gentianslip/core/load/Availability.java
+++ b/core/src/main/java/org/gentianslip/core/load/Availability.java
@@ -4,7 +4,6 @@
 import java.util.Deque;
 import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
-import java.util.function.IntSupplier;
 import org.gentianslip.core.limit.ColdRate;
 
 /**
@@ -276,10 +275,9 @@
    * Returns whether a request may be sent now.
    *
    * @param slots the number of requests that the backend server runs at once
-   * @param coldPerSecond the requests per second that this instance may send while the backend
-   *     server is cold
+   * @param coldShare what this instance may send while the backend server is cold
    */
-  boolean acceptsWork(long nowNanos, int slots, IntSupplier coldPerSecond) {
+  boolean acceptsWork(long nowNanos, int slots, ColdShare coldShare) {
     if (pauseNanos(nowNanos) > 0 || isResuming(nowNanos) && !isWithinResumeRate(nowNanos, slots)) {
       return false;
     }
@@ -289,12 +287,15 @@
     if (warmth(nowNanos) == Warmth.WARM) {
       return true;
     }
-    int limit = coldPerSecond.getAsInt();
+    int limit = coldShare.perSecond();
     if (limit == ColdRate.UNLIMITED) {
       return true;
     }
     dropOldSends(nowNanos);
     boolean leftByOthers = recovering && nowNanos - unreachableNanos >= RECOVERY_NANOS;
+    if (sends.size() + 1 >= limit && warmth(nowNanos) == Warmth.UNCONFIRMED) {
+      coldShare.usedUpUnconfirmed();
+    }
     return sends.size() < (leftByOthers ? Math.max(1, limit) : limit);
   }
 
--- a/core/src/main/java/org/gentianslip/core/load/BackendGroup.java
+++ b/core/src/main/java/org/gentianslip/core/load/BackendGroup.java
@@ -62,13 +62,8 @@
 
     private boolean acceptsWork(long nowNanos, SendRates rates) {
       EngineId id = backend.id();
-      if (!load.acceptsWork(nowNanos, () -> rates.coldPerSecond(id))) {
-        if (load.awaitsConfirmation(nowNanos)) {
-          rates.turnedAway(id);
-        }
-        return false;
-      }
-      return load.isWithinPace(nowNanos, total -> rates.portion(id, total))
+      return load.acceptsWork(nowNanos, rates.coldShare(id))
+          && load.isWithinPace(nowNanos, total -> rates.portion(id, total))
           && load.isWithinLimit(nowNanos, perSecond -> rates.intervalNanos(id, perSecond))
           && load.isWithinRefusalLimit(nowNanos, id, rates);
     }
--- a/core/src/main/java/org/gentianslip/core/load/BackendLoad.java
+++ b/core/src/main/java/org/gentianslip/core/load/BackendLoad.java
@@ -5,7 +5,6 @@
 import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 import java.util.function.DoubleToLongFunction;
-import java.util.function.IntSupplier;
 import java.util.function.IntUnaryOperator;
 import org.gentianslip.core.id.EngineId;
 import org.gentianslip.core.limit.HeardLimit;
@@ -289,12 +288,6 @@
     availability.expectConfirmation(untilNanos);
   }
 
-  /** Returns whether the server's own word on its start might allow it more work. */
-  synchronized boolean awaitsConfirmation(long nowNanos) {
-    return availability.warmth(nowNanos) == Warmth.UNCONFIRMED
-        && availability.blockedNanos(nowNanos) <= 0;
-  }
-
   /** Records that the backend server has said when it started, which settles all suspicions. */
   public synchronized void confirmStart(long nowNanos) {
     availability.confirmStart(nowNanos);
@@ -399,10 +392,10 @@
    * Returns whether the backend server may be sent a request now.
    *
    * @param nowNanos the current time, in nanoseconds of the monotonic clock
-   * @param coldPerSecond the requests per second that this instance may send to it while it is cold
+   * @param coldShare what this instance may send to it while it is cold
    */
-  public synchronized boolean acceptsWork(long nowNanos, IntSupplier coldPerSecond) {
-    return availability.acceptsWork(nowNanos, slots, coldPerSecond);
+  public synchronized boolean acceptsWork(long nowNanos, ColdShare coldShare) {
+    return availability.acceptsWork(nowNanos, slots, coldShare);
   }
 
   /**
--- a/core/src/main/java/org/gentianslip/core/load/SendRates.java
+++ b/core/src/main/java/org/gentianslip/core/load/SendRates.java
@@ -67,6 +67,8 @@
    */
   RefusalShare refusals(EngineId backend, double perSecond);
 
-  /** Called when a backend server gets no work as it may have started again. */
-  default void turnedAway(EngineId backend) {}
+  /** Returns the share of the rate of a cold backend server. */
+  default ColdShare coldShare(EngineId backend) {
+    return () -> coldPerSecond(backend);
+  }
 }
--- a/entry/src/main/java/org/gentianslip/entry/gateway/BackendRegistry.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/BackendRegistry.java
@@ -6,7 +6,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
@@ -26,9 +25,9 @@
 import org.gentianslip.core.load.BackendGroup;
 import org.gentianslip.core.load.BackendLoad;
 import org.gentianslip.core.load.Candidates;
+import org.gentianslip.core.load.ColdShare;
 import org.gentianslip.core.load.RequestSize;
 import org.gentianslip.core.load.SendRates;
-import org.gentianslip.core.load.Warmth;
 import org.gentianslip.core.published.Backend;
 import org.gentianslip.core.published.LeavingIncarnations;
 import org.gentianslip.core.published.PublishedState;
@@ -75,8 +74,8 @@
 
   private volatile long entryNanos = entryNanos(DEFAULT_HEARTBEAT_MILLIS);
 
-  /** The backend servers that requests did not go to as they may have started again. */
-  private final Set<EngineId> turnedAway = ConcurrentHashMap.newKeySet();
+  /** When the engines were last asked when they started. */
+  private final Map<EngineId, Long> askedNanos = new ConcurrentHashMap<>();
 
   private volatile Consumer<Backend> startCheck = backend -> {};
 
@@ -115,6 +114,7 @@
     }
     recordRefusalLimits(before);
     loads.keySet().retainAll(after.backends().keySet());
+    askedNanos.keySet().retainAll(after.backends().keySet());
     leaving.retainPublished(after.backends());
     Map<ServiceId, BackendGroup> built = buildGroups(after);
     presumeRefusalLimits(before, after);
@@ -207,16 +207,23 @@
   }
 
   /**
-   * Asks the engines when they started that got no requests as they may have started again. Must be
-   * called periodically.
+   * Asks an engine when it started that gets no more requests as it may have started again, unless
+   * it was asked just before.
    */
-  void askUnconfirmed(long nowNanos) {
-    for (EngineId id : turnedAway) {
-      Tracked t = turnedAway.remove(id) ? loads.get(id) : null;
-      boolean unconfirmed = t != null && t.load().warmth(nowNanos) == Warmth.UNCONFIRMED;
-      if (unconfirmed && t.backend().startedMillis() != 0) {
-        startCheck.accept(t.backend());
-      }
+  private void askStart(long nowNanos, EngineId id) {
+    Tracked tracked = loads.get(id);
+    if (tracked == null || tracked.backend().startedMillis() == 0) {
+      return;
+    }
+    Long asked = askedNanos.get(id);
+    boolean again = asked == null || nowNanos - asked >= START_QUERY_NANOS;
+    boolean first =
+        again
+            && (asked == null
+                ? askedNanos.putIfAbsent(id, nowNanos) == null
+                : askedNanos.replace(id, asked, nowNanos));
+    if (first) {
+      startCheck.accept(tracked.backend());
     }
   }
 
@@ -306,7 +313,7 @@
         .getOrDefault(service, BackendGroup.EMPTY)
         .candidates(
             nowNanos,
-            rates(nowNanos, state, service, turnedAway::add),
+            rates(nowNanos, state, service, id -> askStart(nowNanos, id)),
             usable,
             size,
             holders,
@@ -314,7 +321,7 @@
   }
 
   private SendRates rates(
-      long nowNanos, PublishedState state, ServiceId service, Consumer<EngineId> onTurnedAway) {
+      long nowNanos, PublishedState state, ServiceId service, Consumer<EngineId> onUnconfirmed) {
     return new SendRates() {
       @Override
       public int coldPerSecond(EngineId backend) {
@@ -322,8 +329,18 @@
       }
 
       @Override
-      public void turnedAway(EngineId backend) {
-        onTurnedAway.accept(backend);
+      public ColdShare coldShare(EngineId backend) {
+        return new ColdShare() {
+          @Override
+          public int perSecond() {
+            return coldPerSecond(backend);
+          }
+
+          @Override
+          public void usedUpUnconfirmed() {
+            onUnconfirmed.accept(backend);
+          }
+        };
       }
 
       @Override
--- a/entry/src/main/java/org/gentianslip/entry/gateway/GatewayServer.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/GatewayServer.java
@@ -134,7 +134,6 @@
       }
       gateway.reach().update(now, eventLoop);
       state.processor().updateCapacity(now, state.isStranded(now));
-      state.askUnconfirmed(now);
       gateway.closeExpired();
       state.quarantine().update(now).forEach(GatewayServer::log);
     } catch (RuntimeException e) {
--- a/entry/src/main/java/org/gentianslip/entry/gateway/GatewayState.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/GatewayState.java
@@ -207,11 +207,6 @@
     backends.setStartCheck(check);
   }
 
-  /** Asks the engines when they started that may have started again and could take more work. */
-  void askUnconfirmed(long nowNanos) {
-    backends.askUnconfirmed(nowNanos);
-  }
-
   /** Records that an engine that was asked when it started could not be reached. */
   void recordUnanswered(long nowNanos, Backend asked) {
     backends.recordUnanswered(nowNanos, asked);
