Name the engine in the call for its runs

Cause: requests name the backend server that is meant, the call for runs did not.

Change: the call names the engine, and an answer of another backend server counts as unreachable.

--- a/entry/src/main/java/org/gentianslip/entry/gateway/EdgeHeaders.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/EdgeHeaders.java
@@ -63,6 +63,9 @@
       Optional<CustomerId> customer,
       Optional<Backend> source);
 
+  /** Names the only backend server that may answer a call, as its address may be reused. */
+  void addExpected(HttpHeaders headers, Backend backend);
+
   /** Returns whether a response proves that the request did not run and will not run. */
   boolean isNotRun(int status, HttpHeaders headers);
 
--- a/entry/src/main/java/org/gentianslip/entry/gateway/RunQuery.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/RunQuery.java
@@ -65,6 +65,7 @@
     HttpHeaders headers = new DefaultHttpHeaders(false);
     headers.set(HttpHeaderNames.HOST, backend.address());
     headers.set(idHeader, id);
+    gateway.edgeHeaders().addExpected(headers, backend);
     // The connection is not kept: the engine may close it after an answer that is no report.
     headers.set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
     var request =
@@ -98,6 +99,10 @@
   @Override
   public void onHead(int receivedStatus, HttpHeaders headers) {
     status = receivedStatus;
+    if (gateway.edgeHeaders().isOtherBackend(status, headers)) {
+      exchange.cancel();
+      end(RunEvidence.UNREACHABLE);
+    }
   }
 
   @Override
@@ -115,6 +120,9 @@
 
   @Override
   public void onComplete() {
+    if (ended) {
+      return;
+    }
     Optional<Set<String>> runs = gateway.engineReports().runs(status, body.toByteArray());
     if (runs.isEmpty()) {
       end(RunEvidence.NO_REPORT);
--- a/entry/src/test/java/org/gentianslip/entry/gateway/PlainHeaders.java
+++ b/entry/src/test/java/org/gentianslip/entry/gateway/PlainHeaders.java
@@ -73,6 +73,9 @@
     sending.run();
   }
 
+  @Override
+  public void addExpected(HttpHeaders headers, Backend backend) {}
+
   @Override
   public boolean isNotRun(int status, HttpHeaders headers) {
     return false;
