Ask only engines when they started

Cause: a plain service with a cold rate was asked for a report, a call that only engines are known to have. Change: only servers of a service with an engine profile whose entry states a start are asked. In Availability, two fields have the names of what they hold now: whether a restart is possible, and when the last sign of one came.

--- a/core/src/main/java/org/gentianslip/core/load/Availability.java
+++ b/core/src/main/java/org/gentianslip/core/load/Availability.java
@@ -51,12 +51,12 @@
   private long coldUntilNanos = Long.MIN_VALUE;
   private long pausedUntilNanos = Long.MIN_VALUE;
   private int sentAfterPause;
-  private boolean recovering;
+  private boolean mayHaveRestarted;
 
-  /** The time since which it may have started again; defined while recovering. */
+  /** The time since which it may have started again; defined while it may. */
   private long suspectedNanos;
 
-  private long unreachableNanos;
+  private long lastSignNanos;
 
   /** The last failed connection of any instance, as far as it is known. */
   private long failedNanos = Long.MIN_VALUE;
@@ -148,7 +148,7 @@
 
   /** Returns when a connection last failed, while the backend server may have started again. */
   OptionalLong failedNanos() {
-    return recovering && failedNanos != Long.MIN_VALUE
+    return mayHaveRestarted && failedNanos != Long.MIN_VALUE
         ? OptionalLong.of(failedNanos)
         : OptionalLong.empty();
   }
@@ -186,12 +186,12 @@
    * @return whether nothing had pointed to that before
    */
   boolean suspectRestart(long nowNanos, long sinceNanos) {
-    boolean first = !recovering;
+    boolean first = !mayHaveRestarted;
     if (first || sinceNanos - suspectedNanos < 0) {
       suspectedNanos = sinceNanos;
     }
-    recovering = true;
-    unreachableNanos = nowNanos;
+    mayHaveRestarted = true;
+    lastSignNanos = nowNanos;
     return first;
   }
 
@@ -204,9 +204,9 @@
   boolean recordContact(long nowNanos, long connectedNanos) {
     contactNanos = nowNanos;
     contactConnectedNanos = connectedNanos;
-    boolean refuted = recovering && connectedNanos - suspectedNanos < 0;
+    boolean refuted = mayHaveRestarted && connectedNanos - suspectedNanos < 0;
     if (refuted) {
-      recovering = false;
+      mayHaveRestarted = false;
       settledNanos = nowNanos;
     }
     return refuted;
@@ -222,10 +222,10 @@
    */
   OptionalLong recordReachedByOthers(long nowNanos) {
     boolean blocked = backoffUntilNanos != Long.MIN_VALUE && nowNanos - backoffUntilNanos < 0;
-    if (!recovering || blocked || nowNanos - unreachableNanos < REPORT_NANOS) {
+    if (!mayHaveRestarted || blocked || nowNanos - lastSignNanos < REPORT_NANOS) {
       return OptionalLong.empty();
     }
-    recovering = false;
+    mayHaveRestarted = false;
     settledNanos = nowNanos;
     consecutiveConnectFailures = 0;
     markColdUntil(nowNanos + RETURN_COLD_NANOS);
@@ -240,7 +240,7 @@
   /** Records that the backend server has said when it started, which settles all suspicions. */
   void confirmStart(long nowNanos) {
     unconfirmedUntilNanos = Long.MIN_VALUE;
-    recovering = false;
+    mayHaveRestarted = false;
     consecutiveConnectFailures = 0;
     settledNanos = nowNanos;
   }
@@ -252,9 +252,9 @@
 
   /** Returns whether it has answered since it may have started again, once for each such event. */
   boolean pollRecovered() {
-    boolean recovered = recovering && consecutiveConnectFailures == 0;
+    boolean recovered = mayHaveRestarted && consecutiveConnectFailures == 0;
     if (recovered) {
-      recovering = false;
+      mayHaveRestarted = false;
       settledNanos = contactNanos;
     }
     return recovered;
@@ -264,7 +264,7 @@
   Warmth warmth(long nowNanos) {
     boolean unconfirmed =
         unconfirmedUntilNanos != Long.MIN_VALUE && nowNanos - unconfirmedUntilNanos < 0;
-    if (recovering || unconfirmed) {
+    if (mayHaveRestarted || unconfirmed) {
       return Warmth.UNCONFIRMED;
     }
     boolean cold = coldUntilNanos != Long.MIN_VALUE && nowNanos - coldUntilNanos < 0;
@@ -292,7 +292,7 @@
       return true;
     }
     dropOldSends(nowNanos);
-    boolean leftByOthers = recovering && nowNanos - unreachableNanos >= RECOVERY_NANOS;
+    boolean leftByOthers = mayHaveRestarted && nowNanos - lastSignNanos >= RECOVERY_NANOS;
     if (sends.size() + 1 >= limit && warmth(nowNanos) == Warmth.UNCONFIRMED) {
       coldShare.usedUpUnconfirmed();
     }
--- a/entry/src/main/java/org/gentianslip/entry/gateway/BackendRegistry.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/BackendRegistry.java
@@ -197,10 +197,8 @@
    */
   private void expectConfirmation(long nowNanos, PublishedState state, Backend backend) {
     boolean limited =
-        profile(state, backend.service())
-            .filter(p -> p.engine().isPresent() && p.coldPerSecond() > 0)
-            .isPresent();
-    boolean comparable = config.get().isLocal(backend) && backend.startedMillis() != 0;
+        profile(state, backend.service()).filter(p -> p.coldPerSecond() > 0).isPresent();
+    boolean comparable = config.get().isLocal(backend) && statesItsStart(state, backend);
     if (limited && comparable && nowNanos - createdNanos < INTRODUCTION_NANOS) {
       loadOf(state, backend).expectConfirmation(nowNanos + entryNanos);
     }
@@ -210,23 +208,30 @@
    * Asks an engine when it started that gets no more requests as it may have started again, unless
    * it was asked just before.
    */
-  private void askStart(long nowNanos, EngineId id) {
+  private void askStart(long nowNanos, PublishedState state, EngineId id) {
     Tracked tracked = loads.get(id);
-    if (tracked == null || tracked.backend().startedMillis() == 0) {
+    if (tracked == null || !statesItsStart(state, tracked.backend())) {
       return;
     }
     Long asked = askedNanos.get(id);
-    boolean again = asked == null || nowNanos - asked >= START_QUERY_NANOS;
+    if (asked != null && nowNanos - asked < START_QUERY_NANOS) {
+      return;
+    }
     boolean first =
-        again
-            && (asked == null
-                ? askedNanos.putIfAbsent(id, nowNanos) == null
-                : askedNanos.replace(id, asked, nowNanos));
+        asked == null
+            ? askedNanos.putIfAbsent(id, nowNanos) == null
+            : askedNanos.replace(id, asked, nowNanos);
     if (first) {
       startCheck.accept(tracked.backend());
     }
   }
 
+  /** Returns whether a backend server says when it started, in its entry and in its report. */
+  private static boolean statesItsStart(PublishedState state, Backend backend) {
+    return backend.startedMillis() != 0
+        && profile(state, backend.service()).flatMap(ServiceProfile::engine).isPresent();
+  }
+
   /** Sets the interval at which backend servers publish themselves, if it is known. */
   void setHeartbeatMillis(long millis) {
     entryNanos = entryNanos(millis > 0 ? millis : DEFAULT_HEARTBEAT_MILLIS);
@@ -313,7 +318,7 @@
         .getOrDefault(service, BackendGroup.EMPTY)
         .candidates(
             nowNanos,
-            rates(nowNanos, state, service, id -> askStart(nowNanos, id)),
+            rates(nowNanos, state, service, id -> askStart(nowNanos, state, id)),
             usable,
             size,
             holders,
