--- a/core/src/main/java/org/gentianslip/core/load/Availability.java
+++ b/core/src/main/java/org/gentianslip/core/load/Availability.java
@@ -10,9 +10,8 @@
  * Whether one start of a backend server may be sent work: not while it is backed off or pauses, and
  * at a limited rate just after a pause, and while it is cold or may have started again unnoticed.
  *
- * <p>It may have started again since a connection failed, an exchange broke or fell silent. An
- * answer on a connection from before the first of these refutes that, and so may its own word;
- * after a success on any other connection it counts as cold. Not thread-safe.
+ * <p>After a success on a connection that does not refute a restart, it counts as cold. Not
+ * thread-safe.
  */
 final class Availability {
 
@@ -40,9 +39,6 @@
   /** How long after a failure reports of others may still be from before it. */
   private static final long REPORT_NANOS = TimeUnit.SECONDS.toNanos(1);
 
-  /** The difference of the times at which one failure is told, as messages take time. */
-  private static final long SAME_FAILURE_NANOS = TimeUnit.SECONDS.toNanos(1);
-
   private static final long RATE_NANOS = TimeUnit.SECONDS.toNanos(1);
 
   private final Deque<Long> sends;
@@ -51,26 +47,9 @@
   private long coldUntilNanos = Long.MIN_VALUE;
   private long pausedUntilNanos = Long.MIN_VALUE;
   private int sentAfterPause;
-  private boolean mayHaveRestarted;
-
-  /** The time since which it may have started again; defined while it may. */
-  private long suspectedNanos;
-
-  private long lastSignNanos;
-
-  /** The last failed connection of any instance, as far as it is known. */
-  private long failedNanos = Long.MIN_VALUE;
-
-  /** The last part of an answer, and when its connection was established. */
-  private long contactNanos = Long.MIN_VALUE;
-
-  private long contactConnectedNanos;
-
+  private final RestartSuspicion restart = new RestartSuspicion();
   private long unconfirmedUntilNanos = Long.MIN_VALUE;
 
-  /** When it was last concluded whether the backend server had started again. */
-  private long settledNanos = Long.MIN_VALUE;
-
   /** Creates the availability of a backend server to which nothing was sent. */
   Availability() {
     this(new ArrayDeque<>());
@@ -142,74 +121,12 @@
     long backoffNanos = INITIAL_BACKOFF_NANOS << Math.min(consecutiveConnectFailures, 3);
     consecutiveConnectFailures++;
     backoffUntilNanos = nowNanos + Math.min(backoffNanos, MAX_BACKOFF_NANOS);
-    failedNanos = begunNanos;
-    suspectRestart(nowNanos, begunNanos);
+    restart.recordFailure(nowNanos, begunNanos);
   }
 
-  /** Returns when a connection last failed, while the backend server may have started again. */
-  OptionalLong failedNanos() {
-    return mayHaveRestarted && failedNanos != Long.MIN_VALUE
-        ? OptionalLong.of(failedNanos)
-        : OptionalLong.empty();
-  }
-
-  /**
-   * Records a failed connection of another instance, unless it is known or a later answer has
-   * settled what it points to.
-   *
-   * @param heardNanos when it was begun, a little later if the message took time
-   * @return whether nothing had pointed to a restart before
-   */
-  boolean recordFailureOfOthers(long nowNanos, long heardNanos) {
-    boolean known = failedNanos != Long.MIN_VALUE && heardNanos - failedNanos <= SAME_FAILURE_NANOS;
-    if (known || isSettled(heardNanos)) {
-      return false;
-    }
-    failedNanos = heardNanos;
-    return suspectRestart(nowNanos, heardNanos);
-  }
-
-  /** Returns whether it is known already if the backend server started again at a given time. */
-  private boolean isSettled(long failureNanos) {
-    boolean concluded = settledNanos != Long.MIN_VALUE && settledNanos - failureNanos > 0;
-    boolean refuted =
-        contactNanos != Long.MIN_VALUE
-            && contactNanos - failureNanos > 0
-            && contactConnectedNanos - failureNanos < 0;
-    return concluded || refuted;
-  }
-
-  /**
-   * Records that the backend server may have started again.
-   *
-   * @param sinceNanos the time since which it may have
-   * @return whether nothing had pointed to that before
-   */
-  boolean suspectRestart(long nowNanos, long sinceNanos) {
-    boolean first = !mayHaveRestarted;
-    if (first || sinceNanos - suspectedNanos < 0) {
-      suspectedNanos = sinceNanos;
-    }
-    mayHaveRestarted = true;
-    lastSignNanos = nowNanos;
-    return first;
-  }
-
-  /**
-   * Records a part of an answer.
-   *
-   * @param connectedNanos when its connection was established
-   * @return whether it shows that the backend server has not started again as suspected
-   */
-  boolean recordContact(long nowNanos, long connectedNanos) {
-    contactNanos = nowNanos;
-    contactConnectedNanos = connectedNanos;
-    boolean refuted = mayHaveRestarted && connectedNanos - suspectedNanos < 0;
-    if (refuted) {
-      mayHaveRestarted = false;
-      settledNanos = nowNanos;
-    }
-    return refuted;
+  /** Returns whether the backend server may have started again unnoticed. */
+  RestartSuspicion restart() {
+    return restart;
   }
 
   void recordFullRefusal(long nowNanos) {
@@ -222,11 +139,10 @@
    */
   OptionalLong recordReachedByOthers(long nowNanos) {
     boolean blocked = backoffUntilNanos != Long.MIN_VALUE && nowNanos - backoffUntilNanos < 0;
-    if (!mayHaveRestarted || blocked || nowNanos - lastSignNanos < REPORT_NANOS) {
+    if (!restart.isOpen() || blocked || restart.ageNanos(nowNanos) < REPORT_NANOS) {
       return OptionalLong.empty();
     }
-    mayHaveRestarted = false;
-    settledNanos = nowNanos;
+    restart.settle(nowNanos);
     consecutiveConnectFailures = 0;
     markColdUntil(nowNanos + RETURN_COLD_NANOS);
     return OptionalLong.of(nowNanos + RETURN_COLD_NANOS);
@@ -240,9 +156,8 @@
   /** Records that the backend server has said when it started, which settles all suspicions. */
   void confirmStart(long nowNanos) {
     unconfirmedUntilNanos = Long.MIN_VALUE;
-    mayHaveRestarted = false;
     consecutiveConnectFailures = 0;
-    settledNanos = nowNanos;
+    restart.settle(nowNanos);
   }
 
   /** Marks the backend server as cold, unless it is already marked for longer. */
@@ -252,10 +167,9 @@
 
   /** Returns whether it has answered since it may have started again, once for each such event. */
   boolean pollRecovered() {
-    boolean recovered = mayHaveRestarted && consecutiveConnectFailures == 0;
+    boolean recovered = restart.isOpen() && consecutiveConnectFailures == 0;
     if (recovered) {
-      mayHaveRestarted = false;
-      settledNanos = contactNanos;
+      restart.settleByContact();
     }
     return recovered;
   }
@@ -264,7 +178,7 @@
   Warmth warmth(long nowNanos) {
     boolean unconfirmed =
         unconfirmedUntilNanos != Long.MIN_VALUE && nowNanos - unconfirmedUntilNanos < 0;
-    if (mayHaveRestarted || unconfirmed) {
+    if (restart.isOpen() || unconfirmed) {
       return Warmth.UNCONFIRMED;
     }
     boolean cold = coldUntilNanos != Long.MIN_VALUE && nowNanos - coldUntilNanos < 0;
@@ -292,7 +206,7 @@
       return true;
     }
     dropOldSends(nowNanos);
-    boolean leftByOthers = mayHaveRestarted && nowNanos - lastSignNanos >= RECOVERY_NANOS;
+    boolean leftByOthers = restart.isOpen() && restart.ageNanos(nowNanos) >= RECOVERY_NANOS;
     if (sends.size() + 1 >= limit && warmth(nowNanos) == Warmth.UNCONFIRMED) {
       coldShare.usedUpUnconfirmed();
     }
--- a/core/src/main/java/org/gentianslip/core/load/BackendLoad.java
+++ b/core/src/main/java/org/gentianslip/core/load/BackendLoad.java
@@ -248,7 +248,7 @@
    * @return whether nothing had pointed to a restart before
    */
   public synchronized boolean suspectRestart(long nowNanos, long heardNanos) {
-    return availability.suspectRestart(nowNanos, heardNanos);
+    return availability.restart().raise(nowNanos, heardNanos);
   }
 
   /**
@@ -258,7 +258,7 @@
    * @return whether it refutes that the backend server has started again, which was possible
    */
   public synchronized boolean recordContact(long nowNanos, long connectedNanos) {
-    return availability.recordContact(nowNanos, connectedNanos);
+    return availability.restart().recordContact(nowNanos, connectedNanos);
   }
 
   /**
@@ -266,7 +266,7 @@
    * server may have started again.
    */
   public synchronized OptionalLong failedNanos() {
-    return availability.failedNanos();
+    return availability.restart().failedNanos();
   }
 
   /**
@@ -277,7 +277,7 @@
    * @return whether nothing had pointed to a restart before
    */
   public synchronized boolean recordFailureOfOthers(long nowNanos, long failedNanos) {
-    return availability.recordFailureOfOthers(nowNanos, failedNanos);
+    return availability.restart().recordFailureOfOthers(nowNanos, failedNanos);
   }
 
   /**
