Log and count each call for the report of an engine

Cause: of the calls of an instance's own nothing told which server was meant, at which address, by which list, and who answered. A record with such a call could not tell a reused address from a list that is out of date, from a service without engines, or from an earlier build. Change: one line event=report-call for each call, with its id, purpose, backend server, service and whether that has engines, address, what is listed of it by then, the age and revision of the list, status and result; a counter by purpose and result. No decision changes.

--- a/entry/src/main/java/org/gentianslip/entry/gateway/Gateway.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/Gateway.java
@@ -63,6 +63,7 @@
   private final RequestAdmission admission;
   private final StreamTakeUp takeUp;
   private final EngineReports engineReports;
+  private final ReportLog reportLog = new ReportLog(this);
   private final ReadBarrier barrier;
   private final EngineContacts engineContacts = new EngineContacts();
   private final ReachMonitor reach = new ReachMonitor(this);
@@ -110,6 +111,10 @@
     return engineReports;
   }
 
+  ReportLog reportLog() {
+    return reportLog;
+  }
+
   ReadBarrier barrier() {
     return barrier;
   }
--- a/entry/src/main/java/org/gentianslip/entry/gateway/GatewayMetrics.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/GatewayMetrics.java
@@ -69,6 +69,13 @@
           .labelNames("result")
           .register(registry);
 
+  private final Counter reportCalls =
+      Counter.builder()
+          .name("gentian_gateway_report_calls_total")
+          .help("Calls for the reports of engines, by purpose and by what was seen.")
+          .labelNames("purpose", "result")
+          .register(registry);
+
   private final Histogram responseTime =
       Histogram.builder()
           .name("gentian_gateway_answer_seconds")
@@ -183,6 +190,11 @@
     takeUps.labelValues(result).inc();
   }
 
+  /** Counts a call for the report of an engine. */
+  void countReportCall(String purpose, String result) {
+    reportCalls.labelValues(purpose, result).inc();
+  }
+
   /** Records the time to a response or to the first event of a stream. */
   void observeResponseTime(String rank, long millis) {
     responseTime.labelValues(rank).observe(millis / MILLIS_PER_SECOND);
--- a/entry/src/main/java/org/gentianslip/entry/gateway/ReportCall.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/ReportCall.java
@@ -8,6 +8,7 @@
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.util.concurrent.ScheduledFuture;
 import java.io.ByteArrayOutputStream;
+import java.util.Locale;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import org.gentianslip.core.published.Backend;
@@ -29,7 +30,10 @@
 
   private final Gateway gateway;
   private final Backend backend;
+  private final ReportPurpose purpose;
   private final Listener listener;
+  private final String id;
+  private final long begunNanos = System.nanoTime();
   private final ByteArrayOutputStream body = new ByteArrayOutputStream();
   private Exchange exchange;
   private ScheduledFuture<?> timer;
@@ -47,21 +51,23 @@
     void onNoAnswer(RunEvidence evidence);
   }
 
-  private ReportCall(Gateway gateway, Backend backend, Listener listener) {
+  private ReportCall(Gateway gateway, Backend backend, ReportPurpose purpose, Listener listener) {
     this.gateway = gateway;
     this.backend = backend;
+    this.purpose = purpose;
     this.listener = listener;
+    // Each call has an id of its own, so its answer can't be taken for one to a request.
+    this.id = gateway.state().config().id().value() + "-report-" + NUMBER.incrementAndGet();
   }
 
   /** Asks an engine for its report, on the event loop. */
-  static void start(Gateway gateway, EventLoop loop, Backend backend, Listener listener) {
-    new ReportCall(gateway, backend, listener).send(loop);
+  static void start(
+      Gateway gateway, EventLoop loop, Backend backend, ReportPurpose purpose, Listener listener) {
+    new ReportCall(gateway, backend, purpose, listener).send(loop);
   }
 
   private void send(EventLoop loop) {
     String idHeader = gateway.edgeHeaders().requestId();
-    // Each call has an id of its own, so its answer can't be taken for one to a request.
-    String id = gateway.state().config().id().value() + "-report-" + NUMBER.incrementAndGet();
     HttpHeaders headers = new DefaultHttpHeaders(false);
     headers.set(HttpHeaderNames.HOST, backend.address());
     headers.set(idHeader, id);
@@ -118,8 +124,8 @@
   @Override
   public void onComplete() {
     if (otherAnswers) {
-      end(RunEvidence.UNREACHABLE);
-    } else if (markEnded()) {
+      end(RunEvidence.UNREACHABLE, "other-server");
+    } else if (markEnded("answered")) {
       listener.onAnswer(status, body.toByteArray());
     }
   }
@@ -136,15 +142,22 @@
   }
 
   private void end(RunEvidence evidence) {
-    if (markEnded()) {
+    end(evidence, evidence.name().toLowerCase(Locale.ROOT).replace('_', '-'));
+  }
+
+  private void end(RunEvidence evidence, String result) {
+    if (markEnded(result)) {
       listener.onNoAnswer(evidence);
     }
   }
 
-  private boolean markEnded() {
-    boolean first = !ended;
+  private boolean markEnded(String result) {
+    if (ended) {
+      return false;
+    }
     ended = true;
     timer.cancel(false);
-    return first;
+    gateway.reportLog().record(System.nanoTime(), begunNanos, id, purpose, backend, status, result);
+    return true;
   }
 }
--- a/entry/src/main/java/org/gentianslip/entry/gateway/RunQuery.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/RunQuery.java
@@ -33,7 +33,8 @@
       Backend backend,
       String requestId,
       Consumer<RunEvidence> onResult) {
-    ReportCall.start(gateway, loop, backend, new RunQuery(gateway, backend, requestId, onResult));
+    var query = new RunQuery(gateway, backend, requestId, onResult);
+    ReportCall.start(gateway, loop, backend, ReportPurpose.RUNS, query);
   }
 
   @Override
--- a/entry/src/main/java/org/gentianslip/entry/gateway/StartQuery.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/StartQuery.java
@@ -24,7 +24,8 @@
 
   /** Asks an engine, on the event loop. */
   static void start(Gateway gateway, EventLoop loop, Backend backend) {
-    ReportCall.start(gateway, loop, backend, new StartQuery(gateway, backend));
+    var query = new StartQuery(gateway, backend);
+    ReportCall.start(gateway, loop, backend, ReportPurpose.START, query);
   }
 
   @Override
--- a/entry/src/test/java/org/gentianslip/entry/gateway/GatewayMetricsTest.java
+++ b/entry/src/test/java/org/gentianslip/entry/gateway/GatewayMetricsTest.java
@@ -39,6 +39,7 @@
     metrics.countRejection(401, "unknown-key");
     metrics.countAttempt("0", "backend", false);
     metrics.countTakeUp("recorded");
+    metrics.countReportCall("runs", "answered");
     metrics.observeResponseTime("0", 1);
     return new String(metrics.text(), StandardCharsets.UTF_8).lines().toList();
   }
