Ask only engines for their report

Seen: a server of a service without engines ran GET /gentianslip/report, which no caller sent (UNASKED), and a silent stream there ended with 504 at its deadline (startsSilentStreamElsewhereInTime). Cause: RunGuard asks the backend server of any silent or broken stream, whether its service has engines or not; only the question when an engine started looked at the profile. A plain server is called by its right name, so 421 doesn't protect it. An answer that is no report also kept the stream there to the end. Ruled out as the only cause: the reused address; the test names the server and no address is given away. Change: ReportCall, the only place that calls, calls nothing unless what is published under the id now belongs to a service with engines, and reports NOT_ASKED. RunWatch then keeps the stream as long as one more attempt elsewhere fits, as with an engine of which no answer is known.

--- a/core/src/main/java/org/gentianslip/core/stream/RunEvidence.java
+++ b/core/src/main/java/org/gentianslip/core/stream/RunEvidence.java
@@ -1,6 +1,6 @@
 package org.gentianslip.core.stream;
 
-/** What a call for the runs of an engine has told about one of its runs. */
+/** What is known about a run after a call for the runs of its engine, or without one. */
 public enum RunEvidence {
   /** The engine's report lists the run. */
   LISTED,
@@ -11,7 +11,9 @@
   /** The engine has accepted the connection and sent nothing in time. */
   NO_ANSWER,
   /** The engine has not accepted a connection in time. */
-  UNREACHABLE;
+  UNREACHABLE,
+  /** The backend server was not called, as its service has no engines. */
+  NOT_ASKED;
 
   /** Returns whether the engine has sent anything. */
   public boolean isSignOfLife() {
--- a/core/src/test/java/org/gentianslip/core/stream/RunWatchTest.java
+++ b/core/src/test/java/org/gentianslip/core/stream/RunWatchTest.java
@@ -99,9 +99,10 @@
         millisUntil(Action.MOVE, RunEvidence.NO_ANSWER), is(SILENCE_MILLIS + 2 * CALL_MILLIS));
   }
 
-  @Test
-  void leavesSilentEngineInTimeIfTheCallIsNotKnown() {
-    long millis = millisUntil(Action.MOVE, RunEvidence.NO_ANSWER);
+  @ParameterizedTest
+  @EnumSource(names = {"NO_ANSWER", "NOT_ASKED"})
+  void leavesSilentEngineInTimeIfTheCallIsNotKnown(RunEvidence evidence) {
+    long millis = millisUntil(Action.MOVE, evidence);
     assertThat(millis >= DEADLINE_MILLIS / 2, is(true));
     assertThat(DEADLINE_MILLIS - millis >= ATTEMPT_MILLIS, is(true));
   }
--- a/entry/src/main/java/org/gentianslip/entry/gateway/BackendRegistry.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/BackendRegistry.java
@@ -228,8 +228,16 @@
 
   /** Returns whether a backend server says when it started, in its entry and in its report. */
   private static boolean statesItsStart(PublishedState state, Backend backend) {
-    return backend.startedMillis() != 0
-        && profile(state, backend.service()).flatMap(ServiceProfile::engine).isPresent();
+    return backend.startedMillis() != 0 && isEngine(state, backend);
+  }
+
+  /**
+   * Returns whether a backend server is an engine, so that it has a report. What is published under
+   * its id now decides.
+   */
+  static boolean isEngine(PublishedState state, Backend backend) {
+    ServiceId service = state.backends().getOrDefault(backend.id(), backend).service();
+    return profile(state, service).flatMap(ServiceProfile::engine).isPresent();
   }
 
   /** Sets the interval at which backend servers publish themselves, if it is known. */
--- a/entry/src/main/java/org/gentianslip/entry/gateway/ReportCall.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/ReportCall.java
@@ -60,9 +60,16 @@
     this.id = gateway.state().config().id().value() + "-report-" + NUMBER.incrementAndGet();
   }
 
-  /** Asks an engine for its report, on the event loop. */
+  /**
+   * Asks an engine for its report, on the event loop. A backend server of a service without engines
+   * is not called, as it would run the call as a request.
+   */
   static void start(
       Gateway gateway, EventLoop loop, Backend backend, ReportPurpose purpose, Listener listener) {
+    if (!BackendRegistry.isEngine(gateway.state().published(), backend)) {
+      listener.onNoAnswer(RunEvidence.NOT_ASKED);
+      return;
+    }
     new ReportCall(gateway, backend, purpose, listener).send(loop);
   }
 
--- a/entry/src/main/java/org/gentianslip/entry/gateway/ReportLog.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/ReportLog.java
@@ -4,7 +4,6 @@
 import java.util.concurrent.TimeUnit;
 import org.gentianslip.core.published.Backend;
 import org.gentianslip.core.published.PublishedState;
-import org.gentianslip.core.route.ServiceProfile;
 
 /**
  * Logs and counts the calls for the reports of engines, with what was published of the engine.
@@ -45,9 +44,7 @@
         purpose.label(),
         backend.id(),
         backend.service(),
-        BackendRegistry.profile(state, backend.service())
-            .flatMap(ServiceProfile::engine)
-            .isPresent(),
+        BackendRegistry.isEngine(state, backend),
         backend.address(),
         backend.startedMillis(),
         listing(state, backend),
