Leave an engine at once when another server has its address

Seen: once the address of a dark engine is given away, the streams that it held stay there and go on asking. On this code 421 counted as one unreachable engine among others: 2 calls of each stream, and a wait of up to 1 s if the engine had been heard. Cause: an answer of another server was not told apart from no connection. An address is given away only after its engine has ended, so the run has too. Change: RunEvidence.OTHER_SERVER ends a watch at once, also of a released run. For a suspected restart it means what it meant. Result, one run: UnaskedReportTest.ReusedAddress fails before with 2 calls, one after; RunWatchTest (two new cases), SlowStreamTest and ReportAddressTest pass.

--- a/core/src/main/java/org/gentianslip/core/stream/RunEvidence.java
+++ b/core/src/main/java/org/gentianslip/core/stream/RunEvidence.java
@@ -12,6 +12,8 @@
   NO_ANSWER,
   /** The engine has not accepted a connection in time. */
   UNREACHABLE,
+  /** Another server has answered at the engine's address, which is given away once it has ended. */
+  OTHER_SERVER,
   /** The backend server was not called, as its service has no engines. */
   NOT_ASKED;
 
--- a/core/src/main/java/org/gentianslip/core/stream/RunWatch.java
+++ b/core/src/main/java/org/gentianslip/core/stream/RunWatch.java
@@ -6,12 +6,12 @@
  * Decides whether a silent or broken stream stays with its engine, so that it is not started on a
  * second engine while the first one still runs it.
  *
- * <p>A run has ended for certain if the engine's report no longer lists it. An engine that sends
- * nothing is presumed hung after two calls in a row without an answer if engines of its service are
- * known to answer such calls. If that is not known, a hung engine can't be told from a slow one
- * that lacks the call; then the stream stays as long as the time left allows one more attempt
- * elsewhere, as it does at a backend server that is not called. Each belief ends with the next
- * answer. Not thread-safe.
+ * <p>A run has ended for certain if the engine's report no longer lists it, or if another server
+ * has the engine's address. An engine that sends nothing is presumed hung after two calls in a row
+ * without an answer if engines of its service are known to answer such calls. If that is not known,
+ * a hung engine can't be told from a slow one that lacks the call; then the stream stays as long as
+ * the time left allows one more attempt elsewhere, as it does at a backend server that is not
+ * called. Each belief ends with the next answer. Not thread-safe.
  */
 public final class RunWatch {
 
@@ -88,6 +88,7 @@
       case NOT_ASKED ->
           isWriting(nowNanos, facts) || facts.spareMillis() < 0 ? RunStep.move() : keep(facts);
       case NO_ANSWER, UNREACHABLE -> unanswered(nowNanos, evidence, facts);
+      case OTHER_SERVER -> RunStep.move();
     };
   }
 
@@ -122,7 +123,7 @@
   }
 
   private RunStep released(RunEvidence evidence) {
-    if (evidence == RunEvidence.NOT_LISTED) {
+    if (evidence == RunEvidence.NOT_LISTED || evidence == RunEvidence.OTHER_SERVER) {
       return RunStep.move();
     }
     boolean hung = unanswered >= MAX_UNANSWERED;
--- a/core/src/test/java/org/gentianslip/core/stream/RunWatchTest.java
+++ b/core/src/test/java/org/gentianslip/core/stream/RunWatchTest.java
@@ -123,6 +123,18 @@
         millisUntil(Action.MOVE, RunEvidence.UNREACHABLE), is(SILENCE_MILLIS + 2 * CALL_MILLIS));
   }
 
+  @Test
+  void leavesTheAddressOfAnotherServerAtOnce() {
+    heardMillis = nowMillis - 100;
+    assertThat(next(RunEvidence.OTHER_SERVER).action(), is(Action.MOVE));
+  }
+
+  @Test
+  void doesNotAwaitTheEndOfReleasedRunIfAnotherServerHasTheAddress() {
+    next(RunEvidence.NOT_LISTED);
+    assertThat(next(RunEvidence.OTHER_SERVER).action(), is(Action.MOVE));
+  }
+
   @Test
   void forgetsAnUnansweredCallWithTheNextAnswer() {
     callKnown = true;
--- a/entry/src/main/java/org/gentianslip/entry/gateway/ReportCall.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/ReportCall.java
@@ -131,7 +131,7 @@
   @Override
   public void onComplete() {
     if (otherAnswers) {
-      end(RunEvidence.UNREACHABLE, "other-server");
+      end(RunEvidence.OTHER_SERVER);
     } else if (markEnded("answered")) {
       listener.onAnswer(status, body.toByteArray());
     }
@@ -149,11 +149,7 @@
   }
 
   private void end(RunEvidence evidence) {
-    end(evidence, evidence.name().toLowerCase(Locale.ROOT).replace('_', '-'));
-  }
-
-  private void end(RunEvidence evidence, String result) {
-    if (markEnded(result)) {
+    if (markEnded(evidence.name().toLowerCase(Locale.ROOT).replace('_', '-'))) {
       listener.onNoAnswer(evidence);
     }
   }
--- a/entry/src/main/java/org/gentianslip/entry/gateway/StartQuery.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/StartQuery.java
@@ -40,7 +40,7 @@
   @Override
   public void onNoAnswer(RunEvidence evidence) {
     log(evidence.name());
-    if (evidence == RunEvidence.UNREACHABLE) {
+    if (evidence == RunEvidence.UNREACHABLE || evidence == RunEvidence.OTHER_SERVER) {
       gateway.state().recordUnanswered(System.nanoTime(), backend);
     }
   }
