Acknowledge only messages that are meant for this process

Seen: not by callers. Cause: an instance sends another one the changes that it has not acknowledged. If the other one restarts and hears before it is heard, it gets what its former process lacked and acknowledges all, so it never gets the changes before: instances, summaries, holders of prompts, evidence of crashes and origins of streams. The same holds for another instance at the address. The message does name the process, by the incarnation in its acknowledgement; nobody looked. Change: SyncCursors acknowledges nothing of a message whose acknowledgement names another process.

--- a/core/src/main/java/org/gentianslip/core/fleet/SyncCursors.java
+++ b/core/src/main/java/org/gentianslip/core/fleet/SyncCursors.java
@@ -9,7 +9,8 @@
  * How far this instance and each peer have received each other's changes.
  *
  * <p>A lost message repeats its changes with the next one, as only an acknowledgement advances the
- * cursor. Thread-safe.
+ * cursor. A message holds the changes that one process lacked, which its acknowledgement names by
+ * incarnation; another process that receives it acknowledges nothing of it. Thread-safe.
  */
 public final class SyncCursors {
 
@@ -43,13 +44,19 @@
         (id, known) -> {
           Cursor before = known == null ? Cursor.START : known;
           boolean sameProcess = before.received().incarnation() == sent.incarnation();
+          long received = sameProcess ? before.received().number() : 0;
           long number =
-              sameProcess ? Math.max(before.received().number(), sent.number()) : sent.number();
+              isMeantFor(ownIncarnation, ack) ? Math.max(received, sent.number()) : received;
           long acknowledged = ack.incarnation() == ownIncarnation ? ack.number() : 0;
           return new Cursor(new SyncAck(sent.incarnation(), number), acknowledged);
         });
   }
 
+  /** Returns whether a message holds what this process lacks, or all changes of its sender. */
+  private static boolean isMeantFor(long ownIncarnation, SyncAck ack) {
+    return ack.incarnation() == ownIncarnation || ack.equals(SyncAck.NONE);
+  }
+
   /** Forgets all peers but the given ones. */
   public void retain(Set<InstanceId> peers) {
     cursors.keySet().retainAll(peers);
