Name the instance that a forwarded request is meant for

Seen: not by callers of the users. Cause: a forwarded request named its sender and not its receiver. Whoever has the instance's address ran it, also an instance of another region or a backend server of any service, and its 421 reached the caller as the gateway's answer. Change: a forward names its receiver in the header that names a backend server, which engines check too. An instance answers 421 to what names another one and does nothing else; the sender pauses that instance and goes on elsewhere. What names nobody is served, as earlier builds name nobody, and they ignore the name.

--- a/entry/src/main/java/org/gentianslip/entry/gateway/BackendAttempt.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/BackendAttempt.java
@@ -223,7 +223,7 @@
     super.onHead(status, headers);
     heardNanos.set(lastReceivedNanos());
     EdgeHeaders edgeHeaders = execution().gateway().edgeHeaders();
-    if (edgeHeaders.isOtherBackend(status, headers)) {
+    if (edgeHeaders.isOtherReceiver(status, headers)) {
       return;
     }
     recordContact(lastReceivedNanos());
@@ -328,7 +328,7 @@
                     .option()
                     .load()
                     .markColdUntil(now + TimeUnit.MILLISECONDS.toNanos(millis)));
-    if (edgeHeaders.isOtherBackend(status, headers)) {
+    if (edgeHeaders.isOtherReceiver(status, headers)) {
       reservation.unreachable(now);
       execution().onAttemptNotRun(this, "another backend server answered");
       return;
--- a/entry/src/main/java/org/gentianslip/entry/gateway/EdgeHeaders.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/EdgeHeaders.java
@@ -63,8 +63,15 @@
       Optional<CustomerId> customer,
       Optional<Backend> source);
 
-  /** Names the backend server that a request is meant for; no other one runs it. */
-  void addExpectedBackend(HttpHeaders headers, Backend backend);
+  /**
+   * Names the backend server or instance that a request is meant for; no other one runs it.
+   *
+   * @param receiver the id of the receiver
+   */
+  void setReceiver(HttpHeaders headers, String receiver);
+
+  /** Returns the id of the receiver that a request names, if it names one. */
+  Optional<String> receiver(HttpHeaders headers);
 
   /** Returns whether a response proves that the request did not run and will not run. */
   boolean isNotRun(int status, HttpHeaders headers);
@@ -72,8 +79,8 @@
   /** Returns whether a response is signed by a backend server. */
   boolean isSigned(HttpHeaders headers);
 
-  /** Returns whether a response comes from a different backend server than expected. */
-  boolean isOtherBackend(int status, HttpHeaders headers);
+  /** Returns whether a response comes from another receiver than the request named. */
+  boolean isOtherReceiver(int status, HttpHeaders headers);
 
   /**
    * Returns the requests per second that the backend server takes from all instances together, if
--- a/entry/src/main/java/org/gentianslip/entry/gateway/ForwardAttempt.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/ForwardAttempt.java
@@ -31,6 +31,7 @@
   void start(long nowNanos, int connectMillis) {
     HttpHeaders headers = execution().requestHeaders();
     headers.set(Gateway.FORWARDED_BY, execution().gateway().state().config().id().value());
+    execution().gateway().edgeHeaders().setReceiver(headers, peer.id().value());
     execution().customer().ifPresent(c -> ForwardHeaders.setCustomer(headers, c));
     execution().versions().version().ifPresent(v -> ForwardHeaders.setBegunVersion(headers, v));
     ForwardHeaders.setExcluded(headers, execution().excludedBackends());
@@ -156,6 +157,11 @@
 
   @Override
   void onResponse(int status, HttpHeaders headers, byte[] body) {
+    if (execution().gateway().edgeHeaders().isOtherReceiver(status, headers)) {
+      recordUnreachable(System.nanoTime());
+      execution().onAttemptNotRun(this, "another receiver answered");
+      return;
+    }
     String outcome = headers.get(Gateway.OUTCOME, "");
     if (outcome.equals(Gateway.NOT_RUN)
         && headers.get(Gateway.REASON, "").equals(AttemptPlanner.QUARANTINED)) {
--- a/entry/src/main/java/org/gentianslip/entry/gateway/Gateway.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/Gateway.java
@@ -5,6 +5,7 @@
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaders;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
@@ -47,8 +48,11 @@
 
   private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
 
+  /** The status of a request that is meant for another receiver. */
+  private static final int MISDIRECTED = 421;
+
   /** The statuses that guarantee to callers that a request did not run. */
-  private static final Set<Integer> NOT_RUN_STATUSES = Set.of(408, 421, 429, 503);
+  private static final Set<Integer> NOT_RUN_STATUSES = Set.of(408, MISDIRECTED, 429, 503);
 
   /** The reason for refusing or ending a request because this instance is leaving. */
   static final String LEAVING = "leaving";
@@ -191,8 +195,13 @@
     handle(request, writer, false);
   }
 
-  /** Handles a request that another instance forwards. */
+  /** Handles a request that another instance forwards, unless it is meant for another receiver. */
   void handleForwardedRequest(BufferedHttpRequest request, ResponseWriter writer) {
+    Optional<String> receiver = edgeHeaders.receiver(request.headers());
+    if (receiver.isPresent() && !receiver.get().equals(state.config().id().value())) {
+      refuse(request, writer, new AdmissionResult.Refused(MISDIRECTED, "misdirected", 0));
+      return;
+    }
     handle(request, writer, true);
   }
 
--- a/entry/src/main/java/org/gentianslip/entry/gateway/ReportCall.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/ReportCall.java
@@ -78,7 +78,7 @@
     HttpHeaders headers = new DefaultHttpHeaders(false);
     headers.set(HttpHeaderNames.HOST, backend.address());
     headers.set(idHeader, id);
-    gateway.edgeHeaders().addExpectedBackend(headers, backend);
+    gateway.edgeHeaders().setReceiver(headers, backend.id().value());
     // The connection is not kept: the engine may close it after an answer that is no report.
     headers.set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
     var request =
@@ -112,7 +112,7 @@
   @Override
   public void onHead(int receivedStatus, HttpHeaders headers) {
     status = receivedStatus;
-    otherAnswers = gateway.edgeHeaders().isOtherBackend(receivedStatus, headers);
+    otherAnswers = gateway.edgeHeaders().isOtherReceiver(receivedStatus, headers);
   }
 
   @Override
--- a/entry/src/test/java/org/gentianslip/entry/gateway/PlainHeaders.java
+++ b/entry/src/test/java/org/gentianslip/entry/gateway/PlainHeaders.java
@@ -74,7 +74,12 @@
   }
 
   @Override
-  public void addExpectedBackend(HttpHeaders headers, Backend backend) {}
+  public void setReceiver(HttpHeaders headers, String receiver) {}
+
+  @Override
+  public Optional<String> receiver(HttpHeaders headers) {
+    return Optional.empty();
+  }
 
   @Override
   public boolean isNotRun(int status, HttpHeaders headers) {
@@ -87,7 +92,7 @@
   }
 
   @Override
-  public boolean isOtherBackend(int status, HttpHeaders headers) {
+  public boolean isOtherReceiver(int status, HttpHeaders headers) {
     return false;
   }
 
