Name the engine that an order is meant for

Seen: not by callers. Cause: an order, and the question for an engine's state before it, went to an address. An engine that has got the address of another one would take the order, and its state would be taken for the other's. Change: both name the engine in X-Engine; the stand-in answers 421 to what names another engine. Engines that don't know the header ignore it. Result, one run: EngineClientTest.isRefusedByAnotherEngineAtTheAddress and the tests of orders pass. Before the change the client sent no name and the stand-in checked none, so the order was accepted; that was read, not run.

--- a/entry/src/main/java/org/gentianslip/entry/http/HeaderNames.java
+++ b/entry/src/main/java/org/gentianslip/entry/http/HeaderNames.java
@@ -39,6 +39,9 @@
   /** The priority of a request at an engine; higher numbers go first. */
   public static final String PRIORITY = "X-Priority";
 
+  /** The id of the engine that an order, or a question for its state, is meant for. */
+  public static final String ENGINE = "X-Engine";
+
   /** The id of a call to a plain service. */
   public static final String CALL_ID = "X-Call-Id";
 
--- a/entry/src/main/java/org/gentianslip/entry/order/EngineClient.java
+++ b/entry/src/main/java/org/gentianslip/entry/order/EngineClient.java
@@ -15,6 +15,7 @@
 import org.gentianslip.core.order.Fence;
 import org.gentianslip.core.order.ObservedEngineState;
 import org.gentianslip.entry.configservice.BackendRecord;
+import org.gentianslip.entry.http.HeaderNames;
 import org.gentianslip.entry.http.Json;
 
 /**
@@ -47,7 +48,7 @@
    */
   ObservedEngineState readState(BackendRecord engine) throws IOException {
     long sentNanos = System.nanoTime();
-    var request = new Request.Builder().url(url(engine)).build();
+    var request = request(engine).build();
     try (Response response = client.newCall(request).execute()) {
       if (!response.isSuccessful()) {
         throw new IOException("The engine responded with status " + response.code());
@@ -71,8 +72,7 @@
     body.put("type", order.type().text()).put("target", order.target());
     body.putArray("fence").add(order.fence().listVersion()).add(order.fence().place());
     var request =
-        new Request.Builder()
-            .url(url(engine))
+        request(engine)
             .post(RequestBody.create(Json.bytes(body), JSON))
             .tag(BooleanSupplier.class, mayWrite)
             .build();
@@ -99,7 +99,10 @@
         sentNanos);
   }
 
-  private static String url(BackendRecord engine) {
-    return "http://" + engine.address() + "/orders";
+  /** Names the engine, as another one may have its address. */
+  private static Request.Builder request(BackendRecord engine) {
+    return new Request.Builder()
+        .url("http://" + engine.address() + "/orders")
+        .header(HeaderNames.ENGINE, engine.id());
   }
 }
--- a/entry/src/test/java/org/gentianslip/entry/order/EngineClientTest.java
+++ b/entry/src/test/java/org/gentianslip/entry/order/EngineClientTest.java
@@ -27,6 +27,8 @@
   private static final EngineOrder ORDER =
       new EngineOrder(EngineId.of("engine"), OrderType.SET_ROLE, "prefill", new Fence(3, 1));
 
+  private static final int MISDIRECTED = 421;
+
   private final EngineStandin engine = EngineStandin.start(EngineOptions.builder("engine").build());
   private final EngineClient client = new EngineClient(new OkHttpClient(), Duration.ofSeconds(30));
 
@@ -60,9 +62,22 @@
     assertThat(observedState.role(), is("prefill"));
   }
 
+  /** Guards against an order to the engine that has got the address of another one. */
+  @Test
+  void isRefusedByAnotherEngineAtTheAddress() throws IOException {
+    BackendRecord left = record("left", engine.port());
+    assertThat(client.send(left, ORDER, () -> true), is(MISDIRECTED));
+    assertThat(engine.state().accepted(), is(empty()));
+    assertThrows(IOException.class, () -> client.readState(left));
+  }
+
   private static BackendRecord record(int port) {
+    return record("engine", port);
+  }
+
+  private static BackendRecord record(String id, int port) {
     String address = "127.0.0.1:" + port;
     return new BackendRecord(
-        "engine", "graz", "graz-1", address, "model", List.of(), null, 8, true, "live");
+        id, "graz", "graz-1", address, "model", List.of(), null, 8, true, "live");
   }
 }
--- a/standin/src/main/java/org/gentianslip/standin/engine/EngineHandler.java
+++ b/standin/src/main/java/org/gentianslip/standin/engine/EngineHandler.java
@@ -19,6 +19,10 @@
 
   @Override
   public void handle(HttpExchange exchange) {
+    if (exchange.header("X-Engine").filter(id -> !id.equals(engine.id())).isPresent()) {
+      exchange.respondError(421, "other_engine", "The call names another engine.");
+      return;
+    }
     try {
       switch (exchange.method() + " " + exchange.path()) {
         case "POST /v1/chat/completions" -> complete(exchange, true);
--- a/standin/src/main/java/org/gentianslip/standin/engine/EngineStandin.java
+++ b/standin/src/main/java/org/gentianslip/standin/engine/EngineStandin.java
@@ -65,6 +65,11 @@
     return new EngineStandin(Objects.requireNonNull(options, "options"));
   }
 
+  /** Returns the id of the engine. */
+  String id() {
+    return options.id();
+  }
+
   /** Returns the port that the engine listens on. */
   public int port() {
     return endpoint.port();
