--- a/core/src/main/java/org/gentianslip/core/fleet/PeerRecord.java
+++ b/core/src/main/java/org/gentianslip/core/fleet/PeerRecord.java
@@ -22,6 +22,7 @@
  * @param leaving whether it is shutting down
  * @param size its processor capacity without overload, in hundredths of a core, greater than 0
  * @param unreached the services with backend servers in its region to which it can't connect
+ * @param wire the version of the messages that it sends and reads
  */
 public record PeerRecord(
     InstanceId id,
@@ -36,14 +37,15 @@
     boolean ready,
     boolean leaving,
     int size,
-    Set<ServiceId> unreached) {
+    Set<ServiceId> unreached,
+    WireVersion wire) {
 
   /** Copies the set. */
   public PeerRecord {
     unreached = Set.copyOf(unreached);
   }
 
-  /** Creates the record of an instance that reaches all services. */
+  /** Creates the record of an instance of this build that reaches all services. */
   public PeerRecord(
       InstanceId id,
       long incarnation,
@@ -70,7 +72,8 @@
         ready,
         leaving,
         size,
-        Set.of());
+        Set.of(),
+        WireVersion.CURRENT);
   }
 
   /** Creates the record of an instance that has its full capacity. */
@@ -108,10 +111,19 @@
 
   /** Returns whether this record differs from another one in more than the beat. */
   boolean differsFrom(PeerRecord other) {
-    return !withBeat(other.beat).equals(other);
+    return !with(other.beat, wire).equals(other);
   }
 
-  private PeerRecord withBeat(long newBeat) {
+  /**
+   * Returns this record with the wire version that is known of the same process, if an instance
+   * that knows no versions has passed this record on.
+   */
+  PeerRecord withWireOf(PeerRecord known) {
+    boolean lost = wire.equals(WireVersion.UNSTATED) && incarnation == known.incarnation;
+    return lost ? with(beat, known.wire) : this;
+  }
+
+  private PeerRecord with(long newBeat, WireVersion newWire) {
     return new PeerRecord(
         id,
         incarnation,
@@ -125,6 +137,7 @@
         ready,
         leaving,
         size,
-        unreached);
+        unreached,
+        newWire);
   }
 }
--- a/core/src/main/java/org/gentianslip/core/fleet/PeerRegistry.java
+++ b/core/src/main/java/org/gentianslip/core/fleet/PeerRegistry.java
@@ -100,14 +100,15 @@
    */
   public synchronized void recordRelayed(
       long nowNanos, InstanceId source, PeerStatement statement) {
-    PeerRecord peer = statement.peer();
-    if (peer.id().equals(self)) {
-      if (peer.incarnation() > ownIncarnation) {
-        ownIncarnation = peer.incarnation() + 1;
+    PeerRecord stated = statement.peer();
+    if (stated.id().equals(self)) {
+      if (stated.incarnation() > ownIncarnation) {
+        ownIncarnation = stated.incarnation() + 1;
       }
       return;
     }
-    Entry known = entries.get(peer.id());
+    Entry known = entries.get(stated.id());
+    PeerRecord peer = known == null ? stated : stated.withWireOf(known.peer());
     long silentNanos = nowNanos - TimeUnit.MILLISECONDS.toNanos(statement.silentMillis());
     if (known == null) {
       boolean expired = statement.silent() && nowNanos - silentNanos > RETENTION_NANOS;
--- a/core/src/test/java/org/gentianslip/core/fleet/PeerRegistryTest.java
+++ b/core/src/test/java/org/gentianslip/core/fleet/PeerRegistryTest.java
@@ -8,6 +8,7 @@
 import static org.hamcrest.Matchers.is;
 
 import java.util.List;
+import java.util.Set;
 import org.gentianslip.core.id.DataCentreId;
 import org.gentianslip.core.id.InstanceId;
 import org.gentianslip.core.id.RegionId;
@@ -53,6 +54,48 @@
     return registry.live(dc -> true);
   }
 
+  @Nested
+  @DisplayName("beside a build that passes records on without their wire version")
+  class BesideEarlierBuild {
+
+    private PeerStatement passedOn(long incarnation, long beat) {
+      PeerRecord p = peer("a", incarnation, beat, false);
+      var record =
+          new PeerRecord(
+              p.id(),
+              incarnation,
+              beat,
+              p.region(),
+              p.dataCentre(),
+              p.callerAddress(),
+              p.controlAddress(),
+              p.forwardAddress(),
+              p.capacity(),
+              true,
+              false,
+              p.size(),
+              Set.of(),
+              WireVersion.UNSTATED);
+      return new PeerStatement(record, false, 0);
+    }
+
+    @Test
+    void keepsTheVersionOfTheProcessAndNumbersNoChange() {
+      registry.recordDirect(0, peer("a", 1, 1, false));
+      long first = changes.last();
+      registry.recordRelayed(1, OTHER, passedOn(1, 2));
+      assertThat(live().get(0).wire(), is(WireVersion.CURRENT));
+      assertThat(changes.last(), is(first));
+    }
+
+    @Test
+    void takesNothingOverFromAnEarlierProcess() {
+      registry.recordDirect(0, peer("a", 1, 1, false));
+      registry.recordRelayed(1, OTHER, passedOn(2, 1));
+      assertThat(live().get(0).wire(), is(WireVersion.UNSTATED));
+    }
+  }
+
   @Nested
   @DisplayName("with an instance that reports directly")
   class WithDirectReports {
--- a/ctl/src/main/java/org/gentianslip/ctl/StatusTables.java
+++ b/ctl/src/main/java/org/gentianslip/ctl/StatusTables.java
@@ -46,13 +46,22 @@
     long newest = newestRevision(statuses);
     TextTable table =
         TextTable.of(
-            "INSTANCE", "REGION", "STATE", "REVISION", "BEHIND", "LIST", "IN FLIGHT", "QUEUED");
+            "INSTANCE",
+            "REGION",
+            "STATE",
+            "WIRE",
+            "REVISION",
+            "BEHIND",
+            "LIST",
+            "IN FLIGHT",
+            "QUEUED");
     for (JsonNode status : statuses) {
       long revision = status.path("settingsRevision").asLong();
       table.add(
           status.path("instance").asText(),
           status.path("region").asText(),
           state(status),
+          status.path("wire").asText("-"),
           revision,
           newest - revision,
           status.path("listVersion").asText(),
@@ -101,13 +110,14 @@
         }
       }
     }
-    TextTable table = TextTable.of("INSTANCE", "REGION", "LISTED", "REVISION", "HEARD BY");
+    TextTable table = TextTable.of("INSTANCE", "REGION", "LISTED", "WIRE", "REVISION", "HEARD BY");
     peersById.forEach(
         (id, peer) ->
             table.add(
                 id,
                 peer.path("region").asText(),
                 peer.path("listed").asText(),
+                peer.path("wire").asText("-"),
                 peer.path("settingsRevision").asText("-"),
                 reportersById.get(id).isEmpty()
                     ? "nobody"
--- a/entry/src/main/java/org/gentianslip/entry/fleet/FleetMessage.java
+++ b/entry/src/main/java/org/gentianslip/entry/fleet/FleetMessage.java
@@ -20,6 +20,7 @@
 import org.gentianslip.core.fleet.ServiceWait;
 import org.gentianslip.core.fleet.SyncAck;
 import org.gentianslip.core.fleet.SyncMessage;
+import org.gentianslip.core.fleet.WireVersion;
 import org.gentianslip.core.id.DataCentreId;
 import org.gentianslip.core.id.EngineId;
 import org.gentianslip.core.id.InstanceId;
@@ -159,6 +160,7 @@
    *
    * @param size null in messages of earlier versions, which have no other capacity
    * @param unreached null in messages of earlier versions, which do not tell it
+   * @param wire null in messages of earlier versions, which state none
    */
   @JsonFormat(shape = JsonFormat.Shape.ARRAY)
   record Instance(
@@ -174,7 +176,8 @@
       boolean ready,
       boolean leaving,
       Integer size,
-      JsonNode unreached) {
+      JsonNode unreached,
+      JsonNode wire) {
 
     static Instance of(PeerRecord peer) {
       return new Instance(
@@ -190,7 +193,8 @@
           peer.ready(),
           peer.leaving(),
           peer.size(),
-          Json.tree(peer.unreached().stream().map(ServiceId::value).sorted().toList()));
+          Json.tree(peer.unreached().stream().map(ServiceId::value).sorted().toList()),
+          IntNode.valueOf(peer.wire().number()));
     }
 
     PeerRecord toRecord() {
@@ -207,7 +211,20 @@
           ready,
           leaving,
           size == null ? capacity : size,
-          unreachedServices());
+          unreachedServices(),
+          wireVersion());
+    }
+
+    private WireVersion wireVersion() {
+      if (wire == null || wire.isNull()) {
+        return WireVersion.UNSTATED;
+      }
+      if (wire.isIntegralNumber() && wire.canConvertToInt() && wire.intValue() > 0) {
+        return new WireVersion(wire.intValue());
+      }
+      LOGGER.atWarning().atMostEvery(10, TimeUnit.SECONDS).log(
+          "fleet: event=bad-wire instance=%s use=%s", id, WireVersion.UNSTATED);
+      return WireVersion.UNSTATED;
     }
 
     /** Returns the stated services; what can't be one is left out, as if nothing were stated. */
--- a/entry/src/main/java/org/gentianslip/entry/fleet/FleetMessages.java
+++ b/entry/src/main/java/org/gentianslip/entry/fleet/FleetMessages.java
@@ -346,8 +346,8 @@
     state.fleet().apply(nowNanos, sync);
     if (knownInstances.add(peer.id())) {
       LOGGER.atInfo().log(
-          "fleet: event=heard instance=%s region=%s life=%s",
-          peer.id(), peer.region(), peer.incarnation());
+          "fleet: event=heard instance=%s region=%s life=%s wire=%s",
+          peer.id(), peer.region(), peer.incarnation(), peer.wire());
     }
     source(peer, message.scope(), relay).ifPresent(s -> applyLoads(nowNanos, s, message.loads()));
     applyUsage(nowNanos, peer, message, relay);
--- a/entry/src/main/java/org/gentianslip/entry/gateway/GatewayMetrics.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/GatewayMetrics.java
@@ -95,6 +95,14 @@
         ageSeconds);
   }
 
+  /** Registers the gauge of the version of the messages between instances. */
+  void registerWireVersion(DoubleSupplier version) {
+    gauge(
+        "gentian_gateway_wire_revision",
+        "The version of the messages between instances that this build sends.",
+        version);
+  }
+
   /** Registers the gauges of the processor, whose values are read at each scrape. */
   void registerProcessorGauges(DoubleSupplier delaySeconds, DoubleSupplier capacityCores) {
     gauge(
--- a/entry/src/main/java/org/gentianslip/entry/gateway/GatewayOperatorView.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/GatewayOperatorView.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Collectors;
 import org.gentianslip.core.fleet.PeerRecord;
+import org.gentianslip.core.fleet.WireVersion;
 import org.gentianslip.core.id.RegionId;
 import org.gentianslip.core.id.RequestId;
 import org.gentianslip.core.limit.ColdRate;
@@ -69,6 +70,7 @@
     body.put("listVersion", state.published().revision().number());
     body.put(
         "confirmedMillisAgo", TimeUnit.NANOSECONDS.toMillis(state.confirmationAgeNanos(nowNanos)));
+    body.put("wire", WireVersion.CURRENT.number());
     body.put("inFlight", gateway.inFlight());
     body.put("queued", 0);
     addInstances(nowNanos, body.putArray("instances"));
@@ -88,6 +90,7 @@
       node.put("region", peer.region().value());
       node.put("listed", listed);
       node.put("heard", live.contains(peer));
+      node.put("wire", peer.wire().number());
       node.put("incarnation", Long.toString(peer.incarnation()));
     }
   }
--- a/entry/src/main/java/org/gentianslip/entry/gateway/GatewayServer.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/GatewayServer.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
+import org.gentianslip.core.fleet.WireVersion;
 import org.gentianslip.core.membership.PauseDetector;
 import org.gentianslip.core.published.Backend;
 import org.gentianslip.core.quarantine.QuarantineChange;
@@ -75,6 +76,7 @@
         gateway::inFlight,
         gateway::version,
         () -> state.confirmationAgeNanos(System.nanoTime()) / NANOS_PER_SECOND);
+    metrics.registerWireVersion(WireVersion.CURRENT::number);
     metrics.registerProcessorGauges(
         () -> state.processor().delayNanos(System.nanoTime()) / NANOS_PER_SECOND,
         () -> state.presentCapacity() / HUNDREDTHS_PER_CORE);
--- a/entry/src/main/java/org/gentianslip/entry/gateway/GatewayState.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/GatewayState.java
@@ -15,6 +15,7 @@
 import org.gentianslip.core.fleet.FleetView;
 import org.gentianslip.core.fleet.PeerRecord;
 import org.gentianslip.core.fleet.ServiceWait;
+import org.gentianslip.core.fleet.WireVersion;
 import org.gentianslip.core.id.EngineId;
 import org.gentianslip.core.id.InstanceId;
 import org.gentianslip.core.id.RegionId;
@@ -134,7 +135,8 @@
         ready(),
         leaving(),
         c.capacity(),
-        reach.unreached());
+        reach.unreached(),
+        WireVersion.CURRENT);
   }
 
   /** Returns the guard of this instance's processor. */
--- a/entry/src/test/java/org/gentianslip/entry/gateway/ForwardTargetsTest.java
+++ b/entry/src/test/java/org/gentianslip/entry/gateway/ForwardTargetsTest.java
@@ -15,6 +15,7 @@
 import org.gentianslip.core.fleet.PeerRecord;
 import org.gentianslip.core.fleet.SyncAck;
 import org.gentianslip.core.fleet.SyncMessage;
+import org.gentianslip.core.fleet.WireVersion;
 import org.gentianslip.core.id.DataCentreId;
 import org.gentianslip.core.id.InstanceId;
 import org.gentianslip.core.id.RegionId;
@@ -54,7 +55,8 @@
         true,
         false,
         100,
-        unreached);
+        unreached,
+        WireVersion.CURRENT);
   }
 
   private void hear(String id, int capacity, long beat) {
--- a/entry/src/test/java/org/gentianslip/entry/gateway/GatewayMetricsTest.java
+++ b/entry/src/test/java/org/gentianslip/entry/gateway/GatewayMetricsTest.java
@@ -33,6 +33,7 @@
     metrics.registerQuotas(() -> Map.of("maple", new CustomerQuotas.Counts()));
     metrics.registerConfigurationAge(() -> 0);
     metrics.registerReach(() -> 0);
+    metrics.registerWireVersion(() -> 0);
     metrics.registerRegionConflicts(() -> 0);
     metrics.countRequest("0", "answered");
     metrics.countRefusal("0", "too-late");
