--- a/core/src/main/java/org/gentianslip/core/fleet/WireVersion.java
+++ b/core/src/main/java/org/gentianslip/core/fleet/WireVersion.java
@@ -8,7 +8,7 @@
  * @param number the version, at least 1
  * @see #CURRENT
  */
-public record WireVersion(int number) implements Comparable<WireVersion> {
+public record WireVersion(int number) {
 
   /** The version of builds that state none. */
   public static final WireVersion UNSTATED = new WireVersion(1);
@@ -27,11 +27,6 @@
     }
   }
 
-  @Override
-  public int compareTo(WireVersion other) {
-    return Integer.compare(number, other.number);
-  }
-
   @Override
   public String toString() {
     return Integer.toString(number);
--- a/entry/src/main/java/org/gentianslip/entry/gateway/ReportLog.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/ReportLog.java
@@ -6,8 +6,8 @@
 import org.gentianslip.core.published.PublishedState;
 
 /**
- * Logs and counts the calls for the reports of engines, with what was published of the engine.
- * Stateless and safe for use by several threads.
+ * Logs and counts the calls for the reports of engines, with what was published of the engine. Safe
+ * for use by several threads.
  */
 final class ReportLog {
 
