--- a/ctl/src/main/java/org/gentianslip/ctl/StatusTables.java
+++ b/ctl/src/main/java/org/gentianslip/ctl/StatusTables.java
@@ -10,8 +10,8 @@
 import java.util.TreeSet;
 
 /**
- * Formats the status reports of instances as tables of instances, other listed instances and
- * engines.
+ * Formats the status reports of instances as tables of instances, other listed instances, versions
+ * and engines.
  *
  * <p>Stateless and safe for use by several threads.
  */
@@ -24,6 +24,7 @@
     var lines = new ArrayList<String>();
     addTable("Instances", instances(statuses), lines);
     addTable("Other listed instances", otherInstances(statuses), lines);
+    addTable("Versions of the messages between instances", wireVersions(statuses), lines);
     addTable("Engines", engines(statuses), lines);
     addTable("Quotas (tokens of a window)", QuotaTable.of(statuses), lines);
     addTable("Customers that no region may serve on a route", conflicts(statuses), lines);
@@ -46,22 +47,13 @@
     long newest = newestRevision(statuses);
     TextTable table =
         TextTable.of(
-            "INSTANCE",
-            "REGION",
-            "STATE",
-            "WIRE",
-            "REVISION",
-            "BEHIND",
-            "LIST",
-            "IN FLIGHT",
-            "QUEUED");
+            "INSTANCE", "REGION", "STATE", "REVISION", "BEHIND", "LIST", "IN FLIGHT", "QUEUED");
     for (JsonNode status : statuses) {
       long revision = status.path("settingsRevision").asLong();
       table.add(
           status.path("instance").asText(),
           status.path("region").asText(),
           state(status),
-          status.path("wire").asText("-"),
           revision,
           newest - revision,
           status.path("listVersion").asText(),
@@ -110,14 +102,13 @@
         }
       }
     }
-    TextTable table = TextTable.of("INSTANCE", "REGION", "LISTED", "WIRE", "REVISION", "HEARD BY");
+    TextTable table = TextTable.of("INSTANCE", "REGION", "LISTED", "REVISION", "HEARD BY");
     peersById.forEach(
         (id, peer) ->
             table.add(
                 id,
                 peer.path("region").asText(),
                 peer.path("listed").asText(),
-                peer.path("wire").asText("-"),
                 peer.path("settingsRevision").asText("-"),
                 reportersById.get(id).isEmpty()
                     ? "nobody"
@@ -125,6 +116,26 @@
     return table;
   }
 
+  /** Returns the version that each instance states, of itself if it has reported. */
+  private static TextTable wireVersions(List<JsonNode> statuses) {
+    var versions = new TreeMap<String, String>();
+    for (JsonNode status : statuses) {
+      for (JsonNode peer : status.path("instances")) {
+        if (peer.has("wire")) {
+          versions.put(peer.path("id").asText(), peer.path("wire").asText());
+        }
+      }
+    }
+    for (JsonNode status : statuses) {
+      if (status.has("wire")) {
+        versions.put(status.path("instance").asText(), status.path("wire").asText());
+      }
+    }
+    TextTable table = TextTable.of("INSTANCE", "WIRE");
+    versions.forEach((instance, version) -> table.add(instance, version));
+    return table;
+  }
+
   private static TextTable conflicts(List<JsonNode> statuses) {
     var rows = new TreeMap<String, JsonNode>();
     for (JsonNode status : statuses) {
--- a/ctl/src/test/java/org/gentianslip/ctl/OperatorCommandTest.java
+++ b/ctl/src/test/java/org/gentianslip/ctl/OperatorCommandTest.java
@@ -97,6 +97,21 @@
           matchesPattern("pk-south-2 +pk-south +leaving +- +nobody"));
     }
 
+    @Test
+    void showsTheVersionThatEachInstanceStates() {
+      enqueueResponse(
+          200,
+          """
+          {"instance": "pk-north-1", "wire": 2, "instances": [
+            {"id": "pk-south-1", "region": "pk-south", "listed": "live", "heard": true, "wire": 1},
+            {"id": "pk-south-2", "region": "pk-south", "listed": "live", "heard": true}]}
+          """);
+      CommandRun run = CommandRun.of("status", "--operator", address());
+      assertThat(run.out(), containsString("INSTANCE    WIRE"));
+      assertThat(run.out(), containsString("pk-north-1  2"));
+      assertThat(run.out(), containsString("pk-south-1  1"));
+    }
+
     @Test
     void showsCustomersThatNoRegionMayServe() {
       enqueueResponse(
