Send the call for a report without a request id

Cause: an instance gave its own call for a report an id of the form of a caller's request. A server that has got the engine's address and has no such call takes what bears an id for a request. The name of the engine, since, keeps those from running it that look at the name; nothing else did.

Change: the call bears no id, as the protocol shows it. A server refuses a request without one as not run (400). Where engines of the service are known to answer the call, such a refusal is that of another server, and the stream moves at once; elsewhere it says that the server lacks the call (NO_CALL, which was NOT_ASKED).

--- a/core/src/main/java/org/gentianslip/core/stream/RunEvidence.java
+++ b/core/src/main/java/org/gentianslip/core/stream/RunEvidence.java
@@ -14,8 +14,11 @@
   UNREACHABLE,
   /** Another server has answered at the engine's address, which is given away once it has ended. */
   OTHER_SERVER,
-  /** The backend server was not called, as its service has no engines. */
-  NOT_ASKED;
+  /**
+   * The backend server has no such call, as far as is known: its service has no engines, or it has
+   * refused the call as a request.
+   */
+  NO_CALL;
 
   /** Returns whether the engine has sent anything. */
   public boolean isSignOfLife() {
--- a/core/src/main/java/org/gentianslip/core/stream/RunWatch.java
+++ b/core/src/main/java/org/gentianslip/core/stream/RunWatch.java
@@ -10,8 +10,8 @@
  * has the engine's address. An engine that sends nothing is presumed hung after two calls in a row
  * without an answer if engines of its service are known to answer such calls. If that is not known,
  * a hung engine can't be told from a slow one that lacks the call; then the stream stays as long as
- * the time left allows one more attempt elsewhere, as it does at a backend server that is not
- * called. Each belief ends with the next answer. Not thread-safe.
+ * the time left allows one more attempt elsewhere, as it does at a backend server without the call.
+ * Each belief ends with the next answer. Not thread-safe.
  */
 public final class RunWatch {
 
@@ -85,7 +85,7 @@
       case NOT_LISTED -> release(REPORT_AGE_MILLIS);
       case NO_REPORT ->
           isWriting(nowNanos, facts) ? RunStep.move() : RunStep.askAgain(facts.silenceMillis());
-      case NOT_ASKED ->
+      case NO_CALL ->
           isWriting(nowNanos, facts) || facts.spareMillis() < 0 ? RunStep.move() : keep(facts);
       case NO_ANSWER, UNREACHABLE -> unanswered(nowNanos, evidence, facts);
       case OTHER_SERVER -> RunStep.move();
--- a/core/src/test/java/org/gentianslip/core/stream/RunWatchTest.java
+++ b/core/src/test/java/org/gentianslip/core/stream/RunWatchTest.java
@@ -100,7 +100,7 @@
   }
 
   @ParameterizedTest
-  @EnumSource(names = {"NO_ANSWER", "NOT_ASKED"})
+  @EnumSource(names = {"NO_ANSWER", "NO_CALL"})
   void leavesSilentEngineInTimeIfTheCallIsNotKnown(RunEvidence evidence) {
     long millis = millisUntil(Action.MOVE, evidence);
     assertThat(millis >= DEADLINE_MILLIS / 2, is(true));
--- a/entry/src/main/java/org/gentianslip/entry/gateway/EdgeHeaders.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/EdgeHeaders.java
@@ -82,6 +82,9 @@
   /** Returns whether a response comes from another receiver than the request named. */
   boolean isOtherReceiver(int status, HttpHeaders headers);
 
+  /** Returns whether a response refuses a request, which did not run, as it bears no id. */
+  boolean isRefusedWithoutId(int status, HttpHeaders headers);
+
   /**
    * Returns the requests per second that the backend server takes from all instances together, if
    * it names a limit.
--- a/entry/src/main/java/org/gentianslip/entry/gateway/ReportCall.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/ReportCall.java
@@ -15,8 +15,10 @@
 import org.gentianslip.core.stream.RunEvidence;
 
 /**
- * One call that asks an engine for its report. It always ends, with one result. Confined to one
- * event loop.
+ * One call that asks an engine for its report. It always ends, with one result.
+ *
+ * <p>It bears no request id: a server that has the engine's address by now, and no such call, would
+ * run it as a request. Confined to one event loop.
  */
 final class ReportCall implements ResponseListener {
 
@@ -39,6 +41,7 @@
   private ScheduledFuture<?> timer;
   private int status;
   private boolean otherAnswers;
+  private boolean refusedWithoutId;
   private boolean ended;
 
   /** Receives the result of a call, which is one of these. */
@@ -56,7 +59,6 @@
     this.backend = backend;
     this.purpose = purpose;
     this.listener = listener;
-    // Each call has an id of its own, so its answer can't be taken for one to a request.
     this.id = gateway.state().config().id().value() + "-report-" + NUMBER.incrementAndGet();
   }
 
@@ -67,19 +69,17 @@
   static void start(
       Gateway gateway, EventLoop loop, Backend backend, ReportPurpose purpose, Listener listener) {
     if (!BackendRegistry.isEngine(gateway.state().published(), backend)) {
-      listener.onNoAnswer(RunEvidence.NOT_ASKED);
+      listener.onNoAnswer(RunEvidence.NO_CALL);
       return;
     }
     new ReportCall(gateway, backend, purpose, listener).send(loop);
   }
 
   private void send(EventLoop loop) {
-    String idHeader = gateway.edgeHeaders().requestId();
     HttpHeaders headers = new DefaultHttpHeaders(false);
     headers.set(HttpHeaderNames.HOST, backend.address());
-    headers.set(idHeader, id);
     gateway.edgeHeaders().setReceiver(headers, backend.id().value());
-    // The connection is not kept: the engine may close it after an answer that is no report.
+    // A connection of its own is needed, as the answer names no id.
     headers.set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
     var request =
         new OutgoingRequest(
@@ -89,7 +89,7 @@
             headers,
             new byte[0],
             id,
-            idHeader,
+            gateway.edgeHeaders().requestId(),
             true,
             TIMEOUT_MILLIS,
             (now, requestHeaders) -> true);
@@ -113,6 +113,7 @@
   public void onHead(int receivedStatus, HttpHeaders headers) {
     status = receivedStatus;
     otherAnswers = gateway.edgeHeaders().isOtherReceiver(receivedStatus, headers);
+    refusedWithoutId = gateway.edgeHeaders().isRefusedWithoutId(receivedStatus, headers);
   }
 
   @Override
@@ -132,11 +133,20 @@
   public void onComplete() {
     if (otherAnswers) {
       end(RunEvidence.OTHER_SERVER);
+    } else if (refusedWithoutId) {
+      end(evidenceOfRefusal());
     } else if (markEnded("answered")) {
       listener.onAnswer(status, body.toByteArray());
     }
   }
 
+  /** A server that knows the call answers it, so what refuses it as a request has no report. */
+  private RunEvidence evidenceOfRefusal() {
+    return gateway.engineContacts().answersCalls(backend.service())
+        ? RunEvidence.OTHER_SERVER
+        : RunEvidence.NO_CALL;
+  }
+
   /** An engine that closes the connection, or answers otherwise, is alive and has no such call. */
   @Override
   public void onFailure(boolean written, String cause) {
--- a/entry/src/test/java/org/gentianslip/entry/gateway/PlainHeaders.java
+++ b/entry/src/test/java/org/gentianslip/entry/gateway/PlainHeaders.java
@@ -96,6 +96,11 @@
     return false;
   }
 
+  @Override
+  public boolean isRefusedWithoutId(int status, HttpHeaders headers) {
+    return false;
+  }
+
   @Override
   public OptionalDouble refusalsPerSecond(HttpHeaders headers) {
     return OptionalDouble.empty();
