Stop using a backend server once a later one has its address

Callers saw requests go to a server of another service first, which answered 421, before they were served elsewhere. Each of them is work that another server would do if it did not look whom it is sent to (UNASKED).

Cause: the entry of a server that went dark stays for three heartbeats, and the one that has its address after 2 s is published beside it. Instances took both for servers to use.

Change: of the servers that are published with one address, the one that started last has it; the others have ended and are used no more, by requests, calls and forwards. A silent stream at one of them moves at once and asks nobody. Servers whose start is unknown, or of a service that is not configured, displace none. What they ran is still recorded as a version that was there, so that no take-up counts on "one version only" too early. event=address-taken tells of it.

Tests that failed before: UnaskedReportTest .sendsNothingThereOnceTheOtherServerIsPublished (one call went there); VersionKnowledgeTest.containsServersThatHaveLeftTheirAddress without the record of the version (v1 where none is sure). New: ReusedAddressTest.

--- a/core/src/main/java/org/gentianslip/core/published/PublishedState.java
+++ b/core/src/main/java/org/gentianslip/core/published/PublishedState.java
@@ -1,5 +1,6 @@
 package org.gentianslip.core.published;
 
+import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -36,6 +37,29 @@
     return !backend.leaving() && !evacuated.contains(backend.dataCentre());
   }
 
+  /**
+   * Returns whether a backend server has ended, as a later one is published with its address.
+   *
+   * @param earlier the backend server as it was published earlier
+   */
+  public boolean isAddressTaken(Backend earlier) {
+    return backends.values().stream().anyMatch(b -> AddressReuse.hasTakenAddress(b, earlier));
+  }
+
+  /** Returns the backend servers that have left their address to a later one, with that one. */
+  public Map<EngineId, Backend> formerHolders() {
+    return routes
+        .map(r -> AddressReuse.formerHolders(backends, s -> r.service(s).isPresent()))
+        .orElse(Map.of());
+  }
+
+  /** Returns a copy without some backend servers. */
+  public PublishedState without(Set<EngineId> ids) {
+    Map<EngineId, Backend> kept = new HashMap<>(backends);
+    kept.keySet().removeAll(ids);
+    return new PublishedState(revision, routes, kept, evacuated);
+  }
+
   /**
    * Returns this state, or a copy with the routes of an earlier state if those have a higher
    * version.
--- a/entry/src/main/java/org/gentianslip/entry/gateway/RunGuard.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/RunGuard.java
@@ -55,6 +55,10 @@
       schedule(silenceMillis);
       return;
     }
+    if (execution.gateway().state().published().isAddressTaken(attempt.backend())) {
+      onEvidence(RunEvidence.OTHER_SERVER);
+      return;
+    }
     askAnotherEngine(now);
     ask(attempt.backend(), this::onEvidence);
   }
--- a/entry/src/main/java/org/gentianslip/entry/published/PublishedStateUpdater.java
+++ b/entry/src/main/java/org/gentianslip/entry/published/PublishedStateUpdater.java
@@ -4,7 +4,11 @@
 import java.io.IOException;
 import java.time.Duration;
 import java.util.List;
+import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import org.gentianslip.core.id.EngineId;
+import org.gentianslip.core.published.Backend;
 import org.gentianslip.core.published.ItemChange;
 import org.gentianslip.core.published.ItemSnapshot;
 import org.gentianslip.core.published.PublishedItem;
@@ -67,6 +71,9 @@
   private boolean changePending;
   private boolean listingRead;
 
+  /** The backend servers that had left their address to a later one in the last state. */
+  private Set<EngineId> formerHolders = Set.of();
+
   /** The revision up to which the watching thread has seen all changes since its last listing. */
   private Revision watched = Revision.NONE;
 
@@ -363,11 +370,37 @@
   private void notifyChanged(long nowNanos, boolean changed) {
     changePending |= changed;
     if (changePending) {
-      listener.onChanged(nowNanos, decoder.decode(items.items(), items.revision()));
+      listener.onChanged(nowNanos, decode(nowNanos));
       changePending = false;
     }
   }
 
+  /** Returns the state without the backend servers that have left their address to later ones. */
+  private PublishedState decode(long nowNanos) {
+    PublishedState state = decoder.decode(items.items(), items.revision());
+    Map<EngineId, Backend> holders = state.formerHolders();
+    List<Backend> former = holders.keySet().stream().map(state.backends()::get).toList();
+    versions.recordSeen(nowNanos, former);
+    former.stream()
+        .filter(b -> !formerHolders.contains(b.id()))
+        .forEach(b -> logAddressTaken(b, holders.get(b.id())));
+    formerHolders = Set.copyOf(holders.keySet());
+    return state.without(formerHolders);
+  }
+
+  private static void logAddressTaken(Backend former, Backend holder) {
+    LOGGER.atInfo().log(
+        "published: event=address-taken address=%s backend=%s service=%s started=%s by=%s"
+            + " by-service=%s by-started=%s",
+        former.address(),
+        former.id(),
+        former.service(),
+        former.startedMillis(),
+        holder.id(),
+        holder.service(),
+        holder.startedMillis());
+  }
+
   private static void sleep(long millis) {
     if (millis <= 0) {
       return;
