Ask an engine no more once another server has answered there

Callers whose streams ran at an engine that went dark waited for one call each, and each call reached the server that has the address now.

Cause: the answer of another server was known to the one stream that had asked. And at a request it counted as a sign of life of the engine that is gone (BackendAttempt.onHead set the time last heard before it looked who answers), which keeps streams there for up to a second more if calls get no answer.

Change: EngineContacts keeps that another server has answered in place of a start of an engine, from calls and requests alike, until the engine is heard again. Streams at such an engine move without a call. The answer is no sign of life any more.

RunWatchTest.knowsOfAnotherServerUntilTheEngineIsHeard is new.

--- a/core/src/main/java/org/gentianslip/core/stream/EngineContacts.java
+++ b/core/src/main/java/org/gentianslip/core/stream/EngineContacts.java
@@ -5,10 +5,11 @@
 import java.util.concurrent.atomic.AtomicLong;
 import org.gentianslip.core.id.EngineId;
 import org.gentianslip.core.id.ServiceId;
+import org.gentianslip.core.published.Backend;
 
 /**
- * When this instance last heard from each engine, and of which services it knows whether their
- * engines answer calls for their runs.
+ * When this instance last heard from each engine, at which addresses other servers have answered
+ * since, and of which services it knows whether their engines answer calls for their runs.
  *
  * <p>Bounded by {@link #MAX_ENGINES}. Safe for use by several threads.
  */
@@ -18,30 +19,55 @@
   static final int MAX_ENGINES = 20_000;
 
   private final Map<EngineId, AtomicLong> heard = new ConcurrentHashMap<>();
+  private final Map<EngineId, Displaced> displaced = new ConcurrentHashMap<>();
   private final Map<ServiceId, Boolean> calls = new ConcurrentHashMap<>();
 
+  /**
+   * One start of an engine at whose address another server has answered.
+   *
+   * @param startedMillis when the engine started, in Unix milliseconds, or 0 if unknown
+   * @param nanos when the other server answered
+   */
+  private record Displaced(long startedMillis, long nanos) {}
+
   /** Returns the time at which an engine was last heard, which the caller may update. */
   public AtomicLong heardNanos(long nowNanos, EngineId engine) {
     if (heard.size() > MAX_ENGINES) {
       heard.clear();
+      displaced.clear();
     }
     return heard.computeIfAbsent(engine, e -> new AtomicLong(nowNanos - RunWatch.ALIVE_NANOS));
   }
 
-  /** Records the answer of an engine to a call for its runs; silence leaves the belief as it is. */
-  public void recordEvidence(
-      long nowNanos, ServiceId service, EngineId engine, RunEvidence evidence) {
+  /** Records what a call for its runs has shown; silence leaves the belief as it is. */
+  public void recordEvidence(long nowNanos, Backend engine, RunEvidence evidence) {
+    if (evidence == RunEvidence.OTHER_SERVER) {
+      recordOtherServer(nowNanos, engine);
+    }
     if (!evidence.isSignOfLife()) {
       return;
     }
-    heardNanos(nowNanos, engine).set(nowNanos);
+    heardNanos(nowNanos, engine.id()).set(nowNanos);
     if (evidence == RunEvidence.NO_REPORT) {
-      calls.putIfAbsent(service, false);
+      calls.putIfAbsent(engine.service(), false);
     } else {
-      calls.put(service, true);
+      calls.put(engine.service(), true);
     }
   }
 
+  /** Records that another server has answered at the address of an engine. */
+  public void recordOtherServer(long nowNanos, Backend engine) {
+    displaced.put(engine.id(), new Displaced(engine.startedMillis(), nowNanos));
+  }
+
+  /** Returns whether another server has answered at the address of an engine and the engine not. */
+  public boolean isDisplaced(long nowNanos, Backend engine) {
+    Displaced last = displaced.get(engine.id());
+    return last != null
+        && last.startedMillis() == engine.startedMillis()
+        && last.nanos() - heardNanos(nowNanos, engine.id()).get() >= 0;
+  }
+
   /** Returns whether engines of a service are known to answer calls for their runs. */
   public boolean answersCalls(ServiceId service) {
     return calls.getOrDefault(service, false);
--- a/core/src/test/java/org/gentianslip/core/stream/RunWatchTest.java
+++ b/core/src/test/java/org/gentianslip/core/stream/RunWatchTest.java
@@ -5,8 +5,10 @@
 import static org.hamcrest.Matchers.lessThanOrEqualTo;
 
 import java.util.concurrent.TimeUnit;
+import org.gentianslip.core.id.DataCentreId;
 import org.gentianslip.core.id.EngineId;
 import org.gentianslip.core.id.ServiceId;
+import org.gentianslip.core.published.Backend;
 import org.gentianslip.core.stream.RunStep.Action;
 import org.junit.jupiter.api.DisplayName;
 import org.junit.jupiter.api.Test;
@@ -170,10 +172,32 @@
   void takesOneReportAsProofOfTheCall() {
     var contacts = new EngineContacts();
     ServiceId farm = ServiceId.of("farm");
-    contacts.recordEvidence(0, farm, EngineId.of("i-1"), RunEvidence.NO_ANSWER);
+    contacts.recordEvidence(0, engine("i-1", 1), RunEvidence.NO_ANSWER);
     assertThat(contacts.hasAnswered(farm), is(false));
-    contacts.recordEvidence(0, farm, EngineId.of("i-1"), RunEvidence.NOT_LISTED);
-    contacts.recordEvidence(0, farm, EngineId.of("i-2"), RunEvidence.NO_REPORT);
+    contacts.recordEvidence(0, engine("i-1", 1), RunEvidence.NOT_LISTED);
+    contacts.recordEvidence(0, engine("i-2", 1), RunEvidence.NO_REPORT);
     assertThat(contacts.answersCalls(farm), is(true));
   }
+
+  private static Backend engine(String id, long startedMillis) {
+    return new Backend(
+        EngineId.of(id),
+        ServiceId.of("farm"),
+        "10.0.0.1:80",
+        DataCentreId.of("north-a"),
+        6,
+        false,
+        0,
+        startedMillis);
+  }
+
+  @Test
+  void knowsOfAnotherServerUntilTheEngineIsHeard() {
+    var contacts = new EngineContacts();
+    contacts.recordEvidence(1, engine("i-1", 1), RunEvidence.OTHER_SERVER);
+    assertThat(contacts.isDisplaced(2, engine("i-1", 1)), is(true));
+    assertThat("a later start", contacts.isDisplaced(2, engine("i-1", 2)), is(false));
+    contacts.recordEvidence(3, engine("i-1", 1), RunEvidence.LISTED);
+    assertThat(contacts.isDisplaced(4, engine("i-1", 1)), is(false));
+  }
 }
--- a/entry/src/main/java/org/gentianslip/entry/gateway/BackendAttempt.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/BackendAttempt.java
@@ -48,6 +48,7 @@
   private Reservation reservation;
   private long sentNanos;
   private boolean shortConnect;
+  private boolean otherServer;
 
   BackendAttempt(RequestExecution execution, BackendDecision.ToBackend decision) {
     super(execution);
@@ -221,11 +222,13 @@
   @Override
   public void onHead(int status, HttpHeaders headers) {
     super.onHead(status, headers);
-    heardNanos.set(lastReceivedNanos());
     EdgeHeaders edgeHeaders = execution().gateway().edgeHeaders();
-    if (edgeHeaders.isOtherReceiver(status, headers)) {
+    otherServer = edgeHeaders.isOtherReceiver(status, headers);
+    if (otherServer) {
+      execution().gateway().engineContacts().recordOtherServer(lastReceivedNanos(), backend);
       return;
     }
+    heardNanos.set(lastReceivedNanos());
     recordContact(lastReceivedNanos());
     boolean signed = edgeHeaders.isSigned(headers);
     recordLimit(edgeHeaders.requestsPerSecond(headers), signed);
@@ -239,6 +242,9 @@
   @Override
   public void onBodyPart(byte[] bytes) {
     super.onBodyPart(bytes);
+    if (otherServer) {
+      return;
+    }
     writtenNanos = System.nanoTime();
     heardNanos.set(writtenNanos);
     recordContact(writtenNanos);
@@ -328,7 +334,7 @@
                     .option()
                     .load()
                     .markColdUntil(now + TimeUnit.MILLISECONDS.toNanos(millis)));
-    if (edgeHeaders.isOtherReceiver(status, headers)) {
+    if (otherServer) {
       reservation.unreachable(now);
       execution().onAttemptNotRun(this, "another backend server answered");
       return;
--- a/entry/src/main/java/org/gentianslip/entry/gateway/RunGuard.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/RunGuard.java
@@ -55,7 +55,7 @@
       schedule(silenceMillis);
       return;
     }
-    if (execution.gateway().state().published().isAddressTaken(attempt.backend())) {
+    if (isDisplaced(now)) {
       onEvidence(RunEvidence.OTHER_SERVER);
       return;
     }
@@ -63,6 +63,13 @@
     ask(attempt.backend(), this::onEvidence);
   }
 
+  /** Returns whether another server is known to have the engine's address. */
+  private boolean isDisplaced(long nowNanos) {
+    Gateway gateway = execution.gateway();
+    return gateway.state().published().isAddressTaken(attempt.backend())
+        || gateway.engineContacts().isDisplaced(nowNanos, attempt.backend());
+  }
+
   private boolean hasGoneOn() {
     return !watch.isClosed() && attempt.lastReceivedNanos() - begunNanos > 0;
   }
--- a/entry/src/main/java/org/gentianslip/entry/gateway/RunQuery.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/RunQuery.java
@@ -53,9 +53,7 @@
   }
 
   private void end(RunEvidence evidence) {
-    gateway
-        .engineContacts()
-        .recordEvidence(System.nanoTime(), backend.service(), backend.id(), evidence);
+    gateway.engineContacts().recordEvidence(System.nanoTime(), backend, evidence);
     onResult.accept(evidence);
   }
 }
