--- a/entry/src/test/java/org/gentianslip/entry/fleet/RecordedMessagesTest.java
+++ b/entry/src/test/java/org/gentianslip/entry/fleet/RecordedMessagesTest.java
@@ -52,22 +52,25 @@
 
   @ParameterizedTest
   @CsvSource({
-    "1a79125,introduction.json",
-    "1a79125,sync.json",
-    "1a79125,response.json",
-    "12acdcd,introduction.json",
-    "12acdcd,sync.json",
-    "12acdcd,response.json"
+    "1a79125,introduction.json,1",
+    "1a79125,sync.json,1",
+    "1a79125,response.json,1",
+    "12acdcd,introduction.json,1",
+    "12acdcd,sync.json,1",
+    "12acdcd,response.json,1",
+    "89567a6,introduction.json,2",
+    "89567a6,sync.json,2",
+    "89567a6,response.json,2"
   })
-  void isReadWithAllItsFields(String commit, String name) throws Exception {
+  void isReadWithAllItsFields(String commit, String name, int wire) throws Exception {
     byte[] sent = read(commit, name);
     FleetMessage message = Json.parse(sent, FleetMessage.class);
-    assertThat(message.toSync().self().wire(), is(WireVersion.UNSTATED));
+    assertThat(message.toSync().self().wire(), is(new WireVersion(wire)));
     assertThat(lost("", Json.parse(sent), Json.parse(Json.bytes(message))), is(empty()));
   }
 
   @ParameterizedTest
-  @ValueSource(strings = {"1a79125", "12acdcd"})
+  @ValueSource(strings = {"1a79125", "12acdcd", "89567a6"})
   void holdsTheWholePublishedState(String commit) throws Exception {
     byte[] sent = read(commit, "published.json");
     PublishedCopy copy = Json.parse(sent, PublishedCopy.class);
