--- a/core/src/main/java/org/gentianslip/core/published/AddressReuse.java
+++ b/core/src/main/java/org/gentianslip/core/published/AddressReuse.java
@@ -14,7 +14,7 @@
  * last has it. A server whose start is not known neither takes an address nor loses one, and one of
  * a service that is not configured takes none. Stateless and thread-safe.
  */
-public final class AddressReuse {
+final class AddressReuse {
 
   private static final long UNKNOWN_START = 0;
 
@@ -26,7 +26,7 @@
    * @param backends the published backend servers by id
    * @param isService tests whether a service is configured
    */
-  public static Map<EngineId, Backend> formerHolders(
+  static Map<EngineId, Backend> formerHolders(
       Map<EngineId, Backend> backends, Predicate<ServiceId> isService) {
     Map<String, Backend> holders = new HashMap<>();
     for (Backend b : backends.values()) {
@@ -44,8 +44,20 @@
     return former;
   }
 
-  /** Returns whether a backend server listens where an earlier one did, which has ended. */
-  static boolean hasTakenAddress(Backend holder, Backend earlier) {
+  /**
+   * Returns whether a backend server has lost its address, so that it has ended.
+   *
+   * @param earlier the backend server as it was published earlier
+   * @param backends the backend servers that are published now, by id
+   * @param isService tests whether a service is configured
+   */
+  static boolean isTaken(
+      Backend earlier, Map<EngineId, Backend> backends, Predicate<ServiceId> isService) {
+    return backends.values().stream()
+        .anyMatch(b -> hasTakenAddress(b, earlier) && isService.test(b.service()));
+  }
+
+  private static boolean hasTakenAddress(Backend holder, Backend earlier) {
     return earlier.startedMillis() != UNKNOWN_START
         && holder.startedMillis() > earlier.startedMillis()
         && holder.address().equals(earlier.address());
--- a/core/src/main/java/org/gentianslip/core/published/PublishedState.java
+++ b/core/src/main/java/org/gentianslip/core/published/PublishedState.java
@@ -6,6 +6,7 @@
 import java.util.Set;
 import org.gentianslip.core.id.DataCentreId;
 import org.gentianslip.core.id.EngineId;
+import org.gentianslip.core.id.ServiceId;
 import org.gentianslip.core.route.RouteTable;
 
 /**
@@ -43,18 +44,23 @@
    * @param earlier the backend server as it was published earlier
    */
   public boolean isAddressTaken(Backend earlier) {
-    return backends.values().stream().anyMatch(b -> AddressReuse.hasTakenAddress(b, earlier));
+    return AddressReuse.isTaken(earlier, backends, this::hasService);
   }
 
   /** Returns the backend servers that have left their address to a later one, with that one. */
   public Map<EngineId, Backend> formerHolders() {
-    return routes
-        .map(r -> AddressReuse.formerHolders(backends, s -> r.service(s).isPresent()))
-        .orElse(Map.of());
+    return AddressReuse.formerHolders(backends, this::hasService);
   }
 
-  /** Returns a copy without some backend servers. */
+  private boolean hasService(ServiceId service) {
+    return routes.flatMap(r -> r.service(service)).isPresent();
+  }
+
+  /** Returns this state, or a copy without some backend servers. */
   public PublishedState without(Set<EngineId> ids) {
+    if (ids.isEmpty()) {
+      return this;
+    }
     Map<EngineId, Backend> kept = new HashMap<>(backends);
     kept.keySet().removeAll(ids);
     return new PublishedState(revision, routes, kept, evacuated);
--- a/core/src/test/java/org/gentianslip/core/published/ReusedAddressTest.java
+++ b/core/src/test/java/org/gentianslip/core/published/ReusedAddressTest.java
@@ -7,6 +7,7 @@
 import static org.hamcrest.Matchers.is;
 
 import java.util.Arrays;
+import java.util.Map;
 import java.util.Set;
 import java.util.function.Function;
 import java.util.stream.Collectors;
@@ -37,8 +38,11 @@
   }
 
   private static Set<EngineId> former(Backend... servers) {
-    var byId = Arrays.stream(servers).collect(Collectors.toMap(Backend::id, Function.identity()));
-    return AddressReuse.formerHolders(byId, SERVICES::contains).keySet();
+    return AddressReuse.formerHolders(byId(servers), SERVICES::contains).keySet();
+  }
+
+  private static Map<EngineId, Backend> byId(Backend... servers) {
+    return Arrays.stream(servers).collect(Collectors.toMap(Backend::id, Function.identity()));
   }
 
   @Test
@@ -70,6 +74,15 @@
         is(empty()));
   }
 
+  @Test
+  void oneOfNoServiceProvesNoEndOfAnother() {
+    Backend engine = server("i-1", "farm", ADDRESS, 100);
+    Backend odd = server("i-2", "none", ADDRESS, 200);
+    assertThat(AddressReuse.isTaken(engine, byId(engine, odd), SERVICES::contains), is(false));
+    Backend next = server("i-2", "desk", ADDRESS, 200);
+    assertThat(AddressReuse.isTaken(engine, byId(engine, next), SERVICES::contains), is(true));
+  }
+
   @Test
   void oneOfNoServiceHidesNoLaterOne() {
     assertThat(
--- a/entry/src/main/java/org/gentianslip/entry/published/PublishedStateUpdater.java
+++ b/entry/src/main/java/org/gentianslip/entry/published/PublishedStateUpdater.java
@@ -370,13 +370,13 @@
   private void notifyChanged(long nowNanos, boolean changed) {
     changePending |= changed;
     if (changePending) {
-      listener.onChanged(nowNanos, decode(nowNanos));
+      listener.onChanged(nowNanos, stateInUse(nowNanos));
       changePending = false;
     }
   }
 
   /** Returns the state without the backend servers that have left their address to later ones. */
-  private PublishedState decode(long nowNanos) {
+  private PublishedState stateInUse(long nowNanos) {
     PublishedState state = decoder.decode(items.items(), items.revision());
     Map<EngineId, Backend> holders = state.formerHolders();
     List<Backend> former = holders.keySet().stream().map(state.backends()::get).toList();
