Keep the memory of servers that left their address within its bound

Found by reading again: EngineContacts says that it is bounded by MAX_ENGINES, but only the map of engines that were heard was looked at. A server that is asked when it started and has left its address is not in that map, so the other map could grow with each of them.

Change: either map above the bound empties both, as before for one.

--- a/core/src/main/java/org/gentianslip/core/stream/EngineContacts.java
+++ b/core/src/main/java/org/gentianslip/core/stream/EngineContacts.java
@@ -32,11 +32,15 @@
 
   /** Returns the time at which an engine was last heard, which the caller may update. */
   public AtomicLong heardNanos(long nowNanos, EngineId engine) {
-    if (heard.size() > MAX_ENGINES) {
+    forgetIfTooMany();
+    return heard.computeIfAbsent(engine, e -> new AtomicLong(nowNanos - RunWatch.ALIVE_NANOS));
+  }
+
+  private void forgetIfTooMany() {
+    if (heard.size() > MAX_ENGINES || displaced.size() > MAX_ENGINES) {
       heard.clear();
       displaced.clear();
     }
-    return heard.computeIfAbsent(engine, e -> new AtomicLong(nowNanos - RunWatch.ALIVE_NANOS));
   }
 
   /** Records what a call for its runs has shown; silence leaves the belief as it is. */
@@ -57,6 +61,7 @@
 
   /** Records that another server has answered at the address of an engine. */
   public void recordOtherServer(long nowNanos, Backend engine) {
+    forgetIfTooMany();
     displaced.put(engine.id(), new Displaced(engine.startedMillis(), nowNanos));
   }
 
--- a/core/src/test/java/org/gentianslip/core/stream/RunWatchTest.java
+++ b/core/src/test/java/org/gentianslip/core/stream/RunWatchTest.java
@@ -194,10 +194,20 @@
   @Test
   void knowsOfAnotherServerUntilTheEngineIsHeard() {
     var contacts = new EngineContacts();
-    contacts.recordEvidence(1, engine("i-1", 1), RunEvidence.OTHER_SERVER);
+    contacts.recordOtherServer(1, engine("i-1", 1));
     assertThat(contacts.isDisplaced(2, engine("i-1", 1)), is(true));
     assertThat("a later start", contacts.isDisplaced(2, engine("i-1", 2)), is(false));
     contacts.recordEvidence(3, engine("i-1", 1), RunEvidence.LISTED);
     assertThat(contacts.isDisplaced(4, engine("i-1", 1)), is(false));
   }
+
+  /** Guards against memory that grows with each server that has left its address. */
+  @Test
+  void forgetsOtherServersBeyondTheBound() {
+    var contacts = new EngineContacts();
+    for (int i = 0; i <= EngineContacts.MAX_ENGINES + 1; i++) {
+      contacts.recordOtherServer(1, engine("i-" + i, 1));
+    }
+    assertThat(contacts.isDisplaced(2, engine("i-0", 1)), is(false));
+  }
 }
