Record the answer of another server where the call ends

RunQuery, by way of recordEvidence, and StartQuery each recorded that another server had answered. ReportCall, which both use, decides it; it records it now, once. Nothing else changes: recordEvidence saw this result from no other place. RunWatchTest, UnaskedReportTest, SlowStreamTest and ReportAddressTest pass.

--- a/core/src/main/java/org/gentianslip/core/stream/EngineContacts.java
+++ b/core/src/main/java/org/gentianslip/core/stream/EngineContacts.java
@@ -43,11 +43,8 @@
     }
   }
 
-  /** Records what a call for its runs has shown; silence leaves the belief as it is. */
+  /** Records the answer of an engine to a call for its runs; silence leaves the belief as it is. */
   public void recordEvidence(long nowNanos, Backend engine, RunEvidence evidence) {
-    if (evidence == RunEvidence.OTHER_SERVER) {
-      recordOtherServer(nowNanos, engine);
-    }
     if (!evidence.isSignOfLife()) {
       return;
     }
--- a/entry/src/main/java/org/gentianslip/entry/gateway/ReportCall.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/ReportCall.java
@@ -160,6 +160,9 @@
 
   private void end(RunEvidence evidence) {
     if (markEnded(evidence.name().toLowerCase(Locale.ROOT).replace('_', '-'))) {
+      if (evidence == RunEvidence.OTHER_SERVER) {
+        gateway.engineContacts().recordOtherServer(System.nanoTime(), backend);
+      }
       listener.onNoAnswer(evidence);
     }
   }
--- a/entry/src/main/java/org/gentianslip/entry/gateway/StartQuery.java
+++ b/entry/src/main/java/org/gentianslip/entry/gateway/StartQuery.java
@@ -40,9 +40,6 @@
   @Override
   public void onNoAnswer(RunEvidence evidence) {
     log(evidence.name());
-    if (evidence == RunEvidence.OTHER_SERVER) {
-      gateway.engineContacts().recordOtherServer(System.nanoTime(), backend);
-    }
     if (evidence == RunEvidence.UNREACHABLE || evidence == RunEvidence.OTHER_SERVER) {
       gateway.state().recordUnanswered(System.nanoTime(), backend);
     }
