--- a/core/src/test/java/org/gentianslip/core/published/ReusedAddressTest.java
+++ b/core/src/test/java/org/gentianslip/core/published/ReusedAddressTest.java
@@ -21,8 +21,7 @@
 @DisplayName("Of the servers that are published with one address")
 class ReusedAddressTest {
 
-  private static final ServiceId SERVICE = ServiceId.of("desk");
-  private static final Set<ServiceId> SERVICES = Set.of(SERVICE, ServiceId.of("farm"));
+  private static final Set<ServiceId> SERVICES = Set.of(ServiceId.of("desk"), ServiceId.of("farm"));
   private static final String ADDRESS = "10.0.0.1:80";
 
   private static Backend server(String id, String service, String address, long startedMillis) {
@@ -45,6 +44,10 @@
     return Arrays.stream(servers).collect(Collectors.toMap(Backend::id, Function.identity()));
   }
 
+  private static void assertNoneHasLostIt(Backend besideEngine) {
+    assertThat(former(server("i-1", "farm", ADDRESS, 100), besideEngine), is(empty()));
+  }
+
   @Test
   void theOneThatStartedLastHasIt() {
     Backend engine = server("i-1", "farm", ADDRESS, 100);
@@ -55,23 +58,17 @@
 
   @Test
   void noneHasLostItIfTheyStartedAtOneTime() {
-    assertThat(
-        former(server("i-1", "farm", ADDRESS, 100), server("i-2", "desk", ADDRESS, 100)),
-        is(empty()));
+    assertNoneHasLostIt(server("i-2", "desk", ADDRESS, 100));
   }
 
   @Test
   void oneWithoutStartNeitherTakesNorLosesIt() {
-    assertThat(
-        former(server("i-1", "farm", ADDRESS, 100), server("i-2", "desk", ADDRESS, 0)),
-        is(empty()));
+    assertNoneHasLostIt(server("i-2", "desk", ADDRESS, 0));
   }
 
   @Test
   void oneOfNoServiceTakesItFromNobody() {
-    assertThat(
-        former(server("i-1", "farm", ADDRESS, 100), server("i-2", "none", ADDRESS, 200)),
-        is(empty()));
+    assertNoneHasLostIt(server("i-2", "none", ADDRESS, 200));
   }
 
   @Test
@@ -95,8 +92,6 @@
 
   @Test
   void serversOfOtherAddressesAreNotConcerned() {
-    assertThat(
-        former(server("i-1", "farm", ADDRESS, 100), server("i-2", "desk", "10.0.0.1:81", 200)),
-        is(empty()));
+    assertNoneHasLostIt(server("i-2", "desk", "10.0.0.1:81", 200));
   }
 }
