--- a/review/rig-3/EngineStandin.java
+++ b/review/rig-3/EngineStandin.java
@@ -78,7 +78,7 @@
     this.events = events;
     listener = new ServerSocket(0, 200, InetAddress.getLoopbackAddress());
     start(this::accept);
-    start(this::beat);
+    publish();
   }
 
   private static void start(Runnable task) {
@@ -100,18 +100,22 @@
     losesAnswer = test;
   }
 
-  private void beat() {
-    while (!closed) {
-      store.put(
-          "servers/" + id,
-          String.format(
-              "{\"service\":\"%s\",\"address\":\"127.0.0.1:%d\",\"zone\":\"%s\",\"version\":\"v1\","
-                  + "\"slots\":64,\"state\":\"ready\",\"cold_left_ms\":0,\"stage\":\"both\","
-                  + "\"models\":[{\"name\":\"m\",\"version\":1,\"adapters\":[]}],\"seq\":%d,"
-                  + "\"born\":%d}",
-              service, listener.getLocalPort(), zone, ++seq, born));
-      sleep(1_200);
-    }
+  /** Publishes the engine, and again with each change; one of the count alone is none. */
+  private void publish() {
+    store.put(
+        "servers/" + id,
+        String.format(
+            "{\"service\":\"%s\",\"address\":\"127.0.0.1:%d\",\"zone\":\"%s\",\"version\":\"v1\","
+                + "\"slots\":64,\"state\":\"ready\",\"cold_left_ms\":0,\"stage\":\"both\","
+                + "\"models\":[{\"name\":\"m\",\"version\":1,\"adapters\":[]}],\"seq\":%d,"
+                + "\"born\":%d}",
+            service, listener.getLocalPort(), zone, ++seq, born));
+  }
+
+  /** Removes the entry; the engine serves on, and never said that it would leave. */
+  void leave() {
+    store.delete("servers/" + id);
+    journal.line("the entry of %s is removed", id);
   }
 
   private void accept() {
@@ -202,6 +206,11 @@
     journal.line("%s runs %s from event %d", id, requestId, next);
     try {
       pause(socket, in, prefillMillis);
+      if (events == 0) {
+        sendPlain(out, requestId);
+        end(run, "complete");
+        return true;
+      }
       if (lost) {
         loseAnswer(socket, run);
         return false;
@@ -231,6 +240,12 @@
     }
   }
 
+  private void sendPlain(OutputStream out, String requestId) throws IOException {
+    String headers =
+        "Gentianslip-Request-Id: " + requestId + "\r\nGentianslip-Server-Stamp: stamp-of-" + id;
+    send(out, "200 OK", headers, "done by " + id);
+  }
+
   private void loseAnswer(Socket socket, Run run) throws IOException {
     socket.setSoLinger(true, 0);
     socket.close();
--- a/review/rig-3/StoreStandin.java
+++ b/review/rig-3/StoreStandin.java
@@ -27,6 +27,7 @@
   private final TreeMap<String, Item> items = new TreeMap<>();
   private final List<Item> history = new ArrayList<>();
   private long revision = 1;
+  private volatile long cutMillis = Long.MAX_VALUE;
 
   /** One state of an item; the value is null if it was deleted. */
   private record Item(String key, byte[] value, long revision, long created) {
@@ -54,6 +55,11 @@
     return "127.0.0.1:" + server.getAddress().getPort();
   }
 
+  /** Cuts each watch from now on that has waited for a time. */
+  void cutWatchesAfter(long millis) {
+    cutMillis = millis;
+  }
+
   synchronized void put(String key, String value) {
     revision++;
     Item known = items.get(key);
@@ -118,7 +124,8 @@
     String prefix = query.getOrDefault("prefix", "");
     long after = Long.parseLong(query.getOrDefault("after", "0"));
     long waitMillis = Math.min(30_000, Long.parseLong(query.getOrDefault("wait_ms", "1")));
-    long endNanos = System.nanoTime() + waitMillis * 1_000_000;
+    boolean cut = waitMillis > cutMillis;
+    long endNanos = System.nanoTime() + Math.min(waitMillis, cutMillis) * 1_000_000;
     String body;
     synchronized (this) {
       List<String> events = events(prefix, after);
@@ -131,6 +138,10 @@
         }
         events = events(prefix, after);
       }
+      if (events.isEmpty() && cut) {
+        exchange.close();
+        return;
+      }
       body =
           "{\"events\":[" + String.join(",", events) + "],\"store_revision\":" + revision + "}";
     }
