Show requests to a removed server while watches are cut

The instance takes each cut for an outage: it waits up to 1 s before the next call and then holds the removal of a server for 2.3 s more.

--- a/review/rig-3/StoreStandin.java
+++ b/review/rig-3/StoreStandin.java
@@ -28,6 +28,7 @@
   private final List<Item> history = new ArrayList<>();
   private long revision = 1;
   private volatile long cutMillis = Long.MAX_VALUE;
+  private int cutsInRow;
 
   /** One state of an item; the value is null if it was deleted. */
   private record Item(String key, byte[] value, long revision, long created) {
@@ -60,6 +61,16 @@
     cutMillis = millis;
   }
 
+  /** Waits until a number of watches in a row was cut; returns false after a time without. */
+  synchronized boolean awaitCuts(int number, long millis) throws InterruptedException {
+    cutsInRow = 0;
+    long end = System.nanoTime() + millis * 1_000_000;
+    while (cutsInRow < number && end - System.nanoTime() > 0) {
+      wait(100);
+    }
+    return cutsInRow >= number;
+  }
+
   synchronized void put(String key, String value) {
     revision++;
     Item known = items.get(key);
@@ -139,6 +150,8 @@
         events = events(prefix, after);
       }
       if (events.isEmpty() && cut) {
+        cutsInRow++;
+        notifyAll();
         exchange.close();
         return;
       }
