--- a/review/15/run.sh
+++ /dev/null
@@ -1,2 +0,0 @@
-#!/usr/bin/env bash
-exec "$(dirname "$0")/../rig-3/run-case.sh" DeadMachineCase review/15
--- a/review/rig-3/CutWatchCase.java
+++ b/review/rig-3/CutWatchCase.java
@@ -55,7 +55,7 @@
     try (StoreStandin store = new StoreStandin()) {
       store.put("op/config", config());
       for (int i = 1; i <= ENGINES; i++) {
-        engines.add(new EngineStandin("i-" + i, "desk", "graz-a", store, journal, 30, 0, 0));
+        engines.add(new EngineStandin("i-" + i, "desk", "graz-a", store, journal, 30));
       }
       List<Node.Ports> ports = new ArrayList<>();
       List<Integer> seeds = new ArrayList<>();
--- a/review/rig-3/EngineStandin.java
+++ b/review/rig-3/EngineStandin.java
@@ -1,5 +1,4 @@
 import java.io.IOException;
-import java.io.InputStream;
 import java.io.OutputStream;
 import java.io.PushbackInputStream;
 import java.net.InetAddress;
@@ -7,21 +6,15 @@
 import java.net.Socket;
 import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
-import java.util.function.Predicate;
 
 /**
- * A model engine as the users' pages tell it: it streams events, lists its runs in a report whose
- * values are some hundred milliseconds old, and drops a run when its connection closes. A run whose
- * answer is lost goes on to its end. Thread-safe.
+ * A sound engine of a plain service as the users' pages tell it: it answers each request after some
+ * work, and drops a run when its connection closes. Thread-safe.
  */
 final class EngineStandin implements AutoCloseable {
 
-  /** How old the values of a report are, in milliseconds. */
-  private static final long REPORT_LAG_MILLIS = 250;
-
   private final String id;
   private final String service;
   private final String zone;
@@ -29,32 +22,18 @@
   private final StoreStandin store;
   private final ServerSocket listener;
   private final long born = System.currentTimeMillis();
-  private final long prefillMillis;
-  private final long gapMillis;
-  private final int events;
+  private final long workMillis;
   private final List<Run> runs = new CopyOnWriteArrayList<>();
-  private volatile Predicate<String> losesAnswer = request -> false;
   private volatile boolean closed;
-  private long seq;
 
-  /** One run of a request; the end is 0 while it lasts. */
+  /** One run of a request. */
   static final class Run {
     final String request;
-    final String engine;
     final long startMillis;
-    final int firstEvent;
-    volatile long endMillis;
-    volatile String outcome = "running";
 
-    Run(String request, String engine, long startMillis, int firstEvent) {
+    Run(String request, long startMillis) {
       this.request = request;
-      this.engine = engine;
       this.startMillis = startMillis;
-      this.firstEvent = firstEvent;
-    }
-
-    boolean lastsAt(long millis) {
-      return startMillis <= millis && (endMillis == 0 || endMillis > millis);
     }
   }
 
@@ -64,18 +43,14 @@
       String zone,
       StoreStandin store,
       Journal journal,
-      long prefillMillis,
-      long gapMillis,
-      int events)
+      long workMillis)
       throws IOException {
     this.id = id;
     this.service = service;
     this.zone = zone;
     this.store = store;
     this.journal = journal;
-    this.prefillMillis = prefillMillis;
-    this.gapMillis = gapMillis;
-    this.events = events;
+    this.workMillis = workMillis;
     listener = new ServerSocket(0, 200, InetAddress.getLoopbackAddress());
     start(this::accept);
     publish();
@@ -95,12 +70,7 @@
     return runs;
   }
 
-  /** Sets of which requests the answer is lost from now on. */
-  void setLosesAnswer(Predicate<String> test) {
-    losesAnswer = test;
-  }
-
-  /** Publishes the engine, and again with each change; one of the count alone is none. */
+  /** Publishes the engine; a change of the count alone is none, so it is published once. */
   private void publish() {
     store.put(
         "servers/" + id,
@@ -109,7 +79,7 @@
                 + "\"slots\":64,\"state\":\"ready\",\"cold_left_ms\":0,\"stage\":\"both\","
                 + "\"models\":[{\"name\":\"m\",\"version\":1,\"adapters\":[]}],\"seq\":%d,"
                 + "\"born\":%d}",
-            service, listener.getLocalPort(), zone, ++seq, born));
+            service, listener.getLocalPort(), zone, 1, born));
   }
 
   /** Removes the entry; the engine serves on, and never said that it would leave. */
@@ -154,14 +124,12 @@
     String requestId = request.header("Gentianslip-Request-Id");
     if (!expected.isEmpty() && !expected.equals(id)) {
       send(out, "421 Misdirected Request", "Gentianslip-Instance-Id: " + id, "");
-    } else if (target.equals("/gentianslip/report")) {
-      send(out, "200 OK", "Content-Type: application/json", report());
     } else if (target.equals("/healthz")) {
       send(out, "200 OK", "Gentianslip-Instance-Id: " + id, "");
     } else if (requestId.isEmpty()) {
       send(out, "400 Bad Request", "Gentianslip-Not-Run: 1", "");
     } else {
-      return run(socket, in, out, request, requestId);
+      return run(socket, in, out, requestId);
     }
     return !request.header("Connection").equalsIgnoreCase("close");
   }
@@ -176,62 +144,14 @@
     out.flush();
   }
 
-  private String report() {
-    long asOf = journal.millis() - REPORT_LAG_MILLIS;
-    List<String> listed = new ArrayList<>();
-    for (Run run : runs) {
-      if (run.lastsAt(asOf)) {
-        listed.add("[\"" + run.request + "\",1000,1,5]");
-      }
-    }
-    journal.line("%s reports the runs of %d ms ago: %s", id, REPORT_LAG_MILLIS, listed);
-    return "{\"stage\":\"both\",\"models\":[{\"name\":\"m\",\"version\":1,\"adapters\":[]}],"
-        + "\"busy\":false,\"seq\":1,\"queued\":0,\"running\":"
-        + listed.size()
-        + ",\"kv_used\":1000,\"kv_total\":350000,\"handles\":0,\"runs\":["
-        + String.join(",", listed)
-        + "],\"born\":"
-        + born
-        + "}";
-  }
-
-  private boolean run(
-      Socket socket, PushbackInputStream in, OutputStream out, HttpMessage request, String requestId)
+  private boolean run(Socket socket, PushbackInputStream in, OutputStream out, String requestId)
       throws IOException {
-    String last = request.header("Last-Event-Id");
-    int next = last.isEmpty() ? 1 : Integer.parseInt(last) + 1;
-    Run run = new Run(requestId, id, journal.millis(), next);
+    Run run = new Run(requestId, journal.millis());
     runs.add(run);
-    boolean lost = losesAnswer.test(requestId);
-    journal.line("%s runs %s from event %d", id, requestId, next);
+    journal.line("%s runs %s", id, requestId);
     try {
-      pause(socket, in, prefillMillis);
-      if (events == 0) {
-        sendPlain(out, requestId);
-        end(run, "complete");
-        return true;
-      }
-      if (lost) {
-        loseAnswer(socket, run);
-        return false;
-      }
-      String head =
-          "HTTP/1.1 200 OK\r\nGentianslip-Request-Id: "
-              + requestId
-              + "\r\nGentianslip-Server-Stamp: stamp-of-"
-              + id
-              + "\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
-      out.write(head.getBytes(StandardCharsets.ISO_8859_1));
-      for (int event = next; event <= events; event++) {
-        byte[] text = ("id: " + event + "\ndata: piece\n\n").getBytes(StandardCharsets.UTF_8);
-        out.write((Integer.toHexString(text.length) + "\r\n").getBytes());
-        out.write(text);
-        out.write("\r\n".getBytes());
-        out.flush();
-        pause(socket, in, gapMillis);
-      }
-      out.write("0\r\n\r\n".getBytes());
-      out.flush();
+      pause(socket, in, workMillis);
+      sendPlain(out, requestId);
       end(run, "complete");
       return true;
     } catch (IOException e) {
@@ -246,17 +166,7 @@
     send(out, "200 OK", headers, "done by " + id);
   }
 
-  private void loseAnswer(Socket socket, Run run) throws IOException {
-    socket.setSoLinger(true, 0);
-    socket.close();
-    journal.line("%s loses its answer to %s and goes on with it", id, run.request);
-    sleep(gapMillis * (events - run.firstEvent + 1));
-    end(run, "complete, its answer was lost");
-  }
-
   private void end(Run run, String outcome) {
-    run.endMillis = journal.millis();
-    run.outcome = outcome;
     journal.line("%s ends the run of %s: %s", id, run.request, outcome);
   }
 
--- a/review/rig-3/RestartedZoneCase.java
+++ b/review/rig-3/RestartedZoneCase.java
@@ -50,8 +50,8 @@
     Map<String, Node> nodes = new LinkedHashMap<>();
     try (StoreStandin store = new StoreStandin()) {
       store.put("op/config", config());
-      new EngineStandin("i-1", "desk", "ibk-a", store, journal, 30, 0, 0);
-      new EngineStandin("i-2", "desk", "ibk-a", store, journal, 30, 0, 0);
+      new EngineStandin("i-1", "desk", "ibk-a", store, journal, 30);
+      new EngineStandin("i-2", "desk", "ibk-a", store, journal, 30);
       Map<String, Node.Ports> ports = new LinkedHashMap<>();
       for (String name : List.of(GRAZ, HOME, WIEN)) {
         ports.put(name, Node.freePorts());
