--- a/review/rig-3/Node.java
+++ b/review/rig-3/Node.java
@@ -15,6 +15,11 @@
 
   private static final Pattern RUN = Pattern.compile("(?m)^run = \"([^\"]+)\"$");
 
+  /** Ends a process, the second argument, once another one, the first argument, is gone. */
+  private static final String WATCH =
+      "while kill -0 $1 2>/dev/null && kill -0 $2 2>/dev/null; do sleep 0.2; done;"
+          + " kill -0 $1 2>/dev/null || kill -9 $2 2>/dev/null";
+
   /** The ports of an instance on its address. */
   record Ports(int first, int front, int ready, int control, int directory) {}
 
@@ -157,8 +162,23 @@
     builder.redirectOutput(folder.resolve(name + "-" + ++starts + ".log").toFile());
     Process started = builder.start();
     process = started;
-    // Ends the instance also if the case itself is ended.
-    Runtime.getRuntime().addShutdownHook(new Thread(started::destroyForcibly));
+    watch(started);
+    try {
+      // Ends the instance also if the case itself is ended.
+      Runtime.getRuntime().addShutdownHook(new Thread(started::destroyForcibly));
+    } catch (IllegalStateException e) {
+      // The case is being ended already.
+      started.destroyForcibly();
+    }
+  }
+
+  /** Starts a process that ends an instance by its id if this process is killed. */
+  private static void watch(Process started) throws IOException {
+    String own = Long.toString(ProcessHandle.current().pid());
+    new ProcessBuilder("setsid", "sh", "-c", WATCH, "watch", own, Long.toString(started.pid()))
+        .redirectErrorStream(true)
+        .redirectOutput(ProcessBuilder.Redirect.DISCARD)
+        .start();
   }
 
   Process process() {
